Add the design, the log's table and the interfaces between packages

Cause: the project starts empty; the parts need one agreed design before they are written side by side. Ruled out: one store record per incarnation beside a log of moves, and table segments; docs/design.md gives the write counts of each. Before/after: nothing measured yet. Conclusion: one log in the store, leases renewed by witnesses.

--- /dev/null
+++ b/internal/sequoiarouter/request.go
@@ -0,0 +1,71 @@
+// Package sequoiarouter decides what happens to a request: where it goes, whether it is admitted, whether it may be
+// run again, and which outcome the caller is told. It does no input or output.
+package sequoiarouter
+
+import (
+	"time"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
+)
+
+// Outcome is what the caller is told of its request.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Answered comes with the upstream's whole answer.
+	Answered Outcome = iota + 1
+	// NotRun means that the upstream provably did not run the request.
+	NotRun
+	// Unknown means that the upstream may have run the request.
+	Unknown
+)
+
+// String returns the name used in headers and logs.
+func (o Outcome) String() string {
+	switch o {
+	case Answered:
+		return "Answered"
+	case NotRun:
+		return "NotRun"
+	case Unknown:
+		return "Unknown"
+	}
+	return "Invalid"
+}
+
+// Request is a caller's request, whole.
+type Request struct {
+	Service string
+	// Key selects the owner; empty in services that are not divided by key.
+	Key string
+	// RequestID is set on requests that must not be repeated.
+	RequestID string
+	// FirstEpoch is the epoch that the first attempt saw, zero if the caller did not say.
+	FirstEpoch sequoiatable.Epoch
+	// Repeatable is true for a request that may be run more than once.
+	Repeatable bool
+	// Deadline is on this process's clock. Between processes the remaining time is sent.
+	Deadline time.Time
+	// Forwarded is true for a request that another process has passed on; it is not passed on again.
+	Forwarded bool
+	Method    string
+	// Path is the path behind the service's name, with the query.
+	Path   string
+	Header map[string][]string
+	Body   []byte
+}
+
+// Response is the end of a request.
+type Response struct {
+	Outcome Outcome
+	// Reason says why the outcome is not Answered, as one word in Pascal case.
+	Reason string
+	Owner  sequoiatable.IncarnationID
+	Epoch  sequoiatable.Epoch
+	// LogIndex is the index of the table by which the responding process decided.
+	LogIndex uint64
+	Status   int
+	Header   map[string][]string
+	Body     []byte
+}
--- /dev/null
+++ b/internal/sequoiatable/table_test.go
@@ -0,0 +1,76 @@
+package sequoiatable_test
+
+import (
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	. "github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
+)
+
+func TestTable(t *testing.T) {
+	RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "sequoiatable")
+}
+
+// entry returns the next entry after t.
+func entry(t *Table, writer IncarnationID, changes ...Change) Entry {
+	return Entry{Index: t.Index + 1, Writer: writer, Changes: changes}
+}
+
+func mustApply(t *Table, writer IncarnationID, changes ...Change) *Table {
+	next, refused, err := t.Apply(entry(t, writer, changes...))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(refused).To(BeEmpty())
+	return next
+}
+
+// twoMembers returns a table with service "dispatch" and members 1 and 2; member 1 owns all 8 shards.
+func twoMembers() *Table {
+	services := []ServiceConfig{{Name: "dispatch", Shards: 8, Divided: true}}
+	t := mustApply(New(), 1, Change{SetConfiguration: &SetConfiguration{Services: services}})
+	t = mustApply(t, 1, Change{Join: &Join{Member{Incarnation: 1, Service: "dispatch"}}})
+	t = mustApply(t, 2, Change{Join: &Join{Member{Incarnation: 2, Service: "dispatch"}}})
+	return mustApply(t, 1, Change{Assign: &Assign{
+		Service: "dispatch", Kind: AssignInitial, To: 1, Shards: []uint32{0, 1, 2, 3, 4, 5, 6, 7},
+	}})
+}
+
+var _ = ginkgo.Describe("Table", func() {
+	ginkgo.It("refuses a takeover from an owner that is not revoked, which would make two owners", func() {
+		t := twoMembers()
+		next, refused, err := t.Apply(entry(t, 2, Change{Assign: &Assign{
+			Service: "dispatch", Kind: AssignTakeover, From: 1, To: 2, Shards: []uint32{3},
+		}}))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(refused).To(HaveLen(1))
+		Expect(refused[0].Err).To(MatchError(ErrNotRevoked))
+		Expect(next.Service("dispatch").Shard(3).Owner).To(Equal(IncarnationID(1)))
+	})
+
+	ginkgo.It("refuses a planned move that the owner did not write, which would skip its drain", func() {
+		t := twoMembers()
+		_, refused, _ := t.Apply(entry(t, 2, Change{Assign: &Assign{
+			Service: "dispatch", Kind: AssignPlanned, From: 1, To: 2, Shards: []uint32{3},
+		}}))
+		Expect(refused[0].Err).To(MatchError(ErrWriter))
+	})
+
+	ginkgo.It("leaves earlier tables unchanged, so that readers of a snapshot see one state", func() {
+		t := twoMembers()
+		next := mustApply(t, 1, Change{Assign: &Assign{
+			Service: "dispatch", Kind: AssignPlanned, From: 1, To: 2, Shards: []uint32{3}, Keys: []string{"hot"},
+		}})
+		Expect(t.Service("dispatch").Shard(3).Owner).To(Equal(IncarnationID(1)))
+		Expect(t.Service("dispatch").HotKeys()).To(BeEmpty())
+		Expect(next.Service("dispatch").Lookup("hot").Owner).To(Equal(IncarnationID(2)))
+		Expect(next.Member(2).Owned).To(Equal(2))
+	})
+
+	ginkgo.It("refuses a configuration based on a revision that is not in force, the slower of two operators", func() {
+		t := twoMembers()
+		_, refused, _ := t.Apply(entry(t, 2, Change{SetConfiguration: &SetConfiguration{Base: 0}}))
+		Expect(refused[0].Err).To(MatchError(ErrStaleConfiguration))
+	})
+})
