--- /dev/null
+++ b/internal/sequoiasettings/configuration.go
@@ -0,0 +1,170 @@
+package sequoiasettings
+
+import (
+	"cmp"
+	"fmt"
+	"regexp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
+)
+
+// Limits bound what one process accepts for a service.
+type Limits struct {
+	// InFlight is the most requests that a process has in progress, zero for the number of the upstream's slots.
+	InFlight int
+	// Queued is the most requests that wait for a slot or for a move to finish.
+	Queued int
+	// Timeout ends a request whose caller gave no deadline.
+	Timeout time.Duration
+	// RetryPercent is the retry budget: the share of requests that may be sent again, in percent.
+	RetryPercent float64
+}
+
+// Balancing holds the parameters of moves for balance.
+type Balancing struct {
+	// Hysteresis is the relative excess over an upstream's share of the load below which no key moves: 0.2 is 20%.
+	Hysteresis float64
+	// MovesPerMinute is the most shards and hot keys of the service that move in a minute.
+	MovesPerMinute int
+	// HotKeyBusySlots is the mean number of requests in progress from which a key gets its own assignment.
+	HotKeyBusySlots float64
+}
+
+// Service is one service of a configuration.
+type Service struct {
+	Name string
+	// Shards is the number of hash ranges; it cannot change once keys are assigned.
+	Shards uint32
+	// Divided is true if each upstream serves only the keys it owns.
+	Divided bool
+	Limits  Limits
+	// ResendWindow is how long an owner retains the identifier of a request that must not be repeated.
+	ResendWindow time.Duration
+	// MaximumBodyBytes bounds the body of a request and of a response.
+	MaximumBodyBytes int64
+	Balancing        Balancing
+}
+
+// CostWeights weight the parts of the cost of a placement against each other. Only their ratio matters.
+type CostWeights struct {
+	Imbalance   float64
+	Churn       float64
+	Unavailable float64
+}
+
+// Configuration is the document that operators apply.
+type Configuration struct {
+	Services []Service
+	Weights  CostWeights
+}
+
+// Defaults of a service. 60 s covers the resends of callers whose deadline is up to a minute; 1 MiB of body keeps the
+// memory of a few hundred requests in progress below 128 MB less the table.
+const (
+	DefaultResendWindow     = 60 * time.Second
+	DefaultMaximumBodyBytes = 1 << 20
+)
+
+func defaultService() Service {
+	return Service{
+		Limits:           Limits{Queued: 1000, Timeout: 30 * time.Second, RetryPercent: 10},
+		ResendWindow:     DefaultResendWindow,
+		MaximumBodyBytes: DefaultMaximumBodyBytes,
+		Balancing:        Balancing{Hysteresis: 0.2, MovesPerMinute: 6, HotKeyBusySlots: 1},
+	}
+}
+
+// ParseConfiguration reads and checks the configuration in data; name is the file's name for faults. It returns Faults
+// with every fault found.
+func ParseConfiguration(name string, data []byte) (Configuration, error) {
+	d := NewDocument(name, data)
+	cfg := Configuration{Weights: CostWeights{Imbalance: 1, Churn: 1, Unavailable: 1}}
+	if d.Decode(&cfg) {
+		cfg.check(d)
+	}
+	if err := d.Err(); err != nil {
+		return Configuration{}, err
+	}
+	return cfg, nil
+}
+
+// Service returns a service by its name.
+func (cfg *Configuration) Service(name string) (Service, bool) {
+	i := slices.IndexFunc(cfg.Services, func(s Service) bool { return s.Name == name })
+	if i < 0 {
+		return Service{}, false
+	}
+	return cfg.Services[i], true
+}
+
+// TableServices returns what a SetConfiguration entry needs of the services, in the document's order.
+func (cfg *Configuration) TableServices() []sequoiatable.ServiceConfig {
+	services := make([]sequoiatable.ServiceConfig, len(cfg.Services))
+	for i, s := range cfg.Services {
+		services[i] = sequoiatable.ServiceConfig{Name: s.Name, Shards: s.Shards, Divided: s.Divided}
+	}
+	return services
+}
+
+func (cfg *Configuration) check(d *Document) {
+	d.Require("Services", "an array of services")
+	if d.Has("Services") {
+		d.Check(len(cfg.Services) > 0, "Services", "an empty array", "one service or more")
+	}
+	names := map[string]int{}
+	for i := range cfg.Services {
+		s := &cfg.Services[i]
+		s.check(d, fmt.Sprintf("Services[%d].", i))
+		if first, ok := names[s.Name]; ok && s.Name != "" {
+			d.Fault(fmt.Sprintf("Services[%d].Name", i), ErrConflict,
+				fmt.Sprintf("%q is the name of Services[%d] too", s.Name, first), "a name of its own")
+			continue
+		}
+		names[s.Name] = i
+	}
+	w := cfg.Weights
+	checkRange(d, "Weights.Imbalance", w.Imbalance, 0, 1000)
+	checkRange(d, "Weights.Churn", w.Churn, 0, 1000)
+	checkRange(d, "Weights.Unavailable", w.Unavailable, 0, 1000)
+	d.Check(w.Imbalance+w.Churn+w.Unavailable > 0, "Weights", "all zero", "at least one weight above 0")
+}
+
+func (s *Service) check(d *Document, path string) {
+	checkName(d, path+"Name", s.Name)
+	d.Require(path+"Shards", "an integer from 1 to 65536")
+	d.Require(path+"Divided", "true or false")
+	if d.Has(path + "Shards") {
+		checkRange(d, path+"Shards", s.Shards, 1, 65_536)
+	}
+	checkRange(d, path+"Limits.InFlight", s.Limits.InFlight, 0, 100_000)
+	checkRange(d, path+"Limits.Queued", s.Limits.Queued, 0, 100_000)
+	checkRange(d, path+"Limits.Timeout", s.Limits.Timeout, time.Millisecond, 10*time.Minute)
+	checkRange(d, path+"Limits.RetryPercent", s.Limits.RetryPercent, 0, 100)
+	checkRange(d, path+"ResendWindow", s.ResendWindow, time.Second, time.Hour)
+	checkRange(d, path+"MaximumBodyBytes", s.MaximumBodyBytes, 1, 64<<20)
+	checkRange(d, path+"Balancing.Hysteresis", s.Balancing.Hysteresis, 0.01, 10)
+	checkRange(d, path+"Balancing.MovesPerMinute", s.Balancing.MovesPerMinute, 0, 10_000)
+	checkRange(d, path+"Balancing.HotKeyBusySlots", s.Balancing.HotKeyBusySlots, 0.01, 10_000)
+}
+
+// validName is what log keys, header values and URL paths can carry without escaping.
+var validName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+func checkName(d *Document, field, name string) {
+	const allowed = "1 to 63 letters, digits, '.', '_' and '-', the first a letter or digit"
+	d.Require(field, allowed)
+	if d.Has(field) {
+		d.Check(validName.MatchString(name), field, strconv.Quote(name), allowed)
+	}
+}
+
+func checkRange[T cmp.Ordered](d *Document, field string, value, low, high T) {
+	d.Check(value >= low && value <= high, field, fmt.Sprint(value), fmt.Sprintf("%v to %v", low, high))
+}
+
+func contains[T comparable](value T, allowed ...T) bool {
+	return slices.Contains(allowed, value)
+}
