--- a/internal/sequoiatable/entry.go
+++ b/internal/sequoiatable/entry.go
@@ -65,9 +65,24 @@
 	Revoke           *Revoke           `cbor:",omitempty"`
 	SetWitnesses     *SetWitnesses     `cbor:",omitempty"`
 	Assign           *Assign           `cbor:",omitempty"`
+	Merge            *Merge            `cbor:",omitempty"`
 	SetConfiguration *SetConfiguration `cbor:",omitempty"`
 }
 
+// fieldsSet returns the number of fields that are set; a valid change has one.
+func (c *Change) fieldsSet() int {
+	n := 0
+	for _, present := range []bool{
+		c.Join != nil, c.Leave != nil, c.Revoke != nil, c.SetWitnesses != nil,
+		c.Assign != nil, c.Merge != nil, c.SetConfiguration != nil,
+	} {
+		if present {
+			n++
+		}
+	}
+	return n
+}
+
 // Member describes a process as the others need to know it.
 type Member struct {
 	Incarnation   IncarnationID
@@ -145,6 +160,13 @@
 	Reason string
 }
 
+// Merge folds hot keys back into their shards. Only the owner of both writes it. Each shard gets the entry's epoch and
+// the highest floor of the shard and the keys folded into it.
+type Merge struct {
+	Service string
+	Keys    []string
+}
+
 // SetConfiguration replaces the operators' configuration document.
 type SetConfiguration struct {
 	// Base is the revision (log index) that the operator started from, zero for the first document. The change is
--- /dev/null
+++ b/internal/sequoiatable/merge.go
@@ -0,0 +1,54 @@
+package sequoiatable
+
+import (
+	"github.com/pkg/errors"
+)
+
+// merge checks the whole change before it makes any of it.
+func (b *builder) merge(c *Merge) error {
+	if err := b.checkMerge(c); err != nil {
+		return err
+	}
+	s := b.service(c.Service)
+	b.copyKeys(s)
+	for _, k := range c.Keys {
+		n := ShardOf(k, s.Shards)
+		shard := s.Shard(n)
+		shard.Epoch = Epoch(b.entry.Index)
+		shard.Floor = max(shard.Floor, s.keys[k].Floor)
+		b.setShard(s, n, shard)
+		delete(s.keys, k)
+	}
+	b.count(b.entry.Writer, -len(c.Keys))
+	return nil
+}
+
+func (b *builder) checkMerge(c *Merge) error {
+	owner := b.entry.Writer
+	if _, err := b.liveMember(owner); err != nil {
+		return err
+	}
+	s := b.next.services[c.Service]
+	if s == nil {
+		return errors.Wrap(ErrService, c.Service)
+	}
+	seen := make(map[string]bool, len(c.Keys))
+	for _, k := range c.Keys {
+		a, ok := s.keys[k]
+		if !ok {
+			return errors.Wrapf(ErrNotHotKey, "%s key %q", c.Service, k)
+		}
+		if seen[k] {
+			return errors.Wrapf(ErrMalformed, "%s key %q is listed twice", c.Service, k)
+		}
+		seen[k] = true
+		if a.Owner != owner {
+			return errors.Wrapf(ErrNotOwner, "%s key %q: %s, not %s", c.Service, k, a.Owner, owner)
+		}
+		n := ShardOf(k, s.Shards)
+		if shard := s.Shard(n); shard.Owner != owner {
+			return errors.Wrapf(ErrNotOwner, "%s shard %d: %s, not %s", c.Service, n, shard.Owner, owner)
+		}
+	}
+	return nil
+}
--- a/internal/sequoiatable/table.go
+++ b/internal/sequoiatable/table.go
@@ -18,11 +18,15 @@
 	ErrWriter             = errors.New("the writer may not make this change")
 	ErrOwnsKeys           = errors.New("the incarnation still owns keys")
 	ErrService            = errors.New("the service is not in the configuration")
+	ErrNotHotKey          = errors.New("the key has no assignment of its own")
 	ErrShard              = errors.New("the shard is outside the service's range")
 	ErrStaleConfiguration = errors.New("another configuration revision is in force")
 	ErrShardCount         = errors.New("the number of shards of a service cannot change")
 )
 
+// MaxShards is the highest number of shards of a service. It bounds what a bad configuration entry can allocate.
+const MaxShards = 1 << 20
+
 // Assignment says who owns a shard or a hot key. Owner is zero if nobody does.
 type Assignment struct {
 	Owner IncarnationID
@@ -168,6 +172,7 @@
 	entry          Entry
 	membersCopied  bool
 	servicesCopied bool
+	ownMember      map[IncarnationID]bool
 	ownService     map[string]bool
 	ownChunk       map[chunkID]bool
 	ownKeys        map[string]bool
@@ -183,20 +188,13 @@
 	next.Index = e.Index
 	return &builder{
 		next: &next, entry: e,
+		ownMember:  map[IncarnationID]bool{},
 		ownService: map[string]bool{}, ownChunk: map[chunkID]bool{}, ownKeys: map[string]bool{},
 	}
 }
 
 func (b *builder) apply(c Change) error {
-	set := 0
-	for _, present := range []bool{
-		c.Join != nil, c.Leave != nil, c.Revoke != nil, c.SetWitnesses != nil, c.Assign != nil, c.SetConfiguration != nil,
-	} {
-		if present {
-			set++
-		}
-	}
-	if set != 1 {
+	if c.fieldsSet() != 1 {
 		return ErrMalformed
 	}
 	switch {
@@ -210,6 +208,8 @@
 		return b.setWitnesses(c.SetWitnesses)
 	case c.Assign != nil:
 		return b.assign(c.Assign)
+	case c.Merge != nil:
+		return b.merge(c.Merge)
 	}
 	return b.setConfiguration(c.SetConfiguration)
 }
@@ -294,7 +294,7 @@
 		return errors.Wrapf(ErrStaleConfiguration, "base %d, in force %d", c.Base, b.next.Configuration.Revision)
 	}
 	for _, s := range c.Services {
-		if s.Name == "" || s.Shards == 0 {
+		if s.Name == "" || s.Shards == 0 || s.Shards > MaxShards {
 			return errors.Wrapf(ErrMalformed, "service %q with %d shards", s.Name, s.Shards)
 		}
 		if old := b.next.services[s.Name]; old != nil && old.Shards != s.Shards {
@@ -318,9 +318,17 @@
 		return err
 	}
 	s := b.service(c.Service)
+	moved := 0
 	for _, n := range c.Shards {
-		b.setShard(s, n, b.assignment(c, s.Shard(n)))
+		old := s.Shard(n)
+		b.setShard(s, n, b.assignment(c, old))
+		// A shard that the change lists twice has moved at its first mention.
+		if old.Owner == c.From {
+			moved++
+		}
 	}
+	b.count(c.From, -moved)
+	b.count(c.To, moved)
 	for _, k := range c.Keys {
 		b.setKey(s, k, b.assignment(c, s.Lookup(k)))
 	}
@@ -412,6 +420,7 @@
 		b.membersCopied = true
 	}
 	b.next.members[m.Incarnation] = m
+	b.ownMember[m.Incarnation] = true
 }
 
 func (b *builder) removeMember(id IncarnationID) {
@@ -420,6 +429,7 @@
 		b.membersCopied = true
 	}
 	delete(b.next.members, id)
+	delete(b.ownMember, id)
 }
 
 // dropIfEmpty removes a revoked member once it owns nothing, since no rule refers to it any more.
@@ -445,22 +455,18 @@
 	return b.next.services[name]
 }
 
+// setShard leaves the owners' counts to the caller, which updates them once for all the shards of a change.
 func (b *builder) setShard(s *ServiceTable, n uint32, a Assignment) {
 	id := chunkID{s.Name, n / shardsPerChunk}
 	if !b.ownChunk[id] {
 		s.chunks[id.chunk] = slices.Clone(s.chunks[id.chunk])
 		b.ownChunk[id] = true
 	}
-	b.count(s.Shard(n).Owner, -1)
 	s.chunks[id.chunk][n%shardsPerChunk] = a
-	b.count(a.Owner, 1)
 }
 
 func (b *builder) setKey(s *ServiceTable, key string, a Assignment) {
-	if !b.ownKeys[s.Name] {
-		s.keys = maps.Clone(s.keys)
-		b.ownKeys[s.Name] = true
-	}
+	b.copyKeys(s)
 	if old, ok := s.keys[key]; ok {
 		b.count(old.Owner, -1)
 	}
@@ -468,12 +474,24 @@
 	b.count(a.Owner, 1)
 }
 
+func (b *builder) copyKeys(s *ServiceTable) {
+	if b.ownKeys[s.Name] {
+		return
+	}
+	s.keys = maps.Clone(s.keys)
+	b.ownKeys[s.Name] = true
+}
+
+// count changes the number of shards and hot keys that a member owns. The member is copied at most once per entry.
 func (b *builder) count(id IncarnationID, d int) {
 	m := b.next.members[id]
-	if m == nil {
+	if m == nil || d == 0 {
 		return
 	}
-	n := *m
-	n.Owned += d
-	b.setMember(&n)
+	if !b.ownMember[id] {
+		n := *m
+		m = &n
+		b.setMember(m)
+	}
+	m.Owned += d
 }
