Add the control core: membership, leases, takeover and moves

Cause: the interfaces had no implementation of the control rules (L1-L7), of first assignment, planned moves, drain and operators' commands.

Core.Step derives what it wants to write from the table each time an append is possible, so a lost race needs no handling of its own. A queue of proposals was ruled out: each would have to be re-validated after every winning entry.

A change of witnesses first shortens the lease to what both sets support, and waits until the new set supports the lease end that was already published. Otherwise promises of the new set could allow a takeover before deadlines that rest on a witness that was left out.

Interface changes: Promise and Promised name the asked incarnation (a restarted process at the same address must not answer for its predecessor); CloseKeys.All ends a drain; RenewLease, LeaseRenewed and LeaseExpired serve the store-lease baseline.

--- /dev/null
+++ b/internal/sequoiacontrol/assign.go
@@ -0,0 +1,113 @@
+package sequoiacontrol
+
+import (
+	"time"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
+)
+
+// Load reports are sized so that a planner receives no more than reportBytesPerSecond.
+const (
+	reportBytes          = 100
+	reportBytesPerSecond = 8 * 1024
+	minReportInterval    = time.Second
+)
+
+type measuredLoad struct {
+	Load
+	at time.Time
+}
+
+// initialWait delays the first assignment of keys without an owner.
+type initialWait struct {
+	index    uint64
+	eligible int
+	since    time.Time
+	changed  time.Time
+	unowned  KeySet
+}
+
+// wantInitial assigns keys without an owner, after a wait that lets a starting fleet assemble.
+func (c *Core) wantInitial(b *batch) {
+	for _, name := range c.table.ServiceNames() {
+		if !c.plans(name) {
+			delete(c.initial, name)
+			continue
+		}
+		w := c.waitInitial(name)
+		settled := c.now.Sub(w.changed) >= c.opt.timings.InitialWait
+		limit := c.now.Sub(w.since) >= c.opt.timings.InitialWaitLimit
+		if settled || limit {
+			c.wantPlaced(b, sequoiatable.AssignInitial, 0, w.unowned)
+		}
+	}
+}
+
+func (c *Core) waitInitial(name string) *initialWait {
+	w := c.initial[name]
+	if w == nil {
+		w = &initialWait{since: c.now, changed: c.now}
+		c.initial[name] = w
+	}
+	if w.index == c.table.Index {
+		return w
+	}
+	w.index = c.table.Index
+	w.unowned = ownedKeys(c.table.Service(name), 0)
+	if n := len(c.input(name).Upstreams); n != w.eligible {
+		w.eligible = n
+		w.changed = c.now
+	}
+	return w
+}
+
+func (c *Core) loadMeasured(l Load) {
+	l.Incarnation = c.self
+	c.recordLoad(l)
+	interval := max(minReportInterval, c.reportInterval())
+	if c.now.Sub(c.loadSent) < interval {
+		return
+	}
+	c.loadSent = c.now
+	if planner := c.servicePlanner(l.Service); planner != 0 && planner != c.self {
+		c.send(planner, Message{LoadReport: &LoadReport{Load: l}})
+	}
+}
+
+// reportInterval grows with the fleet so that the planner's traffic does not.
+func (c *Core) reportInterval() time.Duration {
+	members := len(c.table.Members())
+	return time.Duration(members) * reportBytes * time.Second / reportBytesPerSecond
+}
+
+func (c *Core) recordLoad(l Load) {
+	c.loads[l.Incarnation] = measuredLoad{Load: l, at: c.now}
+}
+
+// advanceLoad asks owners to move keys where the policy wants a better balance.
+func (c *Core) advanceLoad() {
+	if c.now.Sub(c.balanced) < c.opt.timings.BalanceInterval || c.store.failing {
+		return
+	}
+	c.balanced = c.now
+	for _, name := range c.table.ServiceNames() {
+		if !c.plans(name) {
+			continue
+		}
+		for _, m := range c.opt.policy.Balance(c.input(name)) {
+			r := &Release{Keys: KeySet{Service: name, Shards: m.Shards, Keys: m.Keys}, To: m.To, Reason: m.Reason}
+			c.sendRelease(m.From, r)
+			c.lastMove[name] = c.now
+		}
+	}
+}
+
+func (c *Core) sendRelease(owner sequoiatable.IncarnationID, r *Release) {
+	if owner == c.self {
+		c.release(r)
+		return
+	}
+	if c.live(owner) != nil {
+		c.send(owner, Message{Release: r})
+	}
+}
--- /dev/null
+++ b/internal/sequoiacontrol/command.go
@@ -0,0 +1,223 @@
+package sequoiacontrol
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
+)
+
+// releaseResend is the interval at which an operator's move is asked of the owner again.
+const releaseResend = time.Second
+
+// command is an operator's command that has not been answered.
+type command struct {
+	Command
+	since    time.Time
+	sentAt   time.Time
+	answered bool
+}
+
+// drainState is a planned stop of this process.
+type drainState struct {
+	command  *command
+	reason   string
+	since    time.Time
+	closeAll uint64
+	closedAt time.Time
+	// leave is set when nothing is in progress any more.
+	leave   bool
+	stopped bool
+}
+
+// stopping reports whether the process is leaving for good.
+func (c *Core) stopping() bool {
+	return c.drain != nil && c.drain.leave
+}
+
+func (c *Core) stopped() bool {
+	return c.drain != nil && c.drain.stopped
+}
+
+func (c *Core) command(ev Command) {
+	cmd := &command{Command: ev, since: c.now}
+	switch {
+	case ev.Configure != nil, ev.Move != nil:
+		c.commands = append(c.commands, cmd)
+	case ev.Drain != nil:
+		if c.drain != nil {
+			c.reply(cmd, errors.New("the process is already draining"))
+			return
+		}
+		c.drain = &drainState{command: cmd, reason: ev.Drain.Reason, since: c.now}
+		c.joinAfter = c.now
+	default:
+		c.reply(cmd, errors.New("the command is empty"))
+	}
+}
+
+func (c *Core) reply(cmd *command, err error) {
+	if cmd.answered {
+		return
+	}
+	cmd.answered = true
+	c.emit(Reply{ID: cmd.ID, Index: c.table.Index, Err: err})
+}
+
+func (c *Core) advanceCommands() {
+	for _, cmd := range c.commands {
+		switch {
+		case cmd.Configure != nil:
+			c.advanceConfigure(cmd)
+		case cmd.Move != nil:
+			c.advanceMoveCommand(cmd)
+		}
+	}
+	c.commands = slices.DeleteFunc(c.commands, func(cmd *command) bool { return cmd.answered })
+}
+
+// advanceConfigure refuses a document that was based on an older revision; revisions never decrease, so the table's
+// answer is final.
+func (c *Core) advanceConfigure(cmd *command) {
+	if c.configurePending(cmd) {
+		if c.now.Sub(cmd.since) >= c.opt.timings.CommandTimeout {
+			c.reply(cmd, ErrResultUnknown)
+		}
+		return
+	}
+	if rev := c.table.Configuration.Revision; rev > cmd.Configure.Base {
+		c.configured(cmd, errors.Wrapf(sequoiatable.ErrStaleConfiguration, "base %d, in force %d", cmd.Configure.Base, rev))
+		return
+	}
+	if c.now.Sub(cmd.since) >= c.opt.timings.CommandTimeout {
+		c.reply(cmd, ErrTimeout)
+	}
+}
+
+func (c *Core) configurePending(cmd *command) bool {
+	p := c.pending
+	return p != nil && slices.ContainsFunc(p.origins, func(o origin) bool { return o.configure == cmd })
+}
+
+// configured answers with the revision in force, which is the winner's if the command was refused.
+func (c *Core) configured(cmd *command, err error) {
+	if cmd.answered {
+		return
+	}
+	cmd.answered = true
+	c.emit(Reply{ID: cmd.ID, Index: c.table.Configuration.Revision, Err: err})
+}
+
+func (c *Core) wantConfiguration(b *batch) {
+	for _, cmd := range c.commands {
+		if cmd.Configure != nil && !cmd.answered {
+			b.add(sequoiatable.Change{SetConfiguration: cmd.Configure}, origin{configure: cmd})
+		}
+	}
+}
+
+// advanceMoveCommand asks the owners until the table names the target for all keys.
+func (c *Core) advanceMoveCommand(cmd *command) {
+	r := cmd.Move
+	target := c.live(r.To)
+	owners := r.Keys.owners(c.table)
+	switch {
+	case len(owners) == 1 && owners[0] == r.To:
+		c.reply(cmd, nil)
+		return
+	case target == nil, target.Service != r.Keys.Service:
+		c.reply(cmd, ErrTarget)
+		return
+	case len(owners) == 0, slices.Contains(owners, 0):
+		c.reply(cmd, ErrNoOwner)
+		return
+	case c.now.Sub(cmd.since) >= c.opt.timings.CommandTimeout:
+		c.reply(cmd, ErrTimeout)
+		return
+	}
+	if c.now.Sub(cmd.sentAt) < releaseResend {
+		return
+	}
+	cmd.sentAt = c.now
+	for _, owner := range owners {
+		if owner == r.To {
+			continue
+		}
+		part := r.Keys.ownedBy(c.table, owner)
+		c.sendRelease(owner, &Release{Keys: part, To: r.To, Reason: r.Reason})
+	}
+}
+
+// advanceDrain moves all keys away, waits until nothing is in progress, and leaves. An upstream that drains alone only
+// has its keys moved.
+func (c *Core) advanceDrain() {
+	if c.drain == nil {
+		if c.upstream != nil && c.upstream.Draining {
+			c.moveAllAway("UpstreamDraining")
+		}
+		return
+	}
+	d := c.drain
+	if d.stopped {
+		return
+	}
+	m := c.table.Member(c.self)
+	if m == nil && (d.leave || c.pending == nil) {
+		c.stop()
+		return
+	}
+	if m == nil || m.Revoked() || d.leave {
+		return
+	}
+	if m.Owned > 0 || len(c.moves) > 0 {
+		c.moveAllAway(d.reason)
+		return
+	}
+	c.closeAll()
+}
+
+// closeAll waits for the last requests, those without a key included.
+func (c *Core) closeAll() {
+	d := c.drain
+	if m := c.live(c.self); m.Service != "" {
+		return
+	}
+	if d.closeAll == 0 {
+		d.closeAll = c.nextID()
+		d.closedAt = c.now
+		c.emit(CloseKeys{Move: d.closeAll, All: true})
+	}
+	if c.now.Sub(d.closedAt) >= c.opt.timings.DrainTimeout {
+		c.emit(Record{Decision: "DrainTimeout", Owner: c.self, Reason: "requests were still in progress"})
+		d.leave = true
+	}
+}
+
+func (c *Core) stop() {
+	d := c.drain
+	d.stopped = true
+	if d.closeAll != 0 {
+		c.emit(OpenKeys{Move: d.closeAll})
+	}
+	c.reply(d.command, nil)
+	c.emit(Stopped{})
+}
+
+// moveAllAway starts a planned move of every key to the members that the policy chooses.
+func (c *Core) moveAllAway(reason string) {
+	if len(c.moves) > 0 || c.store.failing || c.live(c.self) == nil {
+		return
+	}
+	for _, name := range c.table.ServiceNames() {
+		set := ownedKeys(c.table.Service(name), c.self)
+		if set.empty() {
+			continue
+		}
+		for _, m := range c.opt.policy.Place(c.input(name), c.self, set.Shards, set.Keys) {
+			keys := KeySet{Service: name, Shards: m.Shards, Keys: m.Keys}
+			c.release(&Release{Keys: keys, To: m.To, Reason: reason})
+		}
+	}
+}
--- a/internal/sequoiacontrol/event.go
+++ b/internal/sequoiacontrol/event.go
@@ -95,6 +95,20 @@
 	Reason string
 }
 
+// LeaseRenewed answers RenewLease.
+type LeaseRenewed struct {
+	Incarnation sequoiatable.IncarnationID
+	Sequence    uint64
+	Err         error
+}
+
+// LeaseExpired reports that the store lease of another incarnation has ended.
+type LeaseExpired struct {
+	Incarnation sequoiatable.IncarnationID
+}
+
+func (LeaseRenewed) event()    {}
+func (LeaseExpired) event()    {}
 func (Tick) event()            {}
 func (Received) event()        {}
 func (LogRead) event()         {}
@@ -144,6 +158,8 @@
 type CloseKeys struct {
 	Move uint64
 	Keys KeySet
+	// All is set instead of Keys at the end of a drain: every request of the process, those without a key included.
+	All bool
 }
 
 // OpenKeys ends CloseKeys: held requests are routed again by the published snapshot.
@@ -180,6 +196,13 @@
 // Stopped reports that a drain has finished and the process may end.
 type Stopped struct{}
 
+// RenewLease asks for the store lease of the incarnation to be created or renewed; used by the StoreLeases authority.
+type RenewLease struct {
+	Incarnation sequoiatable.IncarnationID
+	Sequence    uint64
+}
+
+func (RenewLease) action()      {}
 func (Send) action()            {}
 func (Append) action()          {}
 func (ReadLog) action()         {}
--- /dev/null
+++ b/internal/sequoiacontrol/log.go
@@ -0,0 +1,510 @@
+package sequoiacontrol
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
+)
+
+const (
+	// checkpointInterval is the number of entries between checkpoints.
+	checkpointInterval = 1024
+	// retainedEntries is how many entries a process keeps for peers that are behind.
+	retainedEntries = 2 * checkpointInterval
+	// entriesPerMessage bounds one Entries message.
+	entriesPerMessage = 64
+	// lonelyAfter is the time without any message after which a member reads the store itself.
+	lonelyAfter = time.Second
+	// refusedDelay delays the next append after a refused change, which would otherwise be repeated at once.
+	refusedDelay = 200 * time.Millisecond
+)
+
+// Errors that a Reply carries.
+var (
+	ErrResultUnknown = errors.New("the store has not said whether the change was made")
+	ErrTimeout       = errors.New("the change was not made in time")
+	ErrTarget        = errors.New("the target is not a live member of the service")
+	ErrNoOwner       = errors.New("the keys have no live owner")
+)
+
+// storeState is what the process knows of its connection to the store.
+type storeState struct {
+	read       bool
+	reading    bool
+	readAfter  time.Time
+	watching   bool
+	failing    bool
+	appending  bool
+	appendSent uint64
+	notBefore  time.Time
+}
+
+// retainedLog holds the last entries without gaps.
+type retainedLog struct {
+	entries []sequoiatable.Entry
+}
+
+func (l *retainedLog) add(e sequoiatable.Entry) {
+	l.entries = append(l.entries, e)
+	if len(l.entries) > 2*retainedEntries {
+		l.entries = append([]sequoiatable.Entry(nil), l.entries[len(l.entries)-retainedEntries:]...)
+	}
+}
+
+// after returns the entries after an index, false if the next one is no longer retained.
+func (l *retainedLog) after(index uint64) ([]sequoiatable.Entry, bool) {
+	if len(l.entries) == 0 || l.entries[0].Index > index+1 {
+		return nil, false
+	}
+	skip := index + 1 - l.entries[0].Index
+	if skip > uint64(len(l.entries)) {
+		return nil, true
+	}
+	return l.entries[skip:], true
+}
+
+// pendingAppend is an entry whose result is not known. It is repeated unchanged until the entry at its index is.
+type pendingAppend struct {
+	entry   sequoiatable.Entry
+	origins []origin
+	retryAt time.Time
+}
+
+// origin says what a change was made for.
+type origin struct {
+	witnesses bool
+	revoked   sequoiatable.IncarnationID
+	move      *move
+	configure *command
+}
+
+func (c *Core) logRead(ev LogRead) {
+	c.store.reading = false
+	if ev.Err != nil {
+		c.store.failing = true
+		c.store.readAfter = c.now.Add(c.opt.timings.StoreRetry)
+		return
+	}
+	c.store.read = true
+	c.store.failing = false
+	c.store.readAfter = c.now.Add(lonelyAfter / 2)
+	if ev.Checkpoint != nil {
+		c.install(ev.Checkpoint)
+	}
+	c.applyAll(ev.Entries)
+}
+
+func (c *Core) appended(ev Appended) {
+	if c.store.appendSent == ev.Nonce {
+		c.store.appending = false
+	}
+	p := c.pending
+	if p == nil || p.entry.Index != ev.Index || p.entry.Nonce != ev.Nonce {
+		return
+	}
+	switch ev.Result {
+	case AppendWon:
+		c.store.failing = false
+		c.applyAll([]sequoiatable.Entry{p.entry})
+	case AppendLost:
+		c.store.failing = false
+		p.retryAt = c.now.Add(c.opt.timings.StoreRetry)
+		if ev.Winner != nil {
+			c.applyAll([]sequoiatable.Entry{*ev.Winner})
+		} else {
+			c.readLog()
+		}
+	case AppendUnknown:
+		c.store.failing = true
+		p.retryAt = c.now.Add(c.opt.timings.StoreRetry)
+	}
+}
+
+// applyAll applies the entries that follow the table and skips those that it has. It returns false on a gap.
+func (c *Core) applyAll(entries []sequoiatable.Entry) bool {
+	before := c.table.Index
+	complete := true
+	for _, e := range entries {
+		if e.Index <= c.table.Index {
+			continue
+		}
+		if !c.apply(e) {
+			complete = false
+			break
+		}
+	}
+	if c.table.Index != before {
+		c.tableChanged()
+		c.pushEntries()
+	}
+	return complete
+}
+
+func (c *Core) apply(e sequoiatable.Entry) bool {
+	next, refused, err := c.table.Apply(e)
+	if err != nil {
+		return false
+	}
+	c.table = next
+	c.log.add(e)
+	c.recordEntry(e, refused)
+	c.resolve(e, refused)
+	if e.Index%checkpointInterval == 0 && c.isSelf(e.Writer) {
+		c.emit(WriteCheckpoint{Table: next})
+	}
+	return true
+}
+
+// resolve ends the pending append if the entry is the one at its index.
+func (c *Core) resolve(e sequoiatable.Entry, refused []sequoiatable.Refusal) {
+	p := c.pending
+	if p == nil || e.Index != p.entry.Index {
+		return
+	}
+	c.pending = nil
+	if e.Writer != p.entry.Writer || e.Nonce != p.entry.Nonce {
+		return
+	}
+	for i, o := range p.origins {
+		var err error
+		for _, r := range refused {
+			if r.Change == i {
+				err = r.Err
+				c.store.notBefore = c.now.Add(refusedDelay)
+			}
+		}
+		if o.configure != nil {
+			c.configured(o.configure, err)
+		}
+		if o.move != nil {
+			o.move.refused = err != nil
+		}
+	}
+}
+
+// install replaces the table by a later one. Results of appends before its index are then read from the table.
+func (c *Core) install(t *sequoiatable.Table) {
+	if t.Index <= c.table.Index {
+		return
+	}
+	c.table = t
+	c.log = retainedLog{}
+	if p := c.pending; p != nil && p.entry.Index <= t.Index {
+		c.pending = nil
+		for _, o := range p.origins {
+			if o.configure != nil {
+				c.configuredByCheckpoint(o.configure)
+			}
+		}
+	}
+	c.tableChanged()
+}
+
+func (c *Core) configuredByCheckpoint(cmd *command) {
+	var err error
+	if !bytes.Equal(c.table.Configuration.Document, cmd.Configure.Document) {
+		err = ErrResultUnknown
+	}
+	c.configured(cmd, err)
+}
+
+// tableChanged updates what is derived from the table.
+func (c *Core) tableChanged() {
+	seen := map[sequoiatable.IncarnationID]time.Time{}
+	for _, id := range c.table.Members() {
+		at, ok := c.firstSeen[id]
+		if !ok {
+			at = c.now
+		}
+		seen[id] = at
+	}
+	c.firstSeen = seen
+	for id := range c.loads {
+		if _, ok := seen[id]; !ok {
+			delete(c.loads, id)
+		}
+	}
+	c.noticeOwnState()
+	c.authority.TableChanged()
+	c.publish()
+}
+
+func (c *Core) recordEntry(e sequoiatable.Entry, refused []sequoiatable.Refusal) {
+	isRefused := map[int]bool{}
+	for _, r := range refused {
+		isRefused[r.Change] = true
+	}
+	for i, change := range e.Changes {
+		if isRefused[i] {
+			continue
+		}
+		if a := change.Assign; a != nil {
+			if a.Kind == sequoiatable.AssignPlanned {
+				c.lastMove[a.Service] = c.now
+			}
+			if !c.isSelf(e.Writer) {
+				continue
+			}
+			c.emit(Record{
+				Decision: "Assign" + a.Kind.String(), Service: a.Service,
+				Keys:  KeySet{Service: a.Service, Shards: a.Shards, Keys: a.Keys},
+				Owner: a.To, Previous: a.From, Epoch: sequoiatable.Epoch(e.Index), Reason: a.Reason,
+			})
+		}
+		if r := change.Revoke; r != nil && c.isSelf(e.Writer) {
+			c.emit(Record{Decision: "Revoke", Previous: r.Incarnation, Epoch: sequoiatable.Epoch(e.Index), Reason: r.Reason})
+		}
+		if s := change.SetWitnesses; s != nil && s.Holder == c.self {
+			c.emit(Record{Decision: "SetWitnesses", Owner: c.self, Epoch: sequoiatable.Epoch(e.Index)})
+		}
+	}
+}
+
+// advanceStore reads the log where no other process would tell of it, and names one reader per failure domain.
+func (c *Core) advanceStore() {
+	if !c.now.Before(c.store.readAfter) && !c.store.reading && (!c.store.read || c.lonely()) {
+		c.readLog()
+	}
+	reads := c.readsStore()
+	if reads != c.store.watching {
+		c.store.watching = reads
+		c.emit(WatchLog{On: reads})
+	}
+}
+
+func (c *Core) readLog() {
+	if c.store.reading {
+		return
+	}
+	c.store.reading = true
+	c.emit(ReadLog{After: c.table.Index})
+	if c.store.failing && !c.joined {
+		for _, addr := range c.opt.contacts {
+			c.emit(Send{Addr: addr, Message: Message{
+				LogIndex: c.table.Index, EntriesRequest: &EntriesRequest{After: c.table.Index},
+			}})
+		}
+	}
+}
+
+// lonely reports whether entries cannot be expected from peers.
+func (c *Core) lonely() bool {
+	if !c.joined || c.live(c.self) == nil {
+		return true
+	}
+	for _, p := range c.peers {
+		if c.now.Sub(p.heard) < lonelyAfter {
+			return false
+		}
+	}
+	return true
+}
+
+// readsStore reports whether this is the lowest-ranked live member of its failure domain. Members that no witness
+// watches come after the others.
+func (c *Core) readsStore() bool {
+	me := c.live(c.self)
+	if me == nil {
+		return false
+	}
+	first := c.self
+	for _, id := range c.table.Members() {
+		m := c.live(id)
+		if m != nil && m.FailureDomain == me.FailureDomain && c.authority.Eligible(m) {
+			first = id
+			break
+		}
+	}
+	return first == c.self
+}
+
+func (c *Core) advanceAppend() {
+	if c.store.appending || !c.store.read {
+		return
+	}
+	if p := c.pending; p != nil {
+		if !c.now.Before(p.retryAt) {
+			c.sendAppend()
+		}
+		return
+	}
+	if c.now.Before(c.store.notBefore) {
+		return
+	}
+	changes, origins := c.collect()
+	if len(changes) == 0 {
+		return
+	}
+	c.pending = &pendingAppend{
+		entry: sequoiatable.Entry{
+			Index: c.table.Index + 1, Writer: c.self, Nonce: c.opt.random(), Changes: changes,
+		},
+		origins: origins,
+	}
+	c.publish()
+	c.sendAppend()
+}
+
+func (c *Core) sendAppend() {
+	c.store.appending = true
+	c.store.appendSent = c.pending.entry.Nonce
+	c.pending.retryAt = c.now.Add(c.opt.timings.StoreRetry)
+	c.emit(Append{Entry: c.pending.entry})
+}
+
+// batch collects the changes of one entry.
+type batch struct {
+	changes []sequoiatable.Change
+	origins []origin
+}
+
+func (b *batch) add(change sequoiatable.Change, o origin) {
+	b.changes = append(b.changes, change)
+	b.origins = append(b.origins, o)
+}
+
+// collect returns the changes that the process wants by the table and its state.
+func (c *Core) collect() ([]sequoiatable.Change, []origin) {
+	b := &batch{}
+	c.wantMembership(b)
+	c.authority.Want(b)
+	c.wantRevocations(b)
+	c.wantTakeovers(b)
+	c.wantInitial(b)
+	c.wantMoves(b)
+	c.wantConfiguration(b)
+	return b.changes, b.origins
+}
+
+// peer is what is known of the log of another process.
+type peer struct {
+	index  uint64
+	heard  time.Time
+	pushed uint64
+	// pushedAt and askedAt limit repeated pushes and requests.
+	pushedAt time.Time
+	askedAt  time.Time
+}
+
+func (c *Core) peer(id sequoiatable.IncarnationID) *peer {
+	p := c.peers[id]
+	if p == nil {
+		p = &peer{}
+		c.peers[id] = p
+	}
+	return p
+}
+
+func (c *Core) heardFrom(id sequoiatable.IncarnationID, index uint64) {
+	p := c.peer(id)
+	p.heard = c.now
+	p.index = max(p.index, index)
+	if index < c.table.Index {
+		c.pushTo(id)
+	}
+}
+
+// pushEntries sends new entries to the process's neighbours.
+func (c *Core) pushEntries() {
+	for _, id := range c.authority.Neighbours() {
+		c.pushTo(id)
+	}
+}
+
+// pushTo sends what the peer lacks, at most once per resend interval unless the log has grown.
+func (c *Core) pushTo(id sequoiatable.IncarnationID) {
+	p := c.peer(id)
+	if p.index >= c.table.Index {
+		return
+	}
+	recent := c.now.Sub(p.pushedAt) < 2*c.opt.timings.RenewInterval
+	if recent && p.pushed >= c.table.Index {
+		return
+	}
+	after := p.index
+	if recent {
+		after = max(after, p.pushed)
+	}
+	p.pushed = c.sendEntries(id, after)
+	p.pushedAt = c.now
+}
+
+// sendEntries sends the entries after an index, or a checkpoint where they are no longer retained. It returns the
+// index that the receiver has afterwards.
+func (c *Core) sendEntries(to sequoiatable.IncarnationID, after uint64) uint64 {
+	if after >= c.table.Index {
+		return after
+	}
+	entries, ok := c.log.after(after)
+	if !ok {
+		return c.sendCheckpoint(to, after)
+	}
+	entries = entries[:min(len(entries), entriesPerMessage)]
+	if len(entries) == 0 {
+		return after
+	}
+	c.send(to, Message{Entries: &Entries{Entries: entries}})
+	return entries[len(entries)-1].Index
+}
+
+func (c *Core) sendCheckpoint(to sequoiatable.IncarnationID, after uint64) uint64 {
+	if c.opt.codec.Encode == nil {
+		return after
+	}
+	parts, err := c.opt.codec.Encode(c.table)
+	if err != nil {
+		c.emit(Record{Decision: "CheckpointNotSent", Owner: to, Reason: err.Error()})
+		return after
+	}
+	c.send(to, Message{Checkpoint: &Checkpoint{Index: c.table.Index, Parts: parts}})
+	return c.table.Index
+}
+
+func (c *Core) receiveEntries(from sequoiatable.IncarnationID, entries []sequoiatable.Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	p := c.peer(from)
+	p.index = max(p.index, entries[len(entries)-1].Index)
+	c.applyAll(entries)
+	if p.index > c.table.Index {
+		c.askEntries(from, p)
+	}
+}
+
+func (c *Core) receiveCheckpoint(m *Checkpoint) {
+	if c.opt.codec.Decode == nil || m.Index <= c.table.Index {
+		return
+	}
+	t, err := c.opt.codec.Decode(m.Parts)
+	if err != nil {
+		c.emit(Record{Decision: "CheckpointRejected", Reason: err.Error()})
+		return
+	}
+	c.install(t)
+	c.pushEntries()
+}
+
+func (c *Core) askEntries(id sequoiatable.IncarnationID, p *peer) {
+	p.askedAt = c.now
+	c.send(id, Message{EntriesRequest: &EntriesRequest{After: c.table.Index}})
+}
+
+// advancePeers asks peers for entries that they have and did not push, and forgets peers that have left.
+func (c *Core) advancePeers() {
+	for _, id := range sortedKeys(c.peers) {
+		p := c.peers[id]
+		gone := c.table.Member(id) == nil && c.now.Sub(p.heard) > 10*lonelyAfter
+		if gone {
+			delete(c.peers, id)
+			continue
+		}
+		recent := c.now.Sub(p.heard) < lonelyAfter
+		if recent && p.index > c.table.Index && c.now.Sub(p.askedAt) >= 2*c.opt.timings.Resend {
+			c.askEntries(id, p)
+		}
+	}
+}
--- a/internal/sequoiacontrol/message.go
+++ b/internal/sequoiacontrol/message.go
@@ -59,16 +59,21 @@
 	Silent bool
 }
 
-// Promise asks a witness, or the revoked holder itself, never to renew or use the holder's lease again.
+// Promise asks a witness, or the revoked holder itself, never to renew or use the holder's lease again. Witness is the
+// incarnation that is asked; a process that has not been that incarnation does not answer, because it has no memory
+// of the renewals.
 type Promise struct {
 	Holder      sequoiatable.IncarnationID
+	Witness     sequoiatable.IncarnationID
 	RevokeIndex uint64
 }
 
 // Promised answers Promise. Remaining is the time left on the last renewal at the moment of the answer. An answer of
-// the holder itself means that it has stopped serving.
+// the holder itself (Witness equals Holder) means that it has stopped serving; Remaining is then the time left on its
+// own lease.
 type Promised struct {
 	Holder      sequoiatable.IncarnationID
+	Witness     sequoiatable.IncarnationID
 	RevokeIndex uint64
 	Remaining   time.Duration
 }
--- /dev/null
+++ b/internal/sequoiacontrol/options.go
@@ -0,0 +1,150 @@
+package sequoiacontrol
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaplacement"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
+)
+
+// Timings are the durations that the rules of the control protocol use.
+type Timings struct {
+	// Lease is what a witness counts from its answer. HolderLease is what the holder counts from the moment it sent
+	// the renewal; it is shorter by the assumed clock drift of 1%.
+	Lease         time.Duration
+	HolderLease   time.Duration
+	RenewInterval time.Duration
+	// SuspectAfter is the silence after which a witness reports a holder, and a holder replaces a witness.
+	SuspectAfter time.Duration
+	// PlannerDelay is multiplied by a planner's position before it acts on a suspicion or a revocation.
+	PlannerDelay time.Duration
+	// SuspectBatch collects confirmed suspects into one entry.
+	SuspectBatch time.Duration
+	// JoinWait is how long a starting process waits for its upstream, which saves a second Join entry.
+	JoinWait time.Duration
+	// InitialWait is the time without a new eligible member before keys without an owner are assigned, and
+	// InitialWaitLimit the longest such wait.
+	InitialWait      time.Duration
+	InitialWaitLimit time.Duration
+	// StoreRetry is the interval at which an append with an unknown result, or a failed read, is repeated.
+	StoreRetry time.Duration
+	// Resend is the interval at which unanswered messages between processes are repeated.
+	Resend time.Duration
+	// DrainTimeout, MemoryTimeout and AssignTimeout bound the phases of a planned move.
+	DrainTimeout  time.Duration
+	MemoryTimeout time.Duration
+	AssignTimeout time.Duration
+	// CommandTimeout bounds an operator's command.
+	CommandTimeout  time.Duration
+	BalanceInterval time.Duration
+	// WithoutWitnesses is how long a member may have no witnesses before planners remove it. No witness would report
+	// such a member, and it would keep its rank for good.
+	WithoutWitnesses time.Duration
+	// PauseAfter is the gap between two steps after which the process treats itself as paused and does not count the
+	// gap as silence of others.
+	PauseAfter time.Duration
+}
+
+// DefaultTimings returns the values of the design.
+func DefaultTimings() Timings {
+	return Timings{
+		Lease:            time.Second,
+		HolderLease:      990 * time.Millisecond,
+		RenewInterval:    250 * time.Millisecond,
+		SuspectAfter:     600 * time.Millisecond,
+		PlannerDelay:     150 * time.Millisecond,
+		SuspectBatch:     50 * time.Millisecond,
+		JoinWait:         300 * time.Millisecond,
+		InitialWait:      time.Second,
+		InitialWaitLimit: 5 * time.Second,
+		StoreRetry:       300 * time.Millisecond,
+		Resend:           100 * time.Millisecond,
+		DrainTimeout:     10 * time.Second,
+		MemoryTimeout:    2 * time.Second,
+		AssignTimeout:    2 * time.Second,
+		CommandTimeout:   10 * time.Second,
+		BalanceInterval:  5 * time.Second,
+		WithoutWitnesses: 30 * time.Second,
+		PauseAfter:       300 * time.Millisecond,
+	}
+}
+
+// Policy chooses owners.
+type Policy struct {
+	Place   func(in sequoiaplacement.Input, from sequoiatable.IncarnationID, shards []uint32, keys []string) []sequoiaplacement.Move
+	Balance func(in sequoiaplacement.Input) []sequoiaplacement.Move
+}
+
+// TableCodec encodes tables for the Checkpoint message.
+type TableCodec struct {
+	Encode func(t *sequoiatable.Table) ([][]byte, error)
+	Decode func(parts [][]byte) (*sequoiatable.Table, error)
+}
+
+// safeguards lets a test remove a rule to show that it detects the fault which the rule prevents.
+type safeguards struct {
+	takeoverWithoutPromises bool
+	leaseFromAnswer         bool
+	witnessSetAtOnce        bool
+	reopenUnknown           bool
+}
+
+type options struct {
+	member    sequoiatable.Member
+	contacts  []netip.AddrPort
+	timings   Timings
+	policy    Policy
+	codec     TableCodec
+	random    func() uint64
+	authority func(c *Core) Authority
+	removed   safeguards
+}
+
+// Option sets one option of New.
+type Option func(o *options)
+
+// WithMember describes the process. Incarnation, Service and Slots are set by Core.
+func WithMember(m sequoiatable.Member) Option {
+	return func(o *options) { o.member = m }
+}
+
+// WithContacts lists control addresses of peers that are asked for the table while the store does not answer.
+func WithContacts(addrs []netip.AddrPort) Option {
+	return func(o *options) { o.contacts = addrs }
+}
+
+// WithTimings replaces DefaultTimings.
+func WithTimings(t Timings) Option {
+	return func(o *options) { o.timings = t }
+}
+
+// WithPolicy replaces the functions of sequoiaplacement.
+func WithPolicy(p Policy) Option {
+	return func(o *options) { o.policy = p }
+}
+
+// WithTableCodec enables Checkpoint messages. Without it a peer that lacks trimmed entries has to read the store.
+func WithTableCodec(t TableCodec) Option {
+	return func(o *options) { o.codec = t }
+}
+
+// WithRandom sets the source of incarnation identifiers and nonces.
+func WithRandom(random func() uint64) Option {
+	return func(o *options) { o.random = random }
+}
+
+// WithAuthority replaces the way in which leases are kept alive; the default is Witnesses.
+func WithAuthority(a func(c *Core) Authority) Option {
+	return func(o *options) { o.authority = a }
+}
+
+func defaultOptions() options {
+	return options{
+		timings:   DefaultTimings(),
+		policy:    Policy{Place: sequoiaplacement.Place, Balance: sequoiaplacement.Balance},
+		random:    rand.Uint64,
+		authority: Witnesses,
+	}
+}
