Add control messages between processes over QUIC

Renewals need a transport on which one silent or unreachable peer delays nothing else. Each peer address has a link with a bounded queue and a goroutine that runs only while there is something to send.

The QUIC idle timeout of 30 s is too long to notice a path that drops packets without a reset, and keepalives short enough to do so would cost packets on every idle connection. So a connection is replaced when nothing, not even an acknowledgement, arrives within 300 ms (or 4 round trips) of a send. Datagrams unanswered at that time are sent again on the new connection, so a message may arrive twice.

A connection that a peer opened from its listening address is also used for the way back.

--- /dev/null
+++ b/internal/sequoiapeer/control_test.go
@@ -0,0 +1,189 @@
+package sequoiapeer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"reflect"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/quic-go/quic-go"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiacontrol"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
+)
+
+// delivery is a received message.
+type delivery struct {
+	from sequoiatable.IncarnationID
+	m    sequoiacontrol.Message
+}
+
+// startControl starts a Control on a free loopback port. Its messages arrive on the channel.
+func startControl(key []byte, id sequoiatable.IncarnationID, n *cutNetwork) (*Control, chan delivery) {
+	received := make(chan delivery, 1000)
+	c, err := NewControl(key, WithReceive(func(from sequoiatable.IncarnationID, m sequoiacontrol.Message) {
+		received <- delivery{from, m}
+	}))
+	Expect(err).NotTo(HaveOccurred())
+	if n != nil {
+		c.ListenPacket = n.listen
+	}
+	c.SetIncarnation(id)
+	Expect(c.Listen(loopback)).To(Succeed())
+	ginkgo.DeferCleanup(c.Close)
+	return c, received
+}
+
+func renew(n uint64) sequoiacontrol.Message {
+	return sequoiacontrol.Message{LogIndex: 7, Renew: &sequoiacontrol.Renew{Holder: 1, Witness: 2, Sequence: n}}
+}
+
+var _ = ginkgo.Describe("Control", func() {
+	ginkgo.It("delivers small and large messages with the sender's incarnation, over one connection in both directions", func() {
+		a, atA := startControl(testKey, 1, nil)
+		b, atB := startControl(testKey, 2, nil)
+		a.Send(2, b.Addr(), renew(1))
+		Eventually(atB).Should(Receive(Equal(delivery{1, renew(1)})))
+		large := sequoiacontrol.Message{Checkpoint: &sequoiacontrol.Checkpoint{Index: 9, Parts: [][]byte{make([]byte, 3<<20)}}}
+		b.Send(1, a.Addr(), large)
+		Eventually(atA).WithTimeout(5 * time.Second).Should(Receive(Equal(delivery{2, large})))
+		Expect(a.Connections()).To(Equal(1))
+		Expect(b.Connections()).To(Equal(1))
+		Expect(b.Stats().Dialed).To(BeZero(), "the accepted connection is used for the way back")
+	})
+
+	ginkgo.It("rejects a peer with another shared key on both sides", func() {
+		a, _ := startControl(otherKey, 1, nil)
+		b, atB := startControl(testKey, 2, nil)
+		var reported atomic.Value
+		b.Rejected = func(_ netip.AddrPort, err error) { reported.Store(err) }
+		a.Send(2, b.Addr(), renew(1))
+		Eventually(func() uint64 { return b.Stats().Rejected }).ShouldNot(BeZero())
+		Expect(reported.Load()).To(MatchError(ErrUnauthenticated))
+		Expect(a.Stats().Rejected).NotTo(BeZero())
+		Consistently(atB, "200ms").ShouldNot(Receive())
+	})
+
+	ginkgo.DescribeTable("rejects a client that does not check certificates and has none of the authority, which could forge renewals",
+		func(config func() *tls.Config) {
+			b, _ := startControl(testKey, 2, nil)
+			conn, err := quic.DialAddr(context.Background(), b.Addr().String(), config(), quicConfig())
+			if err == nil {
+				ginkgo.DeferCleanup(func() { _ = conn.CloseWithError(0, "") })
+				Eventually(conn.Context().Done()).Should(BeClosed())
+			}
+			Eventually(func() uint64 { return b.Stats().Rejected }).Should(Equal(uint64(1)))
+			Expect(b.Connections()).To(BeZero())
+		},
+		ginkgo.Entry("no certificate", func() *tls.Config {
+			return &tls.Config{InsecureSkipVerify: true, NextProtos: []string{controlProtocol}}
+		}),
+		ginkgo.Entry("a certificate of another authority", func() *tls.Config {
+			creds, err := newCredentials(otherKey)
+			Expect(err).NotTo(HaveOccurred())
+			config := creds.clientConfig()
+			config.InsecureSkipVerify = true
+			return config
+		}),
+	)
+
+	ginkgo.It("replaces a connection that goes silent and repeats the messages it lost, before the witnesses suspect the holder", func() {
+		network := &cutNetwork{}
+		a, _ := startControl(testKey, 1, network)
+		b, atB := startControl(testKey, 2, network)
+		a.Send(2, b.Addr(), renew(1))
+		Eventually(atB).Should(Receive())
+		network.set(b.Addr(), true)
+		a.Send(2, b.Addr(), renew(2))
+		Eventually(func() uint64 { return a.Stats().Silent }).WithTimeout(2 * time.Second).Should(Equal(uint64(1)))
+		network.set(b.Addr(), false)
+		Eventually(atB).WithTimeout(2 * time.Second).Should(Receive(Equal(delivery{1, renew(2)})))
+		Expect(a.Stats().Dialed).To(Equal(uint64(2)))
+	})
+
+	ginkgo.It("reaches a process that was restarted at the same address", func() {
+		a, _ := startControl(testKey, 1, nil)
+		b, atB := startControl(testKey, 2, nil)
+		addr := b.Addr()
+		a.Send(2, addr, renew(1))
+		Eventually(atB).Should(Receive())
+		Expect(b.Close()).To(Succeed())
+		restarted, err := NewControl(testKey)
+		Expect(err).NotTo(HaveOccurred())
+		received := make(chan delivery, 10)
+		restarted.Receive = func(from sequoiatable.IncarnationID, m sequoiacontrol.Message) { received <- delivery{from, m} }
+		Expect(restarted.Listen(addr)).To(Succeed())
+		ginkgo.DeferCleanup(restarted.Close)
+		a.Send(2, addr, renew(2))
+		Eventually(received).WithTimeout(2 * time.Second).Should(Receive(Equal(delivery{1, renew(2)})))
+	})
+
+	ginkgo.It("does not block the sender or delay other peers while a peer is unreachable", func() {
+		a, _ := startControl(testKey, 1, nil)
+		b, atB := startControl(testKey, 2, nil)
+		unreachable, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(loopback))
+		Expect(err).NotTo(HaveOccurred())
+		defer unreachable.Close()
+		start := time.Now()
+		for i := range 500 {
+			a.Send(3, addrPort(unreachable.LocalAddr()), renew(uint64(i)))
+		}
+		a.Send(2, b.Addr(), renew(1))
+		Expect(time.Since(start)).To(BeNumerically("<", 200*time.Millisecond))
+		Eventually(atB).WithTimeout(300 * time.Millisecond).Should(Receive())
+		Expect(a.Stats().Dropped).To(BeNumerically(">=", 500-maxQueued-1))
+	})
+
+	ginkgo.It("closes the connection of an authenticated peer that sends a message it cannot decode", func() {
+		b, _ := startControl(testKey, 2, nil)
+		creds, err := newCredentials(testKey)
+		Expect(err).NotTo(HaveOccurred())
+		conn, err := quic.DialAddr(context.Background(), b.Addr().String(), creds.clientConfig(), quicConfig())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(conn.SendDatagram([]byte("not CBOR"))).To(Succeed())
+		Eventually(conn.Context().Done()).Should(BeClosed())
+		Expect(b.Stats().Invalid).To(Equal(uint64(1)))
+	})
+
+	ginkgo.It("rejects a shared key that is short enough to be guessed", func() {
+		_, err := NewControl([]byte("short"))
+		Expect(err).To(MatchError(ErrKey))
+	})
+
+	ginkgo.It("accepts every kind of message, so that a kind added to Message is not dropped as malformed", func() {
+		t := reflect.TypeFor[sequoiacontrol.Message]()
+		for i := range t.NumField() {
+			if t.Field(i).Type.Kind() != reflect.Pointer {
+				continue
+			}
+			var m sequoiacontrol.Message
+			field := reflect.ValueOf(&m).Elem().Field(i)
+			field.Set(reflect.New(field.Type().Elem()))
+			b, err := encodeControl(1, m)
+			Expect(err).NotTo(HaveOccurred(), t.Field(i).Name)
+			_, err = decodeControl(b)
+			Expect(err).NotTo(HaveOccurred(), t.Field(i).Name)
+		}
+	})
+
+	ginkgo.DescribeTable("rejects encodings that two decoders could read differently",
+		func(encoded any, want error) {
+			b, err := encoder.Marshal(encoded)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = decodeControl(b)
+			Expect(err).To(MatchError(want))
+		},
+		ginkgo.Entry("unknown field", map[string]any{"From": 1, "Message": map[string]any{"Extra": 1}}, ErrMalformed),
+		ginkgo.Entry("other case", map[string]any{"from": 1, "Message": renew(1)}, ErrMalformed),
+		ginkgo.Entry("no sender", envelope{Message: renew(1)}, ErrMessage),
+		ginkgo.Entry("no kind", envelope{From: 1}, ErrMessage),
+		ginkgo.Entry("two kinds", envelope{From: 1, Message: sequoiacontrol.Message{
+			Renew: &sequoiacontrol.Renew{}, Renewed: &sequoiacontrol.Renewed{},
+		}}, ErrMessage),
+	)
+})
--- /dev/null
+++ b/internal/sequoiapeer/peer_test.go
@@ -0,0 +1,60 @@
+package sequoiapeer
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+var (
+	testKey  = []byte("a shared key of the tests")
+	otherKey = []byte("another key of the tests.")
+	loopback = netip.MustParseAddrPort("127.0.0.1:0")
+)
+
+func TestPeer(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "sequoiapeer")
+}
+
+// cutNetwork drops the packets between its sockets while it is cut. A cut is silent: neither side gets an error.
+type cutNetwork struct {
+	mu  sync.Mutex
+	cut map[netip.AddrPort]bool
+}
+
+func (n *cutNetwork) set(addr netip.AddrPort, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cut == nil {
+		n.cut = map[netip.AddrPort]bool{}
+	}
+	n.cut[addr] = cut
+}
+
+func (n *cutNetwork) drops(a, b net.Addr) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[addrPort(a)] || n.cut[addrPort(b)]
+}
+
+func (n *cutNetwork) listen(addr netip.AddrPort) (net.PacketConn, error) {
+	conn, err := listenUDP(addr)
+	return &cutConn{PacketConn: conn, network: n}, err
+}
+
+type cutConn struct {
+	net.PacketConn
+	network *cutNetwork
+}
+
+func (c *cutConn) WriteTo(b []byte, to net.Addr) (int, error) {
+	if c.network.drops(c.LocalAddr(), to) {
+		return len(b), nil
+	}
+	return c.PacketConn.WriteTo(b, to)
+}
