--- /dev/null
+++ b/internal/sequoiainstance/admin.go
@@ -0,0 +1,188 @@
+package sequoiainstance
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaadmin"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiacontrol"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiasettings"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
+)
+
+const (
+	// adminHeaderTimeout bounds the time a caller of the administration API may take to send its headers.
+	adminHeaderTimeout = 5 * time.Second
+	adminCloseTimeout  = time.Second
+)
+
+// adminListener serves the administration API. It uses net/http: operators' calls are few, and its server bounds slow
+// headers, which nbhttp does not.
+type adminListener struct {
+	server *http.Server
+}
+
+func (a *adminListener) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), adminCloseTimeout)
+	defer cancel()
+	if a.server.Shutdown(ctx) != nil {
+		_ = a.server.Close()
+	}
+}
+
+func (in *Instance) listenAdministration() error {
+	in.registerState()
+	api := &sequoiaadmin.Server{
+		Credential: in.settings.AdministrationCredential.Reveal(),
+		Status:     in.status,
+		Explain:    in.explain,
+		Document:   in.document,
+		Apply:      in.apply,
+		Move:       in.move,
+		Drain:      in.startDrain,
+		Metrics:    promhttp.HandlerFor(in.metrics, promhttp.HandlerOpts{}),
+		Refused: func(remote string) {
+			in.counters.refusedCalls.Inc()
+			in.log.Warn("administration call refused", "Peer", remote)
+		},
+	}
+	listener, err := net.Listen("tcp", in.settings.Administration.String())
+	if err != nil {
+		return errors.Wrap(err, "listen for operators")
+	}
+	in.admin = &adminListener{server: &http.Server{Handler: api.Handler(), ReadHeaderTimeout: adminHeaderTimeout}}
+	in.running.Go(func() { _ = in.admin.server.Serve(listener) })
+	return nil
+}
+
+func (in *Instance) leaseLeft() time.Duration {
+	return time.Until(in.snapshot.Load().LeaseEnd)
+}
+
+func (in *Instance) status() sequoiaadmin.Status {
+	s := in.snapshot.Load()
+	return sequoiaadmin.Status{
+		Instance: in.settings.Instance, Incarnation: s.Self, FailureDomain: in.settings.FailureDomain,
+		LogIndex: s.Table.Index, Configuration: s.Table.Configuration.Revision,
+		LeaseMilliseconds: max(0, in.leaseLeft().Milliseconds()), Draining: s.Draining,
+		Members: memberStatus(s.Table), Services: serviceStatus(s.Table),
+	}
+}
+
+func memberStatus(t *sequoiatable.Table) []sequoiaadmin.MemberStatus {
+	members := []sequoiaadmin.MemberStatus{}
+	for _, id := range t.Members() {
+		m := t.Member(id)
+		members = append(members, sequoiaadmin.MemberStatus{
+			Incarnation: id, Instance: m.Instance, Region: m.Region, FailureDomain: m.FailureDomain, Service: m.Service,
+			HTTP: m.HTTP, Owned: m.Owned, Witnesses: m.Witnesses, Revoked: m.Revoked(),
+		})
+	}
+	return members
+}
+
+func serviceStatus(t *sequoiatable.Table) []sequoiaadmin.ServiceStatus {
+	services := []sequoiaadmin.ServiceStatus{}
+	for _, name := range t.ServiceNames() {
+		s := t.Service(name)
+		v := sequoiaadmin.ServiceStatus{Name: name, Shards: s.Shards, Divided: s.Divided, HotKeys: s.HotKeys()}
+		for n := range s.Shards {
+			if s.Shard(n).Owner == 0 {
+				v.Unassigned++
+			}
+		}
+		services = append(services, v)
+	}
+	return services
+}
+
+func (in *Instance) explain(service, key string) (sequoiaadmin.Explanation, error) {
+	t := in.snapshot.Load().Table
+	s := t.Service(service)
+	if s == nil {
+		return sequoiaadmin.Explanation{}, errors.Wrapf(sequoiaadmin.ErrNotFound, "service %q", service)
+	}
+	a := s.Lookup(key)
+	_, hot := s.HotKey(key)
+	e := sequoiaadmin.Explanation{
+		Service: service, Key: key, Shard: sequoiatable.ShardOf(key, s.Shards), HotKey: hot,
+		Owner: a.Owner, Epoch: a.Epoch, Floor: a.Floor, LogIndex: t.Index,
+	}
+	if m := t.Member(a.Owner); m != nil {
+		e.Instance = m.Instance
+	}
+	if d, ok := in.history.find(service, a); ok {
+		e.Decision, e.Reason, e.Previous, e.Since = d.record.Decision, d.record.Reason, d.record.Previous, d.at
+	}
+	return e, nil
+}
+
+func (in *Instance) document() sequoiaadmin.Document {
+	c := in.snapshot.Load().Table.Configuration
+	return sequoiaadmin.Document{Revision: c.Revision, Operator: c.Operator, Document: string(c.Document)}
+}
+
+func (in *Instance) apply(ctx context.Context, req sequoiaadmin.ApplyRequest) (sequoiaadmin.Done, error) {
+	cfg, err := sequoiasettings.ParseConfiguration("configuration", []byte(req.Document))
+	if err != nil {
+		return sequoiaadmin.Done{}, errors.Wrap(sequoiaadmin.ErrBadRequest, err.Error())
+	}
+	index, err := in.command(ctx, sequoiacontrol.Command{Configure: &sequoiatable.SetConfiguration{
+		Base: req.Base, Document: []byte(req.Document), Services: cfg.TableServices(), Operator: req.Operator,
+	}})
+	return sequoiaadmin.Done{Revision: index}, resultError(err)
+}
+
+func (in *Instance) move(ctx context.Context, req sequoiaadmin.MoveRequest) (sequoiaadmin.Done, error) {
+	t := in.snapshot.Load().Table
+	s := t.Service(req.Service)
+	if s == nil {
+		return sequoiaadmin.Done{}, errors.Wrapf(sequoiaadmin.ErrNotFound, "service %q", req.Service)
+	}
+	for _, n := range req.Shards {
+		if n >= s.Shards {
+			return sequoiaadmin.Done{}, errors.Wrapf(sequoiaadmin.ErrBadRequest, "shard %d; allowed: 0 to %d", n, s.Shards-1)
+		}
+	}
+	to, err := liveMember(t, req.Service, req.To)
+	if err != nil {
+		return sequoiaadmin.Done{}, err
+	}
+	index, err := in.command(ctx, sequoiacontrol.Command{Move: &sequoiacontrol.Release{
+		Keys: sequoiacontrol.KeySet{Service: req.Service, Shards: req.Shards, Keys: req.Keys}, To: to, Reason: req.Reason,
+	}})
+	return sequoiaadmin.Done{Revision: index}, resultError(err)
+}
+
+// liveMember returns the member of a service on an instance.
+func liveMember(t *sequoiatable.Table, service, instance string) (sequoiatable.IncarnationID, error) {
+	for _, id := range t.Members() {
+		if m := t.Member(id); m.Instance == instance && m.Service == service && !m.Revoked() {
+			return id, nil
+		}
+	}
+	return 0, errors.Wrapf(sequoiaadmin.ErrNotFound, "no live process on instance %q serves %s", instance, service)
+}
+
+// startDrain answers once the drain has begun; its end is the end of the process.
+func (in *Instance) startDrain(_ context.Context, req sequoiaadmin.DrainRequest) (sequoiaadmin.Done, error) {
+	in.running.Go(func() {
+		if err := in.Drain(in.ctx, req.Reason); err != nil {
+			in.log.Warn("drain", "Err", err)
+		}
+	})
+	return sequoiaadmin.Done{Revision: in.snapshot.Load().Table.Index}, nil
+}
+
+// resultError names the core's errors in the terms of the administration API.
+func resultError(err error) error {
+	if errors.Is(err, sequoiacontrol.ErrResultUnknown) || errors.Is(err, sequoiacontrol.ErrTimeout) {
+		return errors.Wrap(sequoiaadmin.ErrUnknownResult, err.Error())
+	}
+	return err
+}
--- /dev/null
+++ b/internal/sequoiainstance/loop.go
@@ -0,0 +1,111 @@
+package sequoiainstance
+
+import (
+	"time"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiacontrol"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
+)
+
+// loop feeds the core from one goroutine and carries out its actions in order.
+func (in *Instance) loop() {
+	for {
+		select {
+		case <-in.ctx.Done():
+			return
+		case <-in.events.ready:
+		}
+		for _, ev := range in.events.take() {
+			in.step(ev)
+		}
+	}
+}
+
+func (in *Instance) step(ev sequoiacontrol.Event) {
+	for _, a := range in.core.Step(time.Now(), ev) {
+		in.act(a)
+	}
+}
+
+func (in *Instance) act(a sequoiacontrol.Action) {
+	switch a := a.(type) {
+	case sequoiacontrol.Send:
+		in.control.Send(a.To, a.Addr, a.Message)
+	case sequoiacontrol.Append:
+		in.running.Go(func() { in.append(a.Entry) })
+	case sequoiacontrol.ReadLog:
+		in.running.Go(func() { in.readLog(a.After) })
+	case sequoiacontrol.WatchLog:
+		in.setWatch(a.On)
+	case sequoiacontrol.WriteCheckpoint:
+		in.running.Go(func() { in.writeCheckpoint(a.Table) })
+	case sequoiacontrol.RenewLease:
+		in.running.Go(func() { in.renewLease(a) })
+	case sequoiacontrol.Publish:
+		in.publish(a.Snapshot)
+	case sequoiacontrol.CloseKeys:
+		in.closeKeys(a)
+	case sequoiacontrol.OpenKeys:
+		in.router.OpenKeys(time.Now(), a.Move)
+	case sequoiacontrol.InstallMemory:
+		in.installMemory(a)
+	case sequoiacontrol.Reply:
+		in.commands.reply(a)
+	case sequoiacontrol.Record:
+		in.record(a)
+	case sequoiacontrol.Stopped:
+		close(in.stopped)
+	}
+}
+
+func (in *Instance) publish(s *sequoiacontrol.Snapshot) {
+	previous := in.snapshot.Swap(s)
+	if previous.Self != s.Self {
+		in.control.SetIncarnation(s.Self)
+	}
+	in.router.Publish(time.Now(), s)
+}
+
+func (in *Instance) closeKeys(a sequoiacontrol.CloseKeys) {
+	if a.All {
+		in.running.Go(func() { in.awaitIdle(a.Move) })
+		return
+	}
+	in.router.CloseKeys(time.Now(), a.Move, a.Keys, func(ids []sequoiacontrol.Identifier) {
+		in.post(sequoiacontrol.KeysDrained{Move: a.Move, Identifiers: ids})
+	})
+}
+
+// awaitIdle reports the end of the last request. Requests that this process received and passed on count too: its
+// callers wait for their answers here.
+func (in *Instance) awaitIdle(move uint64) {
+	for in.ctx.Err() == nil {
+		if in.proxy.InProgress() == 0 {
+			in.post(sequoiacontrol.KeysDrained{Move: move})
+			return
+		}
+		pause(in.ctx, drainPoll)
+	}
+}
+
+func (in *Instance) installMemory(a sequoiacontrol.InstallMemory) {
+	if err := in.router.InstallMemory(time.Now(), a.Keys, a.Identifiers); err != nil {
+		in.log.Warn("request identifiers were not taken over", "Service", a.Keys.Service, "Err", err)
+		return
+	}
+	in.post(sequoiacontrol.MemoryInstalled{From: a.From, Move: a.Move})
+}
+
+// record logs a placement decision that this process made and keeps every one to explain assignments.
+func (in *Instance) record(r sequoiacontrol.Record) {
+	in.history.add(r, time.Now())
+	if !r.Own {
+		return
+	}
+	in.counters.decisions.WithLabelValues(r.Decision).Inc()
+	in.log.Placement(r)
+}
+
+func (in *Instance) logRequest(req *sequoiarouter.Request, resp *sequoiarouter.Response) {
+	in.log.Routing(req, resp)
+}
