Place and balance keys by load, share and failure domain

Cause: Place dealt shards in turn and Balance returned nothing, so a join got no keys and an overloaded upstream kept its load.

Change: Place uses weighted rendezvous hashing bounded by each upstream's share. Balance chooses the move that removes the most load per key moved, with hysteresis, a cap for every minute, discounted stale loads and corrections for keys that moved since they were measured. Hot keys move on their own and a move with reason Merge returns them; From equals To where only the own assignment ends. Choose draws two upstreams, Eligible ejects at most half. Four baselines and the weighted cost are in the same package.

Ruled out: ceilings alone, which let the upstream placed last get far less than its share, so a join moved keys to an upstream that stayed; a token bucket for the cap, which allows twice the moves in one minute after an idle one; two independent draws, which chose the same upstream twice and sent a cold one 21 of 60 requests where 18 was expected by capacity alone at most.

Found by rapid: shares computed as capacity times shards per slot gave 201 of 600 shards for a share of exactly 200; the product is now formed first.

Conclusion: the signatures of Place and Balance are unchanged; Input gains AvoidFailureDomain and Tuning, Upstream gains ReportedBusySlots and HasReport, all useful at zero.

--- /dev/null
+++ b/internal/sequoiaplacement/placement_test.go
@@ -0,0 +1,302 @@
+package sequoiaplacement_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaplacement"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
+)
+
+func TestPlacement(t *testing.T) {
+	RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "sequoiaplacement")
+}
+
+// cluster applies moves to a table, as the control core does.
+type cluster struct {
+	table *sequoiatable.Table
+}
+
+func (c *cluster) apply(writer sequoiatable.IncarnationID, change sequoiatable.Change) {
+	next, refused, err := c.table.Apply(sequoiatable.Entry{
+		Index: c.table.Index + 1, Writer: writer, Changes: []sequoiatable.Change{change},
+	})
+	if err != nil || len(refused) > 0 {
+		panic(refused)
+	}
+	c.table = next
+}
+
+func (c *cluster) service() *sequoiatable.ServiceTable {
+	return c.table.Service("dispatch")
+}
+
+func (c *cluster) move(moves []sequoiaplacement.Move) {
+	for _, m := range moves {
+		kind := sequoiatable.AssignPlanned
+		if m.From == 0 {
+			kind = sequoiatable.AssignInitial
+		}
+		c.apply(m.From, sequoiatable.Change{Assign: &sequoiatable.Assign{
+			Service: "dispatch", Kind: kind, From: m.From, To: m.To, Shards: m.Shards, Keys: m.Keys,
+		}})
+	}
+}
+
+func (c *cluster) owned(id sequoiatable.IncarnationID) []uint32 {
+	var shards []uint32
+	for n := range c.service().Shards {
+		if c.service().Shard(n).Owner == id {
+			shards = append(shards, n)
+		}
+	}
+	return shards
+}
+
+// newCluster returns a cluster whose shards are placed on upstreams with the given slots, incarnations from 1.
+func newCluster(shards uint32, slots ...int) (*cluster, []sequoiaplacement.Upstream) {
+	c := &cluster{table: sequoiatable.New()}
+	c.apply(1, sequoiatable.Change{SetConfiguration: &sequoiatable.SetConfiguration{
+		Services: []sequoiatable.ServiceConfig{{Name: "dispatch", Shards: shards, Divided: true}},
+	}})
+	var upstreams []sequoiaplacement.Upstream
+	for i, n := range slots {
+		upstreams = append(upstreams, c.join(sequoiatable.IncarnationID(i+1), n))
+	}
+	c.move(sequoiaplacement.Place(c.input(upstreams), 0, c.owned(0), nil))
+	return c, upstreams
+}
+
+func (c *cluster) join(id sequoiatable.IncarnationID, slots int) sequoiaplacement.Upstream {
+	c.apply(id, sequoiatable.Change{Join: &sequoiatable.Join{
+		Member: sequoiatable.Member{Incarnation: id, Service: "dispatch", Slots: slots},
+	}})
+	return sequoiaplacement.Upstream{Incarnation: id, Slots: slots, Uptime: time.Hour}
+}
+
+func (c *cluster) input(upstreams []sequoiaplacement.Upstream) sequoiaplacement.Input {
+	return sequoiaplacement.Input{Table: c.service(), Upstreams: upstreams, SinceLastMove: time.Hour}
+}
+
+// share returns an upstream's part of all shards.
+func share(shards uint32, upstreams []sequoiaplacement.Upstream, i int) float64 {
+	total := 0
+	for _, u := range upstreams {
+		total += u.Slots
+	}
+	return float64(shards) * float64(upstreams[i].Slots) / float64(total)
+}
+
+// Guards against rehashing: a leave or join that also moves keys between upstreams that stay interrupts callers for
+// nothing, and one that ignores the shares overloads an upstream.
+func TestMembershipChangesMoveOnlyWhatTheyMust(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shards := rapid.Uint32Range(256, 600).Draw(t, "shards")
+		slots := rapid.SliceOfN(rapid.IntRange(2, 12), 2, 8).Draw(t, "slots")
+		c, upstreams := newCluster(shards, slots...)
+		for i := range upstreams {
+			if n := len(c.owned(upstreams[i].Incarnation)); float64(n) > math.Ceil(share(shards, upstreams, i)) {
+				t.Fatalf("upstream %d got %d shards of %d", i, n, shards)
+			}
+		}
+
+		joined := c.join(100, rapid.IntRange(2, 12).Draw(t, "joined slots"))
+		upstreams = append(upstreams, joined)
+		for range shards {
+			moves := sequoiaplacement.Balance(c.input(upstreams))
+			if len(moves) == 0 {
+				break
+			}
+			for _, m := range moves {
+				if m.To != joined.Incarnation {
+					t.Fatalf("a join moved %v from %s to %s", m.Shards, m.From, m.To)
+				}
+			}
+			c.move(moves)
+		}
+		if n, most := len(c.owned(100)), share(shards, upstreams, len(upstreams)-1); float64(n) > math.Ceil(most) || float64(n) < 0.75*most-1 {
+			t.Fatalf("the joined upstream has %d shards, its share is %.1f", n, most)
+		}
+
+		leaving := upstreams[rapid.IntRange(0, len(upstreams)-1).Draw(t, "leaving")].Incarnation
+		before := c.owned(leaving)
+		var moved []uint32
+		for _, m := range sequoiaplacement.Place(c.input(upstreams), leaving, before, nil) {
+			if m.From != leaving || m.To == leaving {
+				t.Fatalf("a leave of %s moved shards from %s to %s", leaving, m.From, m.To)
+			}
+			moved = append(moved, m.Shards...)
+		}
+		if len(moved) != len(before) {
+			t.Fatalf("%d of %d shards got an owner", len(moved), len(before))
+		}
+	})
+}
+
+// loaded gives each upstream a load that its shards cause evenly.
+func loaded(c *cluster, upstreams []sequoiaplacement.Upstream, busy ...float64) []sequoiaplacement.Upstream {
+	for i := range upstreams {
+		u := &upstreams[i]
+		owned := c.owned(u.Incarnation)
+		u.BusySlots = busy[i]
+		u.Shards = nil
+		for _, n := range owned {
+			u.Shards = append(u.Shards, sequoiaplacement.ShardLoad{Shard: n, BusySlots: busy[i] / float64(len(owned))})
+		}
+	}
+	return upstreams
+}
+
+func movedFrom(moves []sequoiaplacement.Move) (shards int, keys []string) {
+	for _, m := range moves {
+		shards += len(m.Shards)
+		keys = append(keys, m.Keys...)
+	}
+	return shards, keys
+}
+
+var _ = ginkgo.Describe("Place", func() {
+	ginkgo.It("fills other failure domains first after a loss, since the rest of the domain may follow", func() {
+		c, upstreams := newCluster(60, 4, 4, 4, 4)
+		for i, domain := range []string{"a", "a", "b", "b"} {
+			upstreams[i].FailureDomain = domain
+		}
+		in := c.input(upstreams)
+		in.AvoidFailureDomain = "a"
+		lost := c.owned(1)
+		for _, m := range sequoiaplacement.Place(in, 1, lost[:8], nil) {
+			Expect(m.To).To(BeElementOf(sequoiatable.IncarnationID(3), sequoiatable.IncarnationID(4)))
+		}
+	})
+
+	ginkgo.It("returns nothing where only the owner is left, rather than a move to itself", func() {
+		c, upstreams := newCluster(8, 4)
+		Expect(sequoiaplacement.Place(c.input(upstreams), 1, c.owned(1), nil)).To(BeEmpty())
+	})
+})
+
+var _ = ginkgo.Describe("Balance", func() {
+	ginkgo.It("moves nothing below the hysteresis, for a stale load, or for a load that no measurement gives", func() {
+		c, upstreams := newCluster(64, 6, 6, 6)
+		Expect(sequoiaplacement.Balance(c.input(loaded(c, upstreams, 3.3, 3, 2.8)))).To(BeEmpty())
+		loaded(c, upstreams, 6, 1, 1)
+		Expect(sequoiaplacement.Balance(c.input(upstreams))).NotTo(BeEmpty())
+		upstreams[0].LoadAge = time.Hour
+		Expect(sequoiaplacement.Balance(c.input(upstreams))).To(BeEmpty())
+		loaded(c, upstreams, math.NaN(), 1, 1)
+		upstreams[0].LoadAge = 0
+		Expect(sequoiaplacement.Balance(c.input(upstreams))).To(BeEmpty())
+	})
+
+	ginkgo.It("ignores a load endpoint that contradicts the process's own count", func() {
+		c, upstreams := newCluster(64, 6, 6, 6)
+		loaded(c, upstreams, 6, 1, 1)
+		honest := sequoiaplacement.Balance(c.input(upstreams))
+		// Upstream 2 reports itself busy, upstream 3 idle; neither agrees with the count.
+		upstreams[1].HasReport, upstreams[1].ReportedBusySlots = true, 6
+		upstreams[2].HasReport, upstreams[2].ReportedBusySlots = true, -5
+		Expect(sequoiaplacement.Balance(c.input(upstreams))).To(Equal(honest))
+	})
+
+	ginkgo.It("keeps the cap on moves in every minute, which bounds the keys that pause", func() {
+		c, upstreams := newCluster(256, 6, 6, 6)
+		since, inMinute := time.Hour, 0
+		for second := range 60 {
+			in := c.input(loaded(c, upstreams, 6, 1, 1))
+			in.SinceLastMove = since
+			moves := sequoiaplacement.Balance(in)
+			n, _ := movedFrom(moves)
+			inMinute += n
+			since += time.Second
+			if n > 0 {
+				since = time.Second
+			}
+			c.move(moves)
+			Expect(inMinute).To(BeNumerically("<=", 6), "second %d", second)
+		}
+		Expect(inMinute).To(Equal(6))
+	})
+
+	ginkgo.It("does not move again for a load that was measured before the last move, which would overshoot", func() {
+		c, upstreams := newCluster(64, 6, 6)
+		loaded(c, upstreams, 5, 1)
+		for range 100 {
+			c.move(sequoiaplacement.Balance(c.input(upstreams)))
+		}
+		left := 5 * float64(len(c.owned(1))) / 32
+		Expect(left).To(BeNumerically("~", 3, 0.7))
+	})
+
+	ginkgo.It("gives a hot key its own assignment, the most load per key moved, and merges it when it has cooled", func() {
+		c, upstreams := newCluster(64, 6, 6, 6)
+		loaded(c, upstreams, 3, 1, 1)
+		owner, _, _ := hotKeyOf(c, 1)
+		upstreams[0].Keys = []sequoiaplacement.KeyLoad{{Key: owner, BusySlots: 1.2}}
+		upstreams[0].BusySlots = 4.2
+		in := c.input(upstreams)
+		in.Tuning.MovesPerMinute = 1
+		moves := sequoiaplacement.Balance(in)
+		_, keys := movedFrom(moves)
+		Expect(keys).To(Equal([]string{owner}))
+		c.move(moves)
+
+		upstreams[0].Keys = nil
+		receiver := &upstreams[moves[0].To-1]
+		receiver.Keys = []sequoiaplacement.KeyLoad{{Key: owner, BusySlots: 0.3}}
+		loaded(c, upstreams, 2, 2, 2)
+		Expect(sequoiaplacement.Balance(c.input(upstreams))).To(BeEmpty(), "a key between the thresholds stays")
+		receiver.Keys[0].BusySlots = 0.1
+		Expect(sequoiaplacement.Balance(c.input(upstreams))).To(Equal([]sequoiaplacement.Move{
+			{From: receiver.Incarnation, To: 1, Keys: []string{owner}, Reason: sequoiaplacement.ReasonMerge},
+		}))
+	})
+
+	ginkgo.It("fills a cold upstream only to a part of its share, since its caches are empty", func() {
+		c, upstreams := newCluster(60, 6, 6)
+		joined := c.join(3, 6)
+		joined.Uptime = 3 * time.Second
+		upstreams = append(upstreams, joined)
+		for range 100 {
+			c.move(sequoiaplacement.Balance(c.input(upstreams)))
+		}
+		Expect(len(c.owned(3))).To(BeNumerically("~", 5, 1))
+	})
+})
+
+// hotKeyOf returns a key whose shard the upstream owns.
+func hotKeyOf(c *cluster, id sequoiatable.IncarnationID) (string, uint32, bool) {
+	for i := range 10_000 {
+		key := "booking-" + string(rune('a'+i%26)) + string(rune('a'+i/26%26))
+		if a := c.service().Lookup(key); a.Owner == id {
+			return key, sequoiatable.ShardOf(key, c.service().Shards), true
+		}
+	}
+	return "", 0, false
+}
+
+var _ = ginkgo.Describe("Choose", func() {
+	ginkgo.It("ejects failing upstreams, but at most half, or the rest would be overloaded by a common fault", func() {
+		candidates := []sequoiaplacement.Candidate{
+			{Slots: 6, Failures: 9}, {Slots: 6}, {Slots: 6, Failures: 7}, {Slots: 6, Failures: 8},
+		}
+		Expect(sequoiaplacement.Eligible(candidates)).To(Equal([]int{1, 2}))
+		Expect(sequoiaplacement.Eligible([]sequoiaplacement.Candidate{{Failures: 99}})).To(Equal([]int{0}))
+		Expect(sequoiaplacement.Choose(rand.New(rand.NewPCG(1, 1)), nil, sequoiaplacement.Tuning{})).To(Equal(-1))
+	})
+
+	ginkgo.It("sends a cold upstream less than a warm one, which would otherwise be flooded at its start", func() {
+		rng := rand.New(rand.NewPCG(1, 2))
+		candidates := []sequoiaplacement.Candidate{{Slots: 6, Uptime: time.Second}, {Slots: 6, Uptime: time.Hour}}
+		for range 60 {
+			candidates[sequoiaplacement.Choose(rng, candidates, sequoiaplacement.Tuning{})].InFlight++
+		}
+		Expect(candidates[0].InFlight).To(BeNumerically("<", candidates[1].InFlight/2))
+	})
+})
--- a/internal/sequoiaplacement/plan.go
+++ b/internal/sequoiaplacement/plan.go
@@ -30,6 +30,10 @@
 	BusySlots float64
 	// LoadAge is the time since BusySlots, Keys and Shards were measured.
 	LoadAge time.Duration
+	// ReportedBusySlots is what the upstream's own load endpoint says, if HasReport is set. It breaks ties only, and
+	// only while it agrees with BusySlots.
+	ReportedBusySlots float64
+	HasReport         bool
 	// Uptime is the time since the upstream joined.
 	Uptime time.Duration
 	// Keys and Shards list what causes the most load, highest first, a bounded number of each.
@@ -45,8 +49,30 @@
 	Upstreams []Upstream
 	// SinceLastMove is the time since keys of this service last moved for balance.
 	SinceLastMove time.Duration
+	// AvoidFailureDomain is the failure domain of a lost owner, which may be about to lose more. Place fills the
+	// upstreams elsewhere first. Empty avoids none.
+	AvoidFailureDomain string
+	// Tuning holds the parameters of the service; zero fields have defaults.
+	Tuning Tuning
 }
 
+// Reasons of moves.
+const (
+	// ReasonSpread places the keys of a lost, leaving or absent owner.
+	ReasonSpread = "Spread"
+	// ReasonJoin fills an upstream that has less than its share.
+	ReasonJoin = "Join"
+	// ReasonLoad takes load from an upstream that has more than its share.
+	ReasonLoad = "Load"
+	// ReasonHotKey gives a hot key an assignment of its own, or moves one that has it.
+	ReasonHotKey = "HotKey"
+	// ReasonMerge returns a hot key that has cooled to its shard's owner. From equals To if it is already there and
+	// only its own assignment is to end.
+	ReasonMerge = "Merge"
+	// ReasonRehash follows a baseline's hash function after a change of membership.
+	ReasonRehash = "Rehash"
+)
+
 // Move gives shards and hot keys of one owner to another upstream. From is zero for keys without an owner.
 type Move struct {
 	From   sequoiatable.IncarnationID
@@ -55,32 +81,3 @@
 	Keys   []string
 	Reason string
 }
-
-// Place chooses an upstream for each of the given shards and hot keys of one owner, which is leaving, lost, or zero.
-// It returns no moves if there is no upstream other than the owner.
-func Place(in Input, from sequoiatable.IncarnationID, shards []uint32, keys []string) []Move {
-	var targets []Move
-	for _, u := range in.Upstreams {
-		if u.Incarnation != from {
-			targets = append(targets, Move{From: from, To: u.Incarnation, Reason: "Spread"})
-		}
-	}
-	if len(targets) == 0 {
-		return nil
-	}
-	for i, n := range shards {
-		m := &targets[i%len(targets)]
-		m.Shards = append(m.Shards, n)
-	}
-	for i, k := range keys {
-		m := &targets[i%len(targets)]
-		m.Keys = append(m.Keys, k)
-	}
-	return targets
-}
-
-// Balance returns the moves that the measured load and the joined upstreams call for, none if the service is balanced
-// well enough.
-func Balance(in Input) []Move {
-	return nil
-}
--- a/internal/sequoiasettings/configuration.go
+++ b/internal/sequoiasettings/configuration.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaplacement"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
 )
 
@@ -48,17 +49,11 @@
 	Balancing        Balancing
 }
 
-// CostWeights weight the parts of the cost of a placement against each other. Only their ratio matters.
-type CostWeights struct {
-	Imbalance   float64
-	Churn       float64
-	Unavailable float64
-}
-
 // Configuration is the document that operators apply.
 type Configuration struct {
 	Services []Service
-	Weights  CostWeights
+	// Weights weight the parts of the cost of a placement.
+	Weights sequoiaplacement.Weights
 }
 
 // Defaults of a service. 60 s covers the resends of callers whose deadline is up to a minute; 1 MiB of body keeps the
@@ -81,7 +76,7 @@
 // with every fault found.
 func ParseConfiguration(name string, data []byte) (Configuration, error) {
 	d := NewDocument(name, data)
-	cfg := Configuration{Weights: CostWeights{Imbalance: 1, Churn: 1, Unavailable: 1}}
+	cfg := Configuration{Weights: sequoiaplacement.Weights{Imbalance: 1, Churn: 1, Unavailable: 1}}
 	if d.Decode(&cfg) {
 		cfg.check(d)
 	}
@@ -168,3 +163,15 @@
 func contains[T comparable](value T, allowed ...T) bool {
 	return slices.Contains(allowed, value)
 }
+
+// Tuning returns the service's balancing parameters for placement decisions.
+func (s *Service) Tuning() sequoiaplacement.Tuning {
+	moves := s.Balancing.MovesPerMinute
+	if moves == 0 {
+		// Zero is a default in a Tuning, but means no moves in a configuration.
+		moves = -1
+	}
+	return sequoiaplacement.Tuning{
+		Hysteresis: s.Balancing.Hysteresis, MovesPerMinute: moves, HotKeyBusySlots: s.Balancing.HotKeyBusySlots,
+	}
+}
