--- a/cmd/sequoiaspring/operator.go
+++ b/cmd/sequoiaspring/operator.go
@@ -30,7 +30,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return sequoiaadmin.NewClient(s.Administration, s.AdministrationCredential.Reveal()), nil
+		return sequoiaadmin.NewClient(s.Administration, string(s.AdministrationCredential)), nil
 	}
 	addr, err := netip.ParseAddrPort(c.Administration)
 	if err != nil {
--- /dev/null
+++ b/cmd/sequoiaspring/run.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiainstance"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiastore"
+)
+
+type runCommand struct {
+	Settings string `arg:"--settings,required" help:"settings of the process, JSON with comments"`
+}
+
+// run serves until SIGTERM or an operator's drain, then hands its keys over. Logs go to standard error.
+func (c *runCommand) run(ctx context.Context, _ io.Writer) error {
+	settings, err := readSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	log := newLog(os.Stderr, settings.Log)
+	defer log.Close()
+	client := sequoiastore.New(settings.Store[0])
+	defer client.Close()
+	process, err := sequoiainstance.New(settings, sequoiainstance.NewStore(client), log)
+	if err != nil {
+		return err
+	}
+	return process.Run(ctx)
+}
--- a/internal/sequoiacontrol/command.go
+++ b/internal/sequoiacontrol/command.go
@@ -190,7 +190,7 @@
 		c.emit(CloseKeys{Move: d.closeAll, All: true})
 	}
 	if c.now.Sub(d.closedAt) >= c.opt.timings.DrainTimeout {
-		c.emit(Record{Decision: "DrainTimeout", Owner: c.self, Reason: "requests were still in progress"})
+		c.emit(Record{Own: true, Decision: "DrainTimeout", Owner: c.self, Reason: "requests were still in progress"})
 		d.leave = true
 	}
 }
--- a/internal/sequoiacontrol/event.go
+++ b/internal/sequoiacontrol/event.go
@@ -182,8 +182,9 @@
 	Err   error
 }
 
-// Record is a decision for the log.
+// Record is a decision for the log. Own is false for an assignment that another process made.
 type Record struct {
+	Own      bool
 	Decision string
 	Service  string
 	Keys     KeySet
--- a/internal/sequoiacontrol/log.go
+++ b/internal/sequoiacontrol/log.go
@@ -245,20 +245,17 @@
 			if a.Kind == sequoiatable.AssignPlanned {
 				c.lastMove[a.Service] = c.now
 			}
-			if !c.isSelf(e.Writer) {
-				continue
-			}
 			c.emit(Record{
-				Decision: "Assign" + a.Kind.String(), Service: a.Service,
+				Own: c.isSelf(e.Writer), Decision: "Assign" + a.Kind.String(), Service: a.Service,
 				Keys:  KeySet{Service: a.Service, Shards: a.Shards, Keys: a.Keys},
 				Owner: a.To, Previous: a.From, Epoch: sequoiatable.Epoch(e.Index), Reason: a.Reason,
 			})
 		}
 		if r := change.Revoke; r != nil && c.isSelf(e.Writer) {
-			c.emit(Record{Decision: "Revoke", Previous: r.Incarnation, Epoch: sequoiatable.Epoch(e.Index), Reason: r.Reason})
+			c.emit(Record{Own: true, Decision: "Revoke", Previous: r.Incarnation, Epoch: sequoiatable.Epoch(e.Index), Reason: r.Reason})
 		}
 		if s := change.SetWitnesses; s != nil && s.Holder == c.self {
-			c.emit(Record{Decision: "SetWitnesses", Owner: c.self, Epoch: sequoiatable.Epoch(e.Index)})
+			c.emit(Record{Own: true, Decision: "SetWitnesses", Owner: c.self, Epoch: sequoiatable.Epoch(e.Index)})
 		}
 	}
 }
@@ -456,7 +453,7 @@
 	}
 	parts, err := c.opt.codec.Encode(c.table)
 	if err != nil {
-		c.emit(Record{Decision: "CheckpointNotSent", Owner: to, Reason: err.Error()})
+		c.emit(Record{Own: true, Decision: "CheckpointNotSent", Owner: to, Reason: err.Error()})
 		return after
 	}
 	c.send(to, Message{Checkpoint: &Checkpoint{Index: c.table.Index, Parts: parts}})
@@ -481,7 +478,7 @@
 	}
 	t, err := c.opt.codec.Decode(m.Parts)
 	if err != nil {
-		c.emit(Record{Decision: "CheckpointRejected", Reason: err.Error()})
+		c.emit(Record{Own: true, Decision: "CheckpointRejected", Reason: err.Error()})
 		return
 	}
 	c.install(t)
--- a/internal/sequoiacontrol/member.go
+++ b/internal/sequoiacontrol/member.go
@@ -55,7 +55,7 @@
 // renewIncarnation gives up the incarnation and takes a new identifier (L6). Keys that were closed for a move are
 // opened: this process no longer owns them, so held requests are routed elsewhere or wait for the takeover.
 func (c *Core) renewIncarnation(reason string) {
-	c.emit(Record{Decision: "NewIncarnation", Previous: c.self, Reason: reason})
+	c.emit(Record{Own: true, Decision: "NewIncarnation", Previous: c.self, Reason: reason})
 	c.former[c.self] = c.leaseOut
 	c.self = c.newIncarnation()
 	c.joined = false
--- a/internal/sequoiacontrol/move.go
+++ b/internal/sequoiacontrol/move.go
@@ -181,7 +181,7 @@
 	c.emit(OpenKeys{Move: m.id})
 	if err != nil {
 		c.emit(Record{
-			Decision: "MoveAbandoned", Service: m.keys.Service, Keys: m.keys, Owner: c.self, Reason: err.Error(),
+			Own: true, Decision: "MoveAbandoned", Service: m.keys.Service, Keys: m.keys, Owner: c.self, Reason: err.Error(),
 		})
 	}
 }
--- a/internal/sequoiainstance/admin.go
+++ b/internal/sequoiainstance/admin.go
@@ -38,7 +38,7 @@
 func (in *Instance) listenAdministration() error {
 	in.registerState()
 	api := &sequoiaadmin.Server{
-		Credential: in.settings.AdministrationCredential.Reveal(),
+		Credential: string(in.settings.AdministrationCredential),
 		Status:     in.status,
 		Explain:    in.explain,
 		Document:   in.document,
--- a/internal/sequoiainstance/instance.go
+++ b/internal/sequoiainstance/instance.go
@@ -141,7 +141,7 @@
 
 // connect opens the connections to other processes and the listeners.
 func (in *Instance) connect(adjust func(*sequoiapeer.Control, *sequoiapeer.Forwarder)) error {
-	key := []byte(in.settings.SharedKey.Reveal())
+	key := []byte(in.settings.SharedKey)
 	var err error
 	in.control, err = sequoiapeer.NewControl(key, sequoiapeer.WithReceive(in.receive), sequoiapeer.WithRejected(in.rejected))
 	if err != nil {
--- a/internal/sequoiainstance/store.go
+++ b/internal/sequoiainstance/store.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiacontrol"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiastore"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
 )
 
@@ -15,41 +17,61 @@
 	watchPause = 200 * time.Millisecond
 )
 
-// LogPage is what a read of the log returns. Checkpoint is set instead of Entries where the wanted entries are trimmed.
-type LogPage struct {
-	Entries    []sequoiatable.Entry
-	Checkpoint *sequoiatable.Table
-}
+// watchWait is how long one wait for the next entry lasts; each wait is one call of the store.
+const watchWait = 10 * time.Second
 
 // Store is what a process needs of the platform's store. It is a struct of functions, so that a test can replace one.
 type Store struct {
-	Append          func(ctx context.Context, e sequoiatable.Entry) (sequoiacontrol.Appended, error)
-	Read            func(ctx context.Context, after uint64) (LogPage, error)
-	Wait            func(ctx context.Context, after uint64) (LogPage, error)
+	Append          func(ctx context.Context, e sequoiatable.Entry) sequoiacontrol.Appended
+	Read            func(ctx context.Context, after uint64) sequoiacontrol.LogRead
+	Wait            func(ctx context.Context, after uint64, wait time.Duration) sequoiacontrol.LogRead
 	WriteCheckpoint func(ctx context.Context, t *sequoiatable.Table) error
 	RenewLease      func(ctx context.Context, id sequoiatable.IncarnationID) error
-	// LeaseExists reports whether the store lease of an incarnation is in force.
-	LeaseExists func(ctx context.Context, id sequoiatable.IncarnationID) (bool, error)
+	// LeaseHeld reports whether the store lease of an incarnation is in force.
+	LeaseHeld func(ctx context.Context, id sequoiatable.IncarnationID) (bool, error)
+}
+
+// NewStore returns the functions of a client.
+func NewStore(c *sequoiastore.Client) Store {
+	leases := &storeLeases{client: c}
+	return Store{
+		Append: c.Append, Read: c.ReadLog, Wait: c.WaitLog, WriteCheckpoint: c.WriteCheckpoint,
+		RenewLease: leases.renew, LeaseHeld: c.LeaseHeld,
+	}
+}
+
+// storeLeases keeps the store lease of the present incarnation for the StoreLeases authority.
+type storeLeases struct {
+	client *sequoiastore.Client
+	mu     sync.Mutex
+	holder sequoiatable.IncarnationID
+	lease  *sequoiastore.Lease
+}
+
+func (l *storeLeases) renew(ctx context.Context, id sequoiatable.IncarnationID) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lease != nil && l.holder == id {
+		return l.lease.Renew(ctx)
+	}
+	lease, err := l.client.AcquireLease(ctx, id)
+	if err != nil {
+		return err
+	}
+	l.holder, l.lease = id, lease
+	return nil
 }
 
 func (in *Instance) append(e sequoiatable.Entry) {
 	ctx, cancel := context.WithTimeout(in.ctx, storeTimeout)
 	defer cancel()
-	result, err := in.store.Append(ctx, e)
-	result.Index = e.Index
-	result.Nonce = e.Nonce
-	if err != nil {
-		result.Result = sequoiacontrol.AppendUnknown
-		result.Err = err
-	}
-	in.post(result)
+	in.post(in.store.Append(ctx, e))
 }
 
 func (in *Instance) readLog(after uint64) {
 	ctx, cancel := context.WithTimeout(in.ctx, storeTimeout)
 	defer cancel()
-	page, err := in.store.Read(ctx, after)
-	in.post(sequoiacontrol.LogRead{Entries: page.Entries, Checkpoint: page.Checkpoint, Err: err})
+	in.post(in.store.Read(ctx, after))
 }
 
 func (in *Instance) writeCheckpoint(t *sequoiatable.Table) {
@@ -77,12 +99,12 @@
 func (in *Instance) watch(ctx context.Context) {
 	after := in.snapshot.Load().Table.Index
 	for ctx.Err() == nil {
-		page, err := in.store.Wait(ctx, after)
+		page := in.store.Wait(ctx, after, watchWait)
 		if ctx.Err() != nil {
 			return
 		}
-		in.post(sequoiacontrol.LogRead{Entries: page.Entries, Checkpoint: page.Checkpoint, Err: err})
-		if err != nil {
+		in.post(page)
+		if page.Err != nil {
 			pause(ctx, watchPause)
 		}
 		if n := len(page.Entries); n > 0 {
@@ -121,7 +143,7 @@
 func (in *Instance) checkLease(id sequoiatable.IncarnationID, seen map[sequoiatable.IncarnationID]bool) {
 	ctx, cancel := context.WithTimeout(in.ctx, storeTimeout)
 	defer cancel()
-	exists, err := in.store.LeaseExists(ctx, id)
+	exists, err := in.store.LeaseHeld(ctx, id)
 	switch {
 	case err != nil:
 	case exists:
