--- a/internal/sequoiastandin/server.go
+++ b/internal/sequoiastandin/server.go
@@ -33,7 +33,7 @@
 		return nil, errors.Wrapf(err, "listen on %s", addr)
 	}
 	s := &listener{
-		server: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout},
+		server: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ConnContext: connContext},
 		addr:   l.Addr().(*net.TCPAddr).AddrPort(),
 	}
 	go func() { _ = s.server.Serve(l) }()
