Add the checker of invariants

Check reads execution records, callers' records and acknowledged log entries and reports DoubleOwned, RanTwice, WrongAnswers, FalseNotRun, LostAssignments and the unavailable time of each key. A test shows each kind being found, and the correct runs that resemble them not being reported.

Only executions that took effect count for overlaps, RanTwice and FalseNotRun, since a refusal at the commit check proves that a request had no effect. An execution that starts under an older epoch after a newer one counts in any case: it shows that an earlier owner was still admitted. NotRun for the resend of a call that ended as Unknown is no violation; it says nothing of the first call. An acknowledged assignment in a trimmed entry is counted as unverified.

--- /dev/null
+++ b/internal/sequoiachecker/check_test.go
@@ -0,0 +1,151 @@
+package sequoiachecker_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiachecker"
+	. "github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
+)
+
+func TestChecker(t *testing.T) {
+	RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "sequoiachecker")
+}
+
+var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(ms int) time.Time { return begin.Add(time.Duration(ms) * time.Millisecond) }
+
+// ran returns a committed execution of key "k" by an incarnation, from and to in milliseconds.
+func ran(id string, owner IncarnationID, epoch Epoch, from, to int) sequoiachecker.Execution {
+	return sequoiachecker.Execution{
+		Upstream: "u" + owner.String()[15:], Service: "s", Key: "k", Epoch: epoch, Incarnation: owner, RequestID: id,
+		Start: at(from), End: at(to), Committed: true,
+	}
+}
+
+func told(id string, outcome sequoiachecker.Outcome, from, to int) sequoiachecker.CallerRecord {
+	body := []byte("body " + id)
+	c := sequoiachecker.CallerRecord{
+		Service: "s", Key: "k", RequestID: id, BodyDigest: sequoiachecker.Digest(body), Outcome: outcome, Status: 200,
+		Sent: at(from), Ended: at(to),
+	}
+	if outcome == sequoiachecker.Answered {
+		c.Answer, _ = json.Marshal(sequoiachecker.NewAnswer("u1", id, "k", body, "padding"))
+	}
+	return c
+}
+
+func executions(list ...sequoiachecker.Execution) sequoiachecker.Run {
+	return sequoiachecker.Run{Executions: list}
+}
+
+func callers(list ...sequoiachecker.CallerRecord) sequoiachecker.Run {
+	return sequoiachecker.Run{Callers: list}
+}
+
+func withCallers(run sequoiachecker.Run, list ...sequoiachecker.CallerRecord) sequoiachecker.Run {
+	run.Callers = list
+	return run
+}
+
+// uncommitted returns an execution that began but took no effect.
+func uncommitted(e sequoiachecker.Execution) sequoiachecker.Execution {
+	e.Committed = false
+	return e
+}
+
+func changed(c sequoiachecker.CallerRecord, change func(*sequoiachecker.CallerRecord)) sequoiachecker.CallerRecord {
+	change(&c)
+	return c
+}
+
+var assigned = Entry{Index: 4, Writer: 1, Nonce: 2, Changes: []Change{
+	{Assign: &Assign{Service: "s", Kind: AssignInitial, To: 1, Shards: []uint32{1}}},
+}}
+
+const (
+	answered = sequoiachecker.Answered
+	notRun   = sequoiachecker.NotRun
+	unknown  = sequoiachecker.Unknown
+)
+
+// Each entry is a fault that the checker must find, or a correct run that it must not report.
+var _ = ginkgo.DescribeTable("Check", func(run sequoiachecker.Run, want ...sequoiachecker.Kind) {
+	r := sequoiachecker.Check(run)
+	kinds := []sequoiachecker.Kind{}
+	for _, v := range r.Violations {
+		kinds = append(kinds, v.Kind)
+	}
+	Expect(kinds).To(Equal(want))
+	Expect(r.OK()).To(Equal(len(want) == 0))
+},
+	ginkgo.Entry("accepts owners one after the other, and one owner's concurrent requests",
+		executions(ran("a", 1, 5, 0, 10), ran("b", 1, 5, 5, 20), ran("c", 2, 6, 20, 30))),
+	ginkgo.Entry("finds two owners that overlap",
+		executions(ran("a", 1, 5, 0, 10), ran("b", 2, 6, 9, 20)), sequoiachecker.DoubleOwned),
+	ginkgo.Entry("finds an overlap with a long request that a shorter one of the same owner follows",
+		executions(ran("a", 1, 5, 0, 50), ran("b", 2, 6, 60, 100), ran("c", 2, 6, 70, 75), ran("d", 1, 7, 80, 85)),
+		sequoiachecker.DoubleOwned),
+	ginkgo.Entry("accepts an overlapping request that took no effect, as the commit check refuses it",
+		executions(uncommitted(ran("a", 1, 5, 0, 10)), ran("b", 2, 6, 9, 20))),
+	ginkgo.Entry("finds an older epoch that starts after a newer one, even if it takes no effect",
+		executions(ran("a", 2, 6, 0, 10), uncommitted(ran("b", 1, 5, 20, 30))), sequoiachecker.DoubleOwned),
+	ginkgo.Entry("finds a request that took effect twice",
+		executions(ran("a", 1, 5, 0, 10), ran("a", 2, 6, 20, 30)), sequoiachecker.RanTwice),
+	ginkgo.Entry("accepts a second run if the caller declared the request repeatable", withCallers(
+		executions(ran("a", 1, 5, 0, 10), ran("a", 2, 6, 20, 30)),
+		changed(told("a", answered, 0, 30), func(c *sequoiachecker.CallerRecord) { c.Repeatable = true }))),
+	ginkgo.Entry("accepts a first run that took no effect",
+		executions(uncommitted(ran("a", 1, 5, 0, 10)), ran("a", 2, 6, 20, 30))),
+	ginkgo.Entry("finds a request that ran though its caller was told NotRun",
+		withCallers(executions(ran("a", 1, 5, 0, 10)), told("a", notRun, 0, 20)), sequoiachecker.FalseNotRun),
+	ginkgo.Entry("accepts NotRun for the resend of a call that ended as Unknown",
+		withCallers(executions(ran("a", 1, 5, 0, 10)), told("a", unknown, 0, 20), told("a", notRun, 30, 40))),
+	ginkgo.Entry("accepts a caller's own answer", callers(told("a", answered, 0, 10))),
+	ginkgo.Entry("finds another caller's answer", callers(changed(told("a", answered, 0, 10),
+		func(c *sequoiachecker.CallerRecord) { c.Answer = told("b", answered, 0, 10).Answer })), sequoiachecker.WrongAnswers),
+	ginkgo.Entry("finds a cut answer", callers(changed(told("a", answered, 0, 10),
+		func(c *sequoiachecker.CallerRecord) { c.Answer = c.Answer[:len(c.Answer)-2] })), sequoiachecker.WrongAnswers),
+	ginkgo.Entry("finds an answer that was changed within", callers(changed(told("a", answered, 0, 10),
+		func(c *sequoiachecker.CallerRecord) {
+			c.Answer = []byte(string(c.Answer[:len(c.Answer)-40]) + "X" + string(c.Answer[len(c.Answer)-39:]))
+		})), sequoiachecker.WrongAnswers),
+	ginkgo.Entry("accepts an acknowledged assignment that is in the log",
+		sequoiachecker.Run{Acknowledged: []Entry{assigned}, Log: []Entry{assigned}}),
+	ginkgo.Entry("finds an acknowledged assignment that is not in the log",
+		sequoiachecker.Run{Acknowledged: []Entry{assigned}}, sequoiachecker.LostAssignments),
+	ginkgo.Entry("finds an acknowledged assignment whose index another writer holds, even below the trimmed index",
+		sequoiachecker.Run{Acknowledged: []Entry{assigned}, Log: []Entry{{Index: 4, Writer: 2}}, Trimmed: 9},
+		sequoiachecker.LostAssignments),
+)
+
+var _ = ginkgo.Describe("Report", func() {
+	ginkgo.It("adds up unavailable time per key from the first failure to the next answer", func() {
+		r := sequoiachecker.Check(callers(
+			told("a", answered, 0, 10), told("b", notRun, 5, 100), told("c", unknown, 50, 150), told("d", answered, 140, 200),
+			told("e", answered, 300, 900), told("f", notRun, 1000, 1010),
+		))
+		Expect(r.Unavailable).To(Equal([]sequoiachecker.KeyUnavailable{
+			{Service: "s", Key: "k", Total: 200 * time.Millisecond, Longest: 190 * time.Millisecond},
+		}))
+	})
+
+	ginkgo.It("counts a slow answer as unavailable time, which retries within a request would hide", func() {
+		run := callers(told("a", answered, 0, 10), told("b", answered, 20, 1020))
+		Expect(sequoiachecker.Check(run).Unavailable).To(BeEmpty())
+		run.Slow = 100 * time.Millisecond
+		Expect(sequoiachecker.Check(run).Unavailable[0].Total).To(Equal(time.Second))
+	})
+
+	ginkgo.It("does not call an assignment lost, nor verified, if its entry was trimmed", func() {
+		r := sequoiachecker.Check(sequoiachecker.Run{Acknowledged: []Entry{assigned}, Trimmed: 4})
+		Expect(r.OK()).To(BeTrue())
+		Expect(r.Unverified).To(Equal(1))
+	})
+})
