Add forwarded requests over pooled TCP connections

A request crosses one hop between processes as a frame with number, length and checksum. Requests are numbered and written under one lock, because the receiver rejects numbers that do not increase. An abandoned request keeps its number until its response arrives, so a late response is neither given to another request nor taken for a wrong number.

ErrNotSent is returned only before the first byte of a frame is written: nbio's Write fails only if the socket took nothing. Everything later is ErrUnknown.

Silence is counted in timer ticks rather than by the clock, so that a pause of this process does not end every connection. The receiver of a large frame sends pongs unasked, because the sender's ping waits behind the frame.

Found while testing: an incomplete frame was moved in the buffer at each read, the square of its size.

--- a/internal/sequoiapeer/control_test.go
+++ b/internal/sequoiapeer/control_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/netip"
 	"reflect"
-	"sync/atomic"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -24,11 +23,13 @@
 }
 
 // startControl starts a Control on a free loopback port. Its messages arrive on the channel.
-func startControl(key []byte, id sequoiatable.IncarnationID, n *cutNetwork) (*Control, chan delivery) {
+func startControl(
+	key []byte, id sequoiatable.IncarnationID, n *cutNetwork, opts ...ControlOption,
+) (*Control, chan delivery) {
 	received := make(chan delivery, 1000)
-	c, err := NewControl(key, WithReceive(func(from sequoiatable.IncarnationID, m sequoiacontrol.Message) {
+	c, err := NewControl(key, append(opts, WithReceive(func(from sequoiatable.IncarnationID, m sequoiacontrol.Message) {
 		received <- delivery{from, m}
-	}))
+	}))...)
 	Expect(err).NotTo(HaveOccurred())
 	if n != nil {
 		c.ListenPacket = n.listen
@@ -59,12 +60,11 @@
 
 	ginkgo.It("rejects a peer with another shared key on both sides", func() {
 		a, _ := startControl(otherKey, 1, nil)
-		b, atB := startControl(testKey, 2, nil)
-		var reported atomic.Value
-		b.Rejected = func(_ netip.AddrPort, err error) { reported.Store(err) }
+		reported := make(chan error, 10)
+		b, atB := startControl(testKey, 2, nil, WithRejected(func(_ netip.AddrPort, err error) { reported <- err }))
 		a.Send(2, b.Addr(), renew(1))
 		Eventually(func() uint64 { return b.Stats().Rejected }).ShouldNot(BeZero())
-		Expect(reported.Load()).To(MatchError(ErrUnauthenticated))
+		Eventually(reported).Should(Receive(MatchError(ErrUnauthenticated)))
 		Expect(a.Stats().Rejected).NotTo(BeZero())
 		Consistently(atB, "200ms").ShouldNot(Receive())
 	})
--- /dev/null
+++ b/internal/sequoiapeer/forward.go
@@ -0,0 +1,512 @@
+package sequoiapeer
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/netip"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+	"github.com/pkg/errors"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
+)
+
+// Results of Forward. Every error it returns is one of the first two.
+var (
+	// ErrNotSent means that the peer provably did not receive the request.
+	ErrNotSent = errors.New("the request was not sent")
+	// ErrUnknown means that the peer may have received the request.
+	ErrUnknown = errors.New("the request may have been received")
+)
+
+// Reasons for which a connection is closed or refuses a request.
+var (
+	// ErrBusy reports a connection with too many requests in progress.
+	ErrBusy = errors.New("too many requests in progress")
+	// ErrSilent reports a peer that has sent nothing for 3 s.
+	ErrSilent = errors.New("the peer is silent")
+	// ErrConnectionLost reports a connection that the peer or the network ended.
+	ErrConnectionLost = errors.New("the connection was lost")
+
+	errIdle = errors.New("the connection was idle")
+)
+
+const (
+	// dialTimeout bounds connecting and the mutual challenge.
+	dialTimeout = time.Second
+	// maxConnections bounds the pool of connections to one address.
+	maxConnections = 4
+	// spreadLoad is the number of requests in progress on every pooled connection at which another one is opened.
+	spreadLoad = 64
+	// sendAttempts is the number of connections on which one request is tried before it is given back as not sent.
+	sendAttempts = 2
+	// maxUnauthenticated bounds the accepted connections that have not finished the challenge.
+	maxUnauthenticated = 256
+	// maxPollers bounds nbio's event loops, each of which has a read buffer.
+	maxPollers = 4
+	// readBuffer is the size in bytes of a poller's read buffer.
+	readBuffer = 32 << 10
+	// maxWriteBuffer bounds in bytes what is kept for a peer that does not read.
+	maxWriteBuffer = 4 * MaxFrame
+	// maxPooledBuffer is the largest encoding buffer in bytes that is kept for reuse.
+	maxPooledBuffer = 64 << 10
+)
+
+// ForwardStats counts events of a Forwarder since its start.
+type ForwardStats struct {
+	// Rejected counts peers that failed authentication.
+	Rejected uint64
+	// Invalid counts connections closed because of a frame that was wrong.
+	Invalid uint64
+	// Dialed counts authenticated outgoing connections, DialFailures failed attempts.
+	Dialed       uint64
+	DialFailures uint64
+	// Silent counts connections closed because the peer sent nothing for 3 s.
+	Silent uint64
+	// Connections is the number of open connections.
+	Connections int
+}
+
+// Forwarder sends requests to other processes, and serves theirs, over pooled TCP connections.
+type Forwarder struct {
+	// Serve runs a request of another process. Its context ends on cancellation, at the deadline and when the
+	// connection is lost. It is called in a goroutine of its own.
+	Serve func(ctx context.Context, req *sequoiarouter.Request) *sequoiarouter.Response
+	// Rejected is called for each peer that fails authentication (ErrUnauthenticated) or sends a wrong frame
+	// (ErrFrame, ErrChecksum, ErrTooLarge, ErrRequestNumber, ErrMalformed).
+	Rejected func(peer netip.AddrPort, err error)
+	// Dial opens a TCP connection. Tests replace it to cut connections.
+	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+
+	key      []byte
+	timers   *sequoiatimer.Service
+	checks   *sequoiatimer.Subscription
+	engine   *nbio.Engine
+	listener net.Listener
+	ctx      context.Context
+	cancel   context.CancelFunc
+	// opening counts goroutines that open connections, running those that serve requests.
+	opening, running sync.WaitGroup
+	unauthenticated  atomic.Int64
+	// published is written after a connection is constructed and read before the event loop uses it. nbio hands
+	// connections over through the kernel only, which does not order memory accesses for the Go memory model.
+	published atomic.Uint64
+
+	mu     sync.Mutex
+	conns  map[*forwardConn]struct{}
+	pools  map[netip.AddrPort]*pool
+	closed bool
+
+	rejected, invalid, dialed, dialFailures, silent atomic.Uint64
+}
+
+// pool holds the connections to one address. The forwarder's lock protects it.
+type pool struct {
+	conns []*forwardConn
+	// dialing is the attempt in progress, nil if there is none.
+	dialing *dialAttempt
+}
+
+// dialAttempt is shared by the requests that wait for the same connection. err is set before done is closed.
+type dialAttempt struct {
+	done chan struct{}
+	conn *forwardConn
+	err  error
+}
+
+// ForwarderOption changes a Forwarder under construction.
+type ForwarderOption func(*Forwarder)
+
+// WithServe sets the function that runs requests of other processes.
+func WithServe(f func(ctx context.Context, req *sequoiarouter.Request) *sequoiarouter.Response) ForwarderOption {
+	return func(fw *Forwarder) { fw.Serve = f }
+}
+
+// WithForwardRejected sets the function that is told of rejected peers.
+func WithForwardRejected(f func(peer netip.AddrPort, err error)) ForwarderOption {
+	return func(fw *Forwarder) { fw.Rejected = f }
+}
+
+// WithTimers sets the timer service that drives the liveness checks.
+func WithTimers(s *sequoiatimer.Service) ForwarderOption {
+	return func(fw *Forwarder) { fw.timers = s }
+}
+
+// NewForwarder returns a Forwarder that authenticates with the shared key and has started its event loops. It returns
+// ErrKey if the key is too short.
+func NewForwarder(sharedKey []byte, opts ...ForwarderOption) (*Forwarder, error) {
+	key, err := deriveKey(sharedKey, labelForward)
+	if err != nil {
+		return nil, err
+	}
+	f := &Forwarder{
+		Serve:    refuse,
+		Rejected: func(netip.AddrPort, error) {},
+		Dial:     dialTCP,
+		key:      key,
+		timers:   sequoiatimer.New(),
+		conns:    map[*forwardConn]struct{}{},
+		pools:    map[netip.AddrPort]*pool{},
+	}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	for _, opt := range opts {
+		opt(f)
+	}
+	// nbio prints its start and stop to standard output, where it would mix with the JSON lines.
+	logging.SetLevel(logging.LevelError)
+	f.engine = nbio.NewEngine(nbio.Config{
+		Name:               "forward",
+		NPoller:            min(maxPollers, runtime.NumCPU()),
+		ReadBufferSize:     readBuffer,
+		MaxWriteBufferSize: maxWriteBuffer,
+	})
+	f.engine.OnData(func(nb *nbio.Conn, b []byte) {
+		f.published.Load()
+		nb.Session().(*forwardConn).receive(b)
+	})
+	f.engine.OnClose(func(nb *nbio.Conn, err error) { nb.Session().(*forwardConn).close(lost(err)) })
+	if err := f.engine.Start(); err != nil {
+		return nil, errors.Wrap(err, "start the event loops")
+	}
+	f.checks = f.timers.Every(checkInterval, func(time.Time) { f.check() })
+	return f, nil
+}
+
+func refuse(context.Context, *sequoiarouter.Request) *sequoiarouter.Response {
+	return &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: "NotServing"}
+}
+
+func dialTCP(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr.String())
+}
+
+func lost(err error) error {
+	if err == nil {
+		return errors.WithStack(ErrConnectionLost)
+	}
+	return errors.Wrap(ErrConnectionLost, err.Error())
+}
+
+// Listen accepts connections on addr. It is called at most once; a Forwarder that only sends needs no listener.
+func (f *Forwarder) Listen(addr netip.AddrPort) error {
+	listener, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return errors.Wrapf(err, "listen for forwarded requests on %v", addr)
+	}
+	f.listener = listener
+	f.opening.Go(f.accept)
+	return nil
+}
+
+// Addr returns the local TCP address. It is valid after Listen.
+func (f *Forwarder) Addr() netip.AddrPort {
+	return f.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Stats returns the counts so far.
+func (f *Forwarder) Stats() ForwardStats {
+	f.mu.Lock()
+	n := len(f.conns)
+	f.mu.Unlock()
+	return ForwardStats{
+		Rejected: f.rejected.Load(), Invalid: f.invalid.Load(), Dialed: f.dialed.Load(),
+		DialFailures: f.dialFailures.Load(), Silent: f.silent.Load(), Connections: n,
+	}
+}
+
+// Forward sends a request to the process at addr and waits for its response. It returns ErrNotSent or ErrUnknown, and
+// never later than the end of ctx or the request's deadline.
+func (f *Forwarder) Forward(ctx context.Context, addr netip.AddrPort, req *sequoiarouter.Request) (*sequoiarouter.Response, error) {
+	if !req.Deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, req.Deadline)
+		defer cancel()
+	}
+	conn, number, p, err := f.send(ctx, unmap(addr), req)
+	if err != nil {
+		return nil, notSent(err)
+	}
+	select {
+	case result := <-p.done:
+		return conn.finish(result)
+	case <-ctx.Done():
+		conn.abandon(number)
+		return nil, unknown(ctx.Err())
+	}
+}
+
+// send writes a request on a pooled connection. It tries another connection if the first one has just ended.
+func (f *Forwarder) send(
+	ctx context.Context, addr netip.AddrPort, req *sequoiarouter.Request,
+) (conn *forwardConn, number uint64, p *call, err error) {
+	for range sendAttempts {
+		conn, err = f.connection(ctx, addr)
+		if err != nil {
+			return nil, 0, nil, err
+		}
+		number, p, err = conn.send(req)
+		if err == nil || errors.Is(err, ErrTooLarge) {
+			break
+		}
+	}
+	return conn, number, p, err
+}
+
+// Close closes all connections and waits for the requests that are being served.
+func (f *Forwarder) Close() error {
+	f.mu.Lock()
+	if f.closed {
+		f.mu.Unlock()
+		return nil
+	}
+	f.closed = true
+	f.mu.Unlock()
+	f.checks.Cancel()
+	f.cancel()
+	if f.listener != nil {
+		_ = f.listener.Close()
+	}
+	// A connection must not be closed while it is being passed to the event loops.
+	f.opening.Wait()
+	for _, c := range f.connections() {
+		c.close(errors.WithStack(ErrClosed))
+	}
+	f.engine.Stop()
+	f.running.Wait()
+	return nil
+}
+
+// failure is an error that is both a result of Forward and its cause.
+type failure struct {
+	result error
+	cause  error
+}
+
+func notSent(cause error) error { return &failure{ErrNotSent, cause} }
+
+func unknown(cause error) error { return &failure{ErrUnknown, cause} }
+
+// Error returns the result and the cause.
+func (e *failure) Error() string { return e.result.Error() + ": " + e.cause.Error() }
+
+// Unwrap returns the result and the cause, for errors.Is.
+func (e *failure) Unwrap() []error { return []error{e.result, e.cause} }
+
+// connection returns the least loaded connection to addr, or waits for a new one.
+func (f *Forwarder) connection(ctx context.Context, addr netip.AddrPort) (*forwardConn, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	if f.closed {
+		f.mu.Unlock()
+		return nil, errors.WithStack(ErrClosed)
+	}
+	p := f.pools[addr]
+	if p == nil {
+		p = &pool{}
+		f.pools[addr] = p
+	}
+	conn, load := p.leastLoaded()
+	if (conn == nil || load >= spreadLoad) && len(p.conns) < maxConnections && p.dialing == nil {
+		p.dialing = &dialAttempt{done: make(chan struct{})}
+		attempt := p.dialing
+		f.opening.Go(func() { f.dial(addr, p, attempt) })
+	}
+	attempt := p.dialing
+	f.mu.Unlock()
+	if conn != nil {
+		return conn, nil
+	}
+	if attempt == nil {
+		return nil, errors.WithStack(ErrBusy)
+	}
+	select {
+	case <-attempt.done:
+		return attempt.conn, attempt.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (p *pool) leastLoaded() (best *forwardConn, load int) {
+	for _, c := range p.conns {
+		if n, ok := c.load(); ok && (best == nil || n < load) {
+			best, load = c, n
+		}
+	}
+	return best, load
+}
+
+// dial carries out an attempt and adds the connection to the pool.
+func (f *Forwarder) dial(addr netip.AddrPort, p *pool, attempt *dialAttempt) {
+	attempt.conn, attempt.err = f.open(addr)
+	f.mu.Lock()
+	p.dialing = nil
+	switch {
+	case attempt.err != nil:
+		f.dialFailures.Add(1)
+		f.dropEmptyPool(addr)
+	default:
+		f.dialed.Add(1)
+		if _, open := f.conns[attempt.conn]; open {
+			p.conns = append(p.conns, attempt.conn)
+		}
+	}
+	f.mu.Unlock()
+	close(attempt.done)
+}
+
+// open connects to addr and waits for the mutual challenge.
+func (f *Forwarder) open(addr netip.AddrPort) (*forwardConn, error) {
+	ctx, cancel := context.WithTimeout(f.ctx, dialTimeout)
+	defer cancel()
+	netConn, err := f.Dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	c, err := f.add(netConn, addr, true)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-c.ready:
+		return c, nil
+	case <-c.done:
+		return nil, c.reason()
+	case <-ctx.Done():
+		c.close(errors.Wrap(ErrConnectionLost, "no answer to the challenge"))
+		return nil, ctx.Err()
+	}
+}
+
+func (f *Forwarder) accept() {
+	for {
+		netConn, err := f.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// Accept fails while the process has no free file descriptor.
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		if f.unauthenticated.Load() >= maxUnauthenticated {
+			f.rejected.Add(1)
+			_ = netConn.Close()
+			continue
+		}
+		peer := netConn.RemoteAddr().(*net.TCPAddr).AddrPort()
+		_, _ = f.add(netConn, unmap(peer), false)
+	}
+}
+
+// add passes a socket to the event loops.
+func (f *Forwarder) add(netConn net.Conn, addr netip.AddrPort, dialed bool) (*forwardConn, error) {
+	nb, err := nbio.NBConn(netConn)
+	if err != nil {
+		_ = netConn.Close()
+		return nil, errors.Wrap(err, "use the connection")
+	}
+	c := newForwardConn(f, nb, addr, dialed)
+	nb.SetSession(c)
+	hello := c.helloFrame()
+	f.unauthenticated.Add(1)
+	f.published.Add(1)
+	if _, err := f.engine.AddConn(nb); err != nil {
+		c.close(lost(err))
+		return nil, errors.Wrap(err, "use the connection")
+	}
+	f.mu.Lock()
+	closed := f.closed
+	if c.reason() == nil {
+		f.conns[c] = struct{}{}
+	}
+	f.mu.Unlock()
+	if closed {
+		c.close(errors.WithStack(ErrClosed))
+		return nil, errors.WithStack(ErrClosed)
+	}
+	if !dialed {
+		return c, nil
+	}
+	if err := c.write(hello); err != nil {
+		c.close(lost(err))
+		return nil, lost(err)
+	}
+	return c, nil
+}
+
+// remove forgets a connection that has ended and reports why if the peer is to blame.
+func (f *Forwarder) remove(c *forwardConn, reason error) {
+	f.mu.Lock()
+	delete(f.conns, c)
+	if p := f.pools[c.addr]; p != nil && c.dialed {
+		p.conns = slices.DeleteFunc(p.conns, func(other *forwardConn) bool { return other == c })
+		f.dropEmptyPool(c.addr)
+	}
+	f.mu.Unlock()
+	switch {
+	case errors.Is(reason, ErrUnauthenticated):
+		f.rejected.Add(1)
+		f.Rejected(c.addr, reason)
+	case isWrongFrame(reason):
+		f.invalid.Add(1)
+		f.Rejected(c.addr, reason)
+	}
+}
+
+func isWrongFrame(err error) bool {
+	for _, wrong := range []error{ErrFrame, ErrChecksum, ErrTooLarge, ErrRequestNumber, ErrMalformed} {
+		if errors.Is(err, wrong) {
+			return true
+		}
+	}
+	return false
+}
+
+// dropEmptyPool requires mu.
+func (f *Forwarder) dropEmptyPool(addr netip.AddrPort) {
+	if p := f.pools[addr]; p != nil && len(p.conns) == 0 && p.dialing == nil {
+		delete(f.pools, addr)
+	}
+}
+
+func (f *Forwarder) check() {
+	for _, c := range f.connections() {
+		c.check()
+	}
+}
+
+func (f *Forwarder) connections() []*forwardConn {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	conns := make([]*forwardConn, 0, len(f.conns))
+	for c := range f.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+func getBuffer() *bytes.Buffer {
+	return buffers.Get().(*bytes.Buffer)
+}
+
+func putBuffer(buf *bytes.Buffer) {
+	if buf.Cap() > maxPooledBuffer {
+		return
+	}
+	buf.Reset()
+	buffers.Put(buf)
+}
--- /dev/null
+++ b/internal/sequoiapeer/forward_test.go
@@ -0,0 +1,419 @@
+package sequoiapeer
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
+)
+
+type serveFunc = func(ctx context.Context, req *sequoiarouter.Request) *sequoiarouter.Response
+
+func startForwarder(key []byte, serve serveFunc) *Forwarder {
+	f, err := NewForwarder(key)
+	Expect(err).NotTo(HaveOccurred())
+	if serve != nil {
+		f.Serve = serve
+	}
+	Expect(f.Listen(loopback)).To(Succeed())
+	ginkgo.DeferCleanup(f.Close)
+	return f
+}
+
+// echo answers with the request's key and body.
+func echo(_ context.Context, req *sequoiarouter.Request) *sequoiarouter.Response {
+	return &sequoiarouter.Response{Outcome: sequoiarouter.Answered, Status: 200, Reason: req.Key, Body: req.Body}
+}
+
+func request(key string, timeout time.Duration) *sequoiarouter.Request {
+	return &sequoiarouter.Request{
+		Service: "dispatch", Key: key, Method: "POST", Path: "/x?y=1", Deadline: time.Now().Add(timeout),
+		Header: map[string][]string{"Accept": {"a", "b"}}, Body: []byte(key),
+	}
+}
+
+// relay passes bytes between a forwarder and addr until it is cut; then it drops them without a reset.
+type relay struct {
+	cut atomic.Bool
+}
+
+func (r *relay) dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	listener, err := net.Listen("tcp", loopback.String())
+	if err != nil {
+		return nil, err
+	}
+	defer listener.Close()
+	near, err := dialTCP(ctx, listener.Addr().(*net.TCPAddr).AddrPort())
+	if err != nil {
+		return nil, err
+	}
+	accepted, err := listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	far, err := dialTCP(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	cut := r.cut.Load
+	go pass(accepted, far, cut)
+	go pass(far, accepted, cut)
+	return near, nil
+}
+
+func pass(from, to net.Conn, cut func() bool) {
+	defer to.Close()
+	b := make([]byte, 4096)
+	for {
+		n, err := from.Read(b)
+		if err != nil {
+			return
+		}
+		if !cut() {
+			_, _ = to.Write(b[:n])
+		}
+	}
+}
+
+// rawPeer speaks the protocol by hand, as a client or as a server.
+type rawPeer struct {
+	net.Conn
+}
+
+func (r rawPeer) read() frame {
+	ginkgo.GinkgoHelper()
+	header := make([]byte, headerSize)
+	_, err := io.ReadFull(r, header)
+	Expect(err).NotTo(HaveOccurred())
+	b := append(header, make([]byte, binary.BigEndian.Uint32(header[4:]))...)
+	_, err = io.ReadFull(r, b[headerSize:])
+	Expect(err).NotTo(HaveOccurred())
+	fr, _, err := parseFrame(b, MaxFrame)
+	Expect(err).NotTo(HaveOccurred())
+	return fr
+}
+
+func (r rawPeer) write(b []byte) {
+	ginkgo.GinkgoHelper()
+	_, err := r.Write(b)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+func (r rawPeer) expectClosed() {
+	ginkgo.GinkgoHelper()
+	_ = r.SetReadDeadline(time.Now().Add(3 * time.Second))
+	_, err := io.Copy(io.Discard, r)
+	Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(BeFalse(), "the connection is still open")
+}
+
+// rawClient connects to f and finishes the challenge.
+func rawClient(f *Forwarder) rawPeer {
+	ginkgo.GinkgoHelper()
+	conn, err := net.Dial("tcp", f.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	ginkgo.DeferCleanup(conn.Close)
+	r := rawPeer{conn}
+	c := newChallenge(f.key)
+	r.write(encodeFrame(frameHello, 0, c.clientNonce[:]))
+	proof, err := c.answerChallenge(r.read().payload)
+	Expect(err).NotTo(HaveOccurred())
+	r.write(encodeFrame(frameProof, 0, proof))
+	return r
+}
+
+// rawServer accepts one connection, finishes the challenge and calls serve.
+func rawServer(serve func(r rawPeer)) netip.AddrPort {
+	listener, err := net.Listen("tcp", loopback.String())
+	Expect(err).NotTo(HaveOccurred())
+	ginkgo.DeferCleanup(listener.Close)
+	key, err := deriveKey(testKey, labelForward)
+	Expect(err).NotTo(HaveOccurred())
+	go func() {
+		defer ginkgo.GinkgoRecover()
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		r := rawPeer{conn}
+		c := newChallenge(key)
+		answer, err := c.answerHello(r.read().payload)
+		Expect(err).NotTo(HaveOccurred())
+		r.write(encodeFrame(frameChallenge, 0, answer))
+		Expect(c.checkProof(r.read().payload)).To(Succeed())
+		serve(r)
+	}()
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func response(number uint64, body string) []byte {
+	buf := getBuffer()
+	_ = encodeResponse(buf, number, &sequoiarouter.Response{Outcome: sequoiarouter.Answered, Body: []byte(body)})
+	return buf.Bytes()
+}
+
+func requestFrame(number uint64) []byte {
+	buf := getBuffer()
+	_ = encodeRequest(buf, request("k", time.Minute), time.Now())
+	sealFrame(buf.Bytes(), frameRequest, number)
+	return buf.Bytes()
+}
+
+var _ = ginkgo.Describe("Forwarder", func() {
+	ginkgo.It("passes on every field and marks the request as forwarded", func() {
+		got := make(chan *sequoiarouter.Request, 1)
+		server := startForwarder(testKey, func(ctx context.Context, req *sequoiarouter.Request) *sequoiarouter.Response {
+			got <- req
+			return echo(ctx, req)
+		})
+		client := startForwarder(testKey, nil)
+		req := request("k", 5*time.Second)
+		req.RequestID, req.FirstEpoch, req.Repeatable = "id", 9, true
+		resp, err := client.Forward(context.Background(), server.Addr(), req)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp).To(Equal(echo(context.Background(), req)))
+		received := <-got
+		Expect(received.Deadline).To(BeTemporally("~", req.Deadline, time.Second))
+		received.Deadline, received.Forwarded = req.Deadline, !received.Forwarded
+		Expect(received).To(Equal(req))
+	})
+
+	ginkgo.It("gives each of many concurrent requests its own response when they finish out of order", func() {
+		server := startForwarder(testKey, func(ctx context.Context, req *sequoiarouter.Request) *sequoiarouter.Response {
+			time.Sleep(time.Duration(len(req.Key)%7) * time.Millisecond)
+			return echo(ctx, req)
+		})
+		client := startForwarder(testKey, nil)
+		var wrong atomic.Int64
+		var wg sync.WaitGroup
+		for i := range 1000 {
+			wg.Go(func() {
+				key := fmt.Sprintf("%0*d", i%50+4, i)
+				resp, err := client.Forward(context.Background(), server.Addr(), request(key, 30*time.Second))
+				if err != nil || resp.Reason != key || string(resp.Body) != key {
+					wrong.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		Expect(wrong.Load()).To(BeZero())
+		Expect(client.Stats().Connections).To(BeNumerically("<=", maxConnections))
+	})
+
+	ginkgo.It("carries a body of several megabytes, and refuses one above the frame limit as not sent", func() {
+		server := startForwarder(testKey, echo)
+		client := startForwarder(testKey, nil)
+		req := request("k", 10*time.Second)
+		req.Body = make([]byte, 8<<20)
+		resp, err := client.Forward(context.Background(), server.Addr(), req)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Body).To(HaveLen(8 << 20))
+		req.Body = make([]byte, MaxFrame)
+		_, err = client.Forward(context.Background(), server.Addr(), req)
+		Expect(err).To(MatchError(ErrNotSent))
+		Expect(err).To(MatchError(ErrTooLarge))
+	})
+
+	ginkgo.It("does not give a response that arrives after the deadline to another request", func() {
+		addr := rawServer(func(r rawPeer) {
+			first, second := r.read(), frame{}
+			for second.kind != frameRequest {
+				second = r.read()
+			}
+			r.write(response(first.number, "late"))
+			r.write(response(second.number, "second"))
+			_, _ = io.Copy(io.Discard, r)
+		})
+		client := startForwarder(testKey, nil)
+		_, err := client.Forward(context.Background(), addr, request("a", 100*time.Millisecond))
+		Expect(err).To(MatchError(ErrUnknown))
+		Expect(err).To(MatchError(context.DeadlineExceeded))
+		resp, err := client.Forward(context.Background(), addr, request("b", 5*time.Second))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(resp.Body)).To(Equal("second"))
+		Expect(client.Stats().Invalid).To(BeZero())
+	})
+
+	ginkgo.DescribeTable("ends a request as unknown and closes the connection on a wrong response frame",
+		func(corrupt func(number uint64) []byte) {
+			addr := rawServer(func(r rawPeer) {
+				r.write(corrupt(r.read().number))
+				_, _ = io.Copy(io.Discard, r)
+			})
+			client := startForwarder(testKey, nil)
+			_, err := client.Forward(context.Background(), addr, request("k", 5*time.Second))
+			Expect(err).To(MatchError(ErrUnknown))
+			Expect(err).NotTo(MatchError(context.DeadlineExceeded))
+			Expect(client.Stats()).To(HaveField("Invalid", uint64(1)))
+			Expect(client.Stats()).To(HaveField("Connections", 0))
+		},
+		ginkgo.Entry("checksum", func(n uint64) []byte {
+			b := response(n, "x")
+			b[len(b)-1]++
+			return b
+		}),
+		ginkgo.Entry("length above the limit", func(n uint64) []byte {
+			b := response(n, "x")
+			binary.BigEndian.PutUint32(b[4:], MaxFrame+1)
+			return b
+		}),
+		ginkgo.Entry("length that reaches into the next frame", func(n uint64) []byte {
+			b := response(n, "x")
+			binary.BigEndian.PutUint32(b[4:], uint32(len(b)))
+			return append(b, make([]byte, 100)...)
+		}),
+		ginkgo.Entry("request number", func(n uint64) []byte { return response(n+1, "x") }),
+		ginkgo.Entry("kind", func(n uint64) []byte { return requestFrame(n) }),
+		ginkgo.Entry("payload", func(n uint64) []byte { return encodeFrame(frameResponse, n, []byte{0xff}) }),
+		ginkgo.Entry("outcome", func(n uint64) []byte { return encodeFrame(frameResponse, n, []byte{0xa1, 1, 9}) }),
+	)
+
+	ginkgo.It("never runs a request whose frame is wrong or whose number was used, which would run it twice", func() {
+		var runs atomic.Int64
+		server := startForwarder(testKey, func(ctx context.Context, req *sequoiarouter.Request) *sequoiarouter.Response {
+			runs.Add(1)
+			return echo(ctx, req)
+		})
+		r := rawClient(server)
+		b := requestFrame(1)
+		b[headerSize+5]++
+		r.write(b)
+		r.expectClosed()
+		r = rawClient(server)
+		r.write(append(requestFrame(1), requestFrame(1)...))
+		r.expectClosed()
+		Eventually(runs.Load).Should(Equal(int64(1)))
+		Consistently(runs.Load, "100ms").Should(Equal(int64(1)))
+		Expect(server.Stats().Invalid).To(Equal(uint64(2)))
+	})
+
+	ginkgo.It("reports another shared key as not sent, and rejects the peer on both sides", func() {
+		server := startForwarder(testKey, echo)
+		client := startForwarder(otherKey, nil)
+		_, err := client.Forward(context.Background(), server.Addr(), request("k", 5*time.Second))
+		Expect(err).To(MatchError(ErrNotSent))
+		Expect(err).To(MatchError(ErrUnauthenticated))
+		Expect(client.Stats().Rejected).To(BeNumerically(">", 0))
+	})
+
+	ginkgo.DescribeTable("rejects a client that has not proved that it holds the key, and runs nothing for it",
+		func(first func(f *Forwarder) []byte) {
+			server := startForwarder(testKey, func(context.Context, *sequoiarouter.Request) *sequoiarouter.Response {
+				defer ginkgo.GinkgoRecover()
+				ginkgo.Fail("a request of an unauthenticated client was run")
+				return nil
+			})
+			conn, err := net.Dial("tcp", server.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			defer conn.Close()
+			r := rawPeer{conn}
+			r.write(first(server))
+			r.expectClosed()
+			Eventually(server.Stats).Should(HaveField("Rejected", uint64(1)))
+		},
+		ginkgo.Entry("request at once", func(*Forwarder) []byte { return requestFrame(1) }),
+		ginkgo.Entry("no HTTP either", func(*Forwarder) []byte { return []byte("GET / HTTP/1.1\r\nHost: example\r\n\r\n") }),
+		ginkgo.Entry("wrong proof", func(*Forwarder) []byte {
+			hello := encodeFrame(frameHello, 0, make([]byte, nonceSize))
+			return append(append(hello, encodeFrame(frameProof, 0, make([]byte, 32))...), requestFrame(1)...)
+		}),
+		ginkgo.Entry("nothing within the time limit", func(*Forwarder) []byte { return nil }),
+	)
+
+	ginkgo.It("ends the context of a request that the caller cancels", func() {
+		started, ended := make(chan struct{}), make(chan struct{})
+		server := startForwarder(testKey, func(ctx context.Context, _ *sequoiarouter.Request) *sequoiarouter.Response {
+			close(started)
+			<-ctx.Done()
+			close(ended)
+			return &sequoiarouter.Response{Outcome: sequoiarouter.Unknown, Reason: "Cancelled"}
+		})
+		client := startForwarder(testKey, nil)
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			<-started
+			cancel()
+		}()
+		_, err := client.Forward(ctx, server.Addr(), request("k", time.Minute))
+		Expect(err).To(MatchError(ErrUnknown))
+		Eventually(ended).Should(BeClosed())
+	})
+
+	ginkgo.It("ends requests on a lost connection as unknown on one side and cancelled on the other", func() {
+		started, ended := make(chan struct{}), make(chan struct{})
+		server := startForwarder(testKey, func(ctx context.Context, _ *sequoiarouter.Request) *sequoiarouter.Response {
+			close(started)
+			<-ctx.Done()
+			close(ended)
+			return nil
+		})
+		client := startForwarder(testKey, nil)
+		go func() {
+			<-started
+			for _, c := range client.connections() {
+				_ = c.nb.Close()
+			}
+		}()
+		_, err := client.Forward(context.Background(), server.Addr(), request("k", time.Minute))
+		Expect(err).To(MatchError(ErrUnknown))
+		Expect(err).To(MatchError(ErrConnectionLost))
+		Eventually(ended).Should(BeClosed())
+	})
+
+	ginkgo.It("closes a connection that goes silent without a reset and replaces it", func() {
+		server := startForwarder(testKey, echo)
+		client := startForwarder(testKey, nil)
+		r := &relay{}
+		client.Dial = r.dial
+		_, err := client.Forward(context.Background(), server.Addr(), request("a", 5*time.Second))
+		Expect(err).NotTo(HaveOccurred())
+		r.cut.Store(true)
+		start := time.Now()
+		_, err = client.Forward(context.Background(), server.Addr(), request("b", time.Minute))
+		Expect(err).To(MatchError(ErrUnknown))
+		Expect(err).To(MatchError(ErrSilent))
+		Expect(time.Since(start)).To(BeNumerically("<", 4*time.Second))
+		r.cut.Store(false)
+		_, err = client.Forward(context.Background(), server.Addr(), request("c", 5*time.Second))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(server.Stats).WithTimeout(4 * time.Second).Should(HaveField("Silent", uint64(1)))
+	})
+
+	ginkgo.It("keeps an idle connection open by pings", func() {
+		server := startForwarder(testKey, echo)
+		client := startForwarder(testKey, nil)
+		_, err := client.Forward(context.Background(), server.Addr(), request("a", 5*time.Second))
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(4 * time.Second)
+		Expect(client.Stats()).To(HaveField("Connections", 1))
+		Expect(server.Stats()).To(HaveField("Connections", 1))
+	})
+
+	ginkgo.It("reports an unreachable process, an expired deadline and a closed forwarder as not sent", func() {
+		client := startForwarder(testKey, nil)
+		listener, err := net.Listen("tcp", loopback.String())
+		Expect(err).NotTo(HaveOccurred())
+		addr := listener.Addr().(*net.TCPAddr).AddrPort()
+		Expect(listener.Close()).To(Succeed())
+		_, err = client.Forward(context.Background(), addr, request("k", time.Second))
+		Expect(err).To(MatchError(ErrNotSent))
+		_, err = client.Forward(context.Background(), addr, request("k", -time.Second))
+		Expect(err).To(MatchError(ErrNotSent))
+		Expect(client.Close()).To(Succeed())
+		_, err = client.Forward(context.Background(), addr, request("k", time.Second))
+		Expect(err).To(MatchError(ErrNotSent))
+		Expect(err).To(MatchError(ErrClosed))
+	})
+})
--- /dev/null
+++ b/internal/sequoiapeer/frame.go
@@ -0,0 +1,208 @@
+package sequoiapeer
+
+import (
+	"bytes"
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
+)
+
+// Errors of frames.
+var (
+	// ErrChecksum reports a frame whose checksum does not match its content.
+	ErrChecksum = errors.New("the checksum of the frame does not match")
+	// ErrFrame reports a frame of an unknown version or kind, or one that is not allowed at this point.
+	ErrFrame = errors.New("unexpected frame")
+	// ErrRequestNumber reports a response to no outstanding request, or a request number that is not a new one.
+	ErrRequestNumber = errors.New("unexpected request number")
+)
+
+// MaxFrame is the largest payload of a frame in bytes.
+const MaxFrame = 16 << 20
+
+// maxHandshakeFrame bounds the payload that is accepted from a peer that is not authenticated.
+const maxHandshakeFrame = 64
+
+const (
+	frameVersion = 1
+	headerSize   = 24
+)
+
+// frameKind says what the payload of a frame is.
+type frameKind uint8
+
+const (
+	frameHello frameKind = iota + 1
+	frameChallenge
+	frameProof
+	frameRequest
+	frameResponse
+	frameCancel
+	framePing
+	framePong
+)
+
+// frame is one unit of a forwarding connection. Its encoding is, in big-endian order: version (1 byte), kind (1), zero
+// (2), payload length (4), request number (8), xxhash64 of the preceding 16 bytes and the payload (8), payload.
+type frame struct {
+	kind    frameKind
+	number  uint64
+	payload []byte
+}
+
+// sealFrame writes the header into the first headerSize bytes of b; the rest is the payload.
+func sealFrame(b []byte, kind frameKind, number uint64) {
+	b[0] = frameVersion
+	b[1] = byte(kind)
+	b[2], b[3] = 0, 0
+	binary.BigEndian.PutUint32(b[4:], uint32(len(b)-headerSize))
+	binary.BigEndian.PutUint64(b[8:], number)
+	binary.BigEndian.PutUint64(b[16:], checksum(b))
+}
+
+func checksum(b []byte) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.Write(b[:16])
+	_, _ = d.Write(b[headerSize:])
+	return d.Sum64()
+}
+
+// encodeFrame returns a whole frame.
+func encodeFrame(kind frameKind, number uint64, payload []byte) []byte {
+	b := make([]byte, headerSize+len(payload))
+	copy(b[headerSize:], payload)
+	sealFrame(b, kind, number)
+	return b
+}
+
+// parseFrame reads the frame at the start of b and returns the number of bytes it occupies, zero if it is not complete.
+// The payload is part of b. It returns ErrFrame, ErrTooLarge or ErrChecksum.
+func parseFrame(b []byte, limit int) (frame, int, error) {
+	if len(b) < headerSize {
+		return frame{}, 0, nil
+	}
+	if b[0] != frameVersion || b[2] != 0 || b[3] != 0 {
+		return frame{}, 0, errors.Wrapf(ErrFrame, "header %x", b[:4])
+	}
+	length := binary.BigEndian.Uint32(b[4:])
+	if uint64(length) > uint64(limit) {
+		return frame{}, 0, errors.Wrapf(ErrTooLarge, "frame of %d bytes, at most %d", length, limit)
+	}
+	size := headerSize + int(length)
+	if len(b) < size {
+		return frame{}, 0, nil
+	}
+	b = b[:size]
+	if binary.BigEndian.Uint64(b[16:]) != checksum(b) {
+		return frame{}, 0, errors.WithStack(ErrChecksum)
+	}
+	return frame{frameKind(b[1]), binary.BigEndian.Uint64(b[8:]), b[headerSize:]}, size, nil
+}
+
+// wireRequest is sequoiarouter.Request as encoded, with the remaining time in place of the deadline.
+type wireRequest struct {
+	Service    string              `cbor:"1,keyasint"`
+	Key        string              `cbor:"2,keyasint,omitempty"`
+	RequestID  string              `cbor:"3,keyasint,omitempty"`
+	FirstEpoch sequoiatable.Epoch  `cbor:"4,keyasint,omitempty"`
+	Repeatable bool                `cbor:"5,keyasint,omitempty"`
+	Remaining  time.Duration       `cbor:"6,keyasint,omitempty"`
+	Method     string              `cbor:"7,keyasint"`
+	Path       string              `cbor:"8,keyasint"`
+	Header     map[string][]string `cbor:"9,keyasint,omitempty"`
+	Body       []byte              `cbor:"10,keyasint,omitempty"`
+}
+
+// wireResponse is sequoiarouter.Response as encoded. The conversion between the two fails to compile when a field is
+// missing in one.
+type wireResponse struct {
+	Outcome  sequoiarouter.Outcome      `cbor:"1,keyasint"`
+	Reason   string                     `cbor:"2,keyasint,omitempty"`
+	Owner    sequoiatable.IncarnationID `cbor:"3,keyasint,omitempty"`
+	Epoch    sequoiatable.Epoch         `cbor:"4,keyasint,omitempty"`
+	LogIndex uint64                     `cbor:"5,keyasint,omitempty"`
+	Status   int                        `cbor:"6,keyasint,omitempty"`
+	Header   map[string][]string        `cbor:"7,keyasint,omitempty"`
+	Body     []byte                     `cbor:"8,keyasint,omitempty"`
+}
+
+var bufferEncoder = mustBufferEncoder()
+
+func mustBufferEncoder() cbor.UserBufferEncMode {
+	mode, err := cbor.EncOptions{Sort: cbor.SortNone}.UserBufferEncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// encodePayload writes room for the header and the CBOR encoding of v into an empty buffer. It returns ErrTooLarge.
+func encodePayload(buf *bytes.Buffer, v any) error {
+	var header [headerSize]byte
+	buf.Write(header[:])
+	if err := bufferEncoder.MarshalToBuffer(v, buf); err != nil {
+		return errors.Wrap(err, "encode a frame")
+	}
+	if n := buf.Len() - headerSize; n > MaxFrame {
+		return errors.Wrapf(ErrTooLarge, "frame of %d bytes, at most %d", n, MaxFrame)
+	}
+	return nil
+}
+
+// encodeRequest leaves the header to sealFrame. The deadline, if any, must be later than now.
+func encodeRequest(buf *bytes.Buffer, req *sequoiarouter.Request, now time.Time) error {
+	w := wireRequest{
+		Service: req.Service, Key: req.Key, RequestID: req.RequestID, FirstEpoch: req.FirstEpoch,
+		Repeatable: req.Repeatable, Method: req.Method, Path: req.Path, Header: req.Header, Body: req.Body,
+	}
+	if !req.Deadline.IsZero() {
+		w.Remaining = req.Deadline.Sub(now)
+	}
+	return encodePayload(buf, &w)
+}
+
+// decodeRequest returns the request as forwarded, with a deadline on this process's clock. It returns ErrMalformed.
+func decodeRequest(payload []byte, now time.Time) (*sequoiarouter.Request, error) {
+	var w wireRequest
+	if err := decoder.Unmarshal(payload, &w); err != nil {
+		return nil, errors.Wrapf(ErrMalformed, "request: %v", err)
+	}
+	if w.Service == "" || w.Remaining < 0 {
+		return nil, errors.Wrapf(ErrMalformed, "request: service %q, remaining time %v", w.Service, w.Remaining)
+	}
+	req := &sequoiarouter.Request{
+		Service: w.Service, Key: w.Key, RequestID: w.RequestID, FirstEpoch: w.FirstEpoch,
+		Repeatable: w.Repeatable, Forwarded: true, Method: w.Method, Path: w.Path, Header: w.Header, Body: w.Body,
+	}
+	if w.Remaining > 0 {
+		req.Deadline = now.Add(w.Remaining)
+	}
+	return req, nil
+}
+
+func encodeResponse(buf *bytes.Buffer, number uint64, resp *sequoiarouter.Response) error {
+	if err := encodePayload(buf, (*wireResponse)(resp)); err != nil {
+		return err
+	}
+	sealFrame(buf.Bytes(), frameResponse, number)
+	return nil
+}
+
+// decodeResponse returns ErrMalformed.
+func decodeResponse(payload []byte) (*sequoiarouter.Response, error) {
+	var w wireResponse
+	if err := decoder.Unmarshal(payload, &w); err != nil {
+		return nil, errors.Wrapf(ErrMalformed, "response: %v", err)
+	}
+	if w.Outcome < sequoiarouter.Answered || w.Outcome > sequoiarouter.Unknown {
+		return nil, errors.Wrapf(ErrMalformed, "response: outcome %d", w.Outcome)
+	}
+	return (*sequoiarouter.Response)(&w), nil
+}
