--- /dev/null
+++ b/internal/sequoiahttp/exchange.go
@@ -0,0 +1,317 @@
+// Package sequoiahttp sends one HTTP/1.1 request on a pooled connection and says of a failure whether any byte of the
+// request was sent.
+//
+// nbhttp's client cannot say that, and it ends a request only by a timeout that its caller sets in advance. net/http's
+// Transport sends a GET again by itself when a reused connection fails, which could run a request twice. So this
+// package uses net/http's encoding of messages on connections of its own.
+package sequoiahttp
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Defaults of a Client.
+const (
+	defaultMaxIdle     = 64
+	defaultMaxResponse = 8 << 20 // bytes
+	defaultDialTimeout = time.Second
+	// maxIdleTime is shorter than the idle timeouts that servers commonly have (5 s and more), so that a server
+	// rarely closes a connection while a request is on its way.
+	maxIdleTime = 4 * time.Second
+	// readBuffer holds the head of a usual response, in bytes.
+	readBuffer = 4096
+)
+
+// Errors of an exchange.
+var (
+	// ErrResponseTooLarge reports a body above the limit.
+	ErrResponseTooLarge = errors.New("the response is larger than the limit")
+	// ErrNotDelimited reports a response with neither a length nor chunks, whose end cannot be told from a broken
+	// connection.
+	ErrNotDelimited = errors.New("the response has neither a length nor chunks")
+	// ErrProtocol reports a switch of protocols, which was not asked for.
+	ErrProtocol = errors.New("the server switched protocols")
+)
+
+// Error is a failed exchange.
+type Error struct {
+	// Sent is true if a byte of the request may have left this process.
+	Sent bool
+	Err  error
+}
+
+// Error returns the text of the cause.
+func (e *Error) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// NotSent reports whether err proves that no byte of the request was sent.
+func NotSent(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && !e.Sent
+}
+
+// Request is one request.
+type Request struct {
+	Method string
+	// Path is the path with the query.
+	Path   string
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// Response is a complete response.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Client holds the idle connections. The zero value is not usable.
+type Client struct {
+	maxResponse int64
+	dialTimeout time.Duration
+	dialer      net.Dialer
+
+	mu      sync.Mutex
+	maxIdle int
+	idle    map[netip.AddrPort][]*conn
+	closed  bool
+}
+
+// Option changes a setting of a Client.
+type Option func(*Client)
+
+// WithMaxIdle bounds the idle connections to each address.
+func WithMaxIdle(n int) Option {
+	return func(c *Client) { c.maxIdle = n }
+}
+
+// WithMaxResponse bounds the body of a response, in bytes.
+func WithMaxResponse(n int64) Option {
+	return func(c *Client) { c.maxResponse = n }
+}
+
+// WithDialTimeout bounds the time to connect.
+func WithDialTimeout(d time.Duration) Option {
+	return func(c *Client) { c.dialTimeout = d }
+}
+
+// New returns a Client.
+func New(opts ...Option) *Client {
+	c := &Client{
+		maxIdle: defaultMaxIdle, maxResponse: defaultMaxResponse, dialTimeout: defaultDialTimeout,
+		idle: map[netip.AddrPort][]*conn{},
+	}
+	// Keep-alive probes find a connection that has gone silent within about 3 s.
+	c.dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
+}
+
+// Do sends the request and reads the whole response. Every error is an *Error. The end of ctx closes the connection,
+// which is how an HTTP/1.1 server learns of a cancellation.
+func (c *Client) Do(ctx context.Context, addr netip.AddrPort, req *Request) (*Response, error) {
+	hr, err := encode(addr, req)
+	if err != nil {
+		return nil, &Error{Err: err}
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, &Error{Err: err}
+	}
+	cn, err := c.get(ctx, addr)
+	if err != nil {
+		return nil, &Error{Err: err}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
+	resp, reusable, err := cn.exchange(hr, c.maxResponse)
+	if !stop() {
+		reusable = false
+	}
+	if err != nil || !reusable {
+		_ = cn.Close()
+	} else {
+		c.put(addr, cn)
+	}
+	if err != nil {
+		if ctx.Err() != nil {
+			err = ctx.Err()
+		}
+		return nil, &Error{Sent: cn.written, Err: err}
+	}
+	return resp, nil
+}
+
+// SetMaxIdle changes the limit of idle connections to each address.
+func (c *Client) SetMaxIdle(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.maxIdle = n
+}
+
+// Close closes the idle connections; connections in use are closed when their response has been read.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for addr, cns := range c.idle {
+		for _, cn := range cns {
+			_ = cn.Close()
+		}
+		delete(c.idle, addr)
+	}
+}
+
+func (c *Client) get(ctx context.Context, addr netip.AddrPort) (*conn, error) {
+	for {
+		cn := c.pop(addr)
+		if cn == nil {
+			break
+		}
+		if time.Since(cn.idleSince) < maxIdleTime && quiet(cn.Conn) {
+			cn.written = false
+			return cn, nil
+		}
+		_ = cn.Close()
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.dialTimeout)
+	defer cancel()
+	nc, err := c.dialer.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return nil, err
+	}
+	cn := &conn{Conn: nc}
+	cn.r = bufio.NewReaderSize(nc, readBuffer)
+	return cn, nil
+}
+
+func (c *Client) pop(addr netip.AddrPort) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cns := c.idle[addr]
+	if len(cns) == 0 {
+		return nil
+	}
+	cn := cns[len(cns)-1]
+	c.idle[addr] = cns[:len(cns)-1]
+	return cn
+}
+
+func (c *Client) put(addr netip.AddrPort, cn *conn) {
+	cn.idleSince = time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || len(c.idle[addr]) >= c.maxIdle {
+		_ = cn.Close()
+		return
+	}
+	c.idle[addr] = append(c.idle[addr], cn)
+}
+
+// conn is a connection that runs one exchange at a time.
+type conn struct {
+	net.Conn
+	r         *bufio.Reader
+	idleSince time.Time
+	// written is true once a write of the current request may have sent a byte.
+	written bool
+}
+
+// Write records whether any byte was sent.
+func (cn *conn) Write(p []byte) (int, error) {
+	n, err := cn.Conn.Write(p)
+	if n > 0 {
+		cn.written = true
+	}
+	return n, err
+}
+
+// exchange returns reusable only if exactly one whole response has been read.
+func (cn *conn) exchange(req *http.Request, limit int64) (resp *Response, reusable bool, err error) {
+	if err := req.Write(cn); err != nil {
+		return nil, false, err
+	}
+	hr, err := cn.readHead(req)
+	if err != nil {
+		return nil, false, err
+	}
+	defer hr.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(hr.Body, limit+1))
+	if err != nil {
+		return nil, false, err
+	}
+	if int64(len(body)) > limit {
+		return nil, false, errors.Wrapf(ErrResponseTooLarge, "limit %d bytes", limit)
+	}
+	reusable = !hr.Close && cn.r.Buffered() == 0
+	return &Response{Status: hr.StatusCode, Header: hr.Header, Body: body}, reusable, nil
+}
+
+// readHead reads the head of the final response.
+func (cn *conn) readHead(req *http.Request) (*http.Response, error) {
+	for {
+		hr, err := http.ReadResponse(cn.r, req)
+		if err != nil {
+			return nil, err
+		}
+		switch {
+		case hr.StatusCode == http.StatusSwitchingProtocols:
+			return nil, ErrProtocol
+		case hr.StatusCode < http.StatusOK:
+			continue
+		case hr.ContentLength < 0 && len(hr.TransferEncoding) == 0 && req.Method != http.MethodHead:
+			return nil, ErrNotDelimited
+		}
+		return hr, nil
+	}
+}
+
+func encode(addr netip.AddrPort, req *Request) (*http.Request, error) {
+	if !validMethod(req.Method) {
+		return nil, errors.Errorf("method %q cannot be forwarded", req.Method)
+	}
+	u, err := url.ParseRequestURI(req.Path)
+	if err != nil {
+		return nil, err
+	}
+	if u.Host != "" || u.Scheme != "" {
+		return nil, errors.Errorf("path %q is not a path", req.Path)
+	}
+	u.Scheme, u.Host = "http", addr.String()
+	hr := &http.Request{
+		Method: req.Method, URL: u, Host: req.Host, Header: req.Header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		ContentLength: int64(len(req.Body)),
+	}
+	if len(req.Body) > 0 {
+		hr.Body = io.NopCloser(bytes.NewReader(req.Body))
+	}
+	return hr, nil
+}
+
+// validMethod excludes CONNECT, which would turn the connection into a tunnel.
+func validMethod(m string) bool {
+	if m == "" || m == http.MethodConnect {
+		return false
+	}
+	for _, c := range []byte(m) {
+		if (c < 'A' || c > 'Z') && c != '-' {
+			return false
+		}
+	}
+	return true
+}
