Bound waits for the table and idle connections

Cause: a wait for a log index that never comes stayed in the router's list, and idle connections to addresses that are no longer called stayed open.

A wait can now be cancelled, and idle connections above the age limit are closed when another connection becomes idle. A request whose key has no owner is not retried under the budget, since the proxy waits for an owner.

--- a/internal/sequoiahttp/exchange.go
+++ b/internal/sequoiahttp/exchange.go
@@ -89,6 +89,7 @@
 	mu      sync.Mutex
 	maxIdle int
 	idle    map[netip.AddrPort][]*conn
+	swept   time.Time
 	closed  bool
 }
 
@@ -221,6 +222,26 @@
 		return
 	}
 	c.idle[addr] = append(c.idle[addr], cn)
+	c.sweep(cn.idleSince)
+}
+
+// sweep closes connections that are too old for use, among them those to addresses that are no longer called.
+func (c *Client) sweep(now time.Time) {
+	if now.Sub(c.swept) < maxIdleTime {
+		return
+	}
+	c.swept = now
+	for addr, cns := range c.idle {
+		n := 0
+		for n < len(cns) && now.Sub(cns[n].idleSince) >= maxIdleTime {
+			_ = cns[n].Close()
+			n++
+		}
+		c.idle[addr] = cns[n:]
+		if n == len(cns) {
+			delete(c.idle, addr)
+		}
+	}
 }
 
 // conn is a connection that runs one exchange at a time.
--- a/internal/sequoiarouter/admit.go
+++ b/internal/sequoiarouter/admit.go
@@ -317,19 +317,23 @@
 	if w.done {
 		return
 	}
+	reason := ReasonCancelled
+	if !now.Before(w.req.Deadline) {
+		reason = ReasonDeadlinePassed
+	}
 	if i := slices.Index(r.queue, w); i >= 0 {
 		r.queue = slices.Delete(r.queue, i, i+1)
-		r.endUnstarted(now, w, ReasonCancelled)
+		r.endUnstarted(now, w, reason)
 		return
 	}
 	for _, m := range r.moves {
 		if i := slices.Index(m.held, w); i >= 0 {
 			m.held = slices.Delete(m.held, i, i+1)
-			r.refuse(w, ReasonCancelled, sequoiatable.Assignment{})
+			r.refuse(w, reason, sequoiatable.Assignment{})
 			return
 		}
 	}
-	r.settle(w, Admission{Response: r.respond(Unknown, ReasonCancelled, sequoiatable.Assignment{})})
+	r.settle(w, Admission{Response: r.respond(Unknown, reason, sequoiatable.Assignment{})})
 }
 
 // expireFollowers ends duplicates whose deadline has passed while the first copy is still running.
--- a/internal/sequoiarouter/budget.go
+++ b/internal/sequoiarouter/budget.go
@@ -60,8 +60,10 @@
 func truthfulRetry(req *Request, resp *Response) bool {
 	switch resp.Outcome {
 	case NotRun:
+		// A request without an owner has already waited for one.
 		switch resp.Reason {
-		case ReasonServiceUnknown, ReasonKeyMissing, ReasonBadRequest, ReasonCancelled, ReasonDeadlinePassed:
+		case ReasonServiceUnknown, ReasonKeyMissing, ReasonBadRequest, ReasonCancelled, ReasonDeadlinePassed,
+			ReasonNoOwner, ReasonOwnerRevoked:
 			return false
 		}
 		return true
--- a/internal/sequoiarouter/router.go
+++ b/internal/sequoiarouter/router.go
@@ -130,7 +130,7 @@
 	budget   RetryBudget
 	indexes  []indexSeen
 	load     loadMeter
-	waits    []indexWait
+	waits    map[*indexWait]struct{}
 }
 
 // New returns a Router that answers NotRun until it has a snapshot and an upstream.
@@ -149,7 +149,7 @@
 	return &Router{
 		cfg: cfg, active: map[*Ticket]struct{}{}, moves: map[uint64]*closedMove{}, memory: newMemory(),
 		peers: map[sequoiatable.IncarnationID]*peerState{}, budget: NewRetryBudget(cfg.retryFraction, cfg.retryBurst),
-		load: newLoadMeter(),
+		load: newLoadMeter(), waits: map[*indexWait]struct{}{},
 	}
 }
 
@@ -281,28 +281,30 @@
 	then  func()
 }
 
-// WaitIndex calls then once the published table has reached the index. The caller bounds the wait itself.
-func (r *Router) WaitIndex(index uint64, then func()) {
+// WaitIndex calls then once the published table has reached the index. The caller bounds the wait by cancel.
+func (r *Router) WaitIndex(index uint64, then func()) (cancel func()) {
+	w := &indexWait{index, then}
 	r.locked(func() {
-		r.waits = append(r.waits, indexWait{index, then})
+		r.waits[w] = struct{}{}
 		r.releaseIndexWaits()
 	})
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.waits, w)
+	}
 }
 
 func (r *Router) releaseIndexWaits() {
 	if r.snapshot == nil {
 		return
 	}
-	left := r.waits[:0]
-	for _, w := range r.waits {
+	for w := range r.waits {
 		if w.index <= r.snapshot.Table.Index {
 			r.call(w.then)
-			continue
+			delete(r.waits, w)
 		}
-		left = append(left, w)
 	}
-	clear(r.waits[len(left):])
-	r.waits = left
 }
 
 // respond returns a response without an upstream's answer.
