Derive member lists once per table change; confirm losses

Cause: each step sorted and scanned all members several times, which the processor budget does not allow with 3,800 of them; a holder that is lost with two of its witnesses had no way to be taken over; a drain without another member of the service never ended.

view is computed when the table changes. The witness set is chosen again when the table or a witness's answers change, and once a second. Command.ConfirmLoss lets an operator end a holder whose witnesses cannot promise. A draining process without a target gives its keys up by Revoke after the drain timeout.

--- a/internal/sequoiacontrol/assign.go
+++ b/internal/sequoiacontrol/assign.go
@@ -76,8 +76,7 @@
 
 // reportInterval grows with the fleet so that the planner's traffic does not.
 func (c *Core) reportInterval() time.Duration {
-	members := len(c.table.Members())
-	return time.Duration(members) * reportBytes * time.Second / reportBytesPerSecond
+	return time.Duration(c.view.members) * reportBytes * time.Second / reportBytesPerSecond
 }
 
 func (c *Core) recordLoad(l Load) {
--- a/internal/sequoiacontrol/command.go
+++ b/internal/sequoiacontrol/command.go
@@ -46,6 +46,13 @@
 	switch {
 	case ev.Configure != nil, ev.Move != nil:
 		c.commands = append(c.commands, cmd)
+	case ev.ConfirmLoss != nil:
+		if c.table.Member(ev.ConfirmLoss.Incarnation) == nil || c.isSelf(ev.ConfirmLoss.Incarnation) {
+			c.reply(cmd, sequoiatable.ErrNotMember)
+			return
+		}
+		c.confirmed[ev.ConfirmLoss.Incarnation] = true
+		c.commands = append(c.commands, cmd)
 	case ev.Drain != nil:
 		if c.drain != nil {
 			c.reply(cmd, errors.New("the process is already draining"))
@@ -73,6 +80,8 @@
 			c.advanceConfigure(cmd)
 		case cmd.Move != nil:
 			c.advanceMoveCommand(cmd)
+		case cmd.ConfirmLoss != nil:
+			c.advanceConfirmLoss(cmd)
 		}
 	}
 	c.commands = slices.DeleteFunc(c.commands, func(cmd *command) bool { return cmd.answered })
@@ -150,6 +159,20 @@
 	}
 }
 
+// advanceConfirmLoss ends when the log no longer names the member, which is when it owns nothing any more.
+func (c *Core) advanceConfirmLoss(cmd *command) {
+	id := cmd.ConfirmLoss.Incarnation
+	switch {
+	case c.table.Member(id) == nil:
+		c.reply(cmd, nil)
+	case c.now.Sub(cmd.since) >= c.opt.timings.CommandTimeout:
+		c.reply(cmd, ErrTimeout)
+	default:
+		return
+	}
+	delete(c.confirmed, id)
+}
+
 // advanceDrain moves all keys away, waits until nothing is in progress, and leaves. An upstream that drains alone only
 // has its keys moved.
 func (c *Core) advanceDrain() {
@@ -173,9 +196,12 @@
 	}
 	if m.Owned > 0 || len(c.moves) > 0 {
 		c.moveAllAway(d.reason)
-		return
 	}
-	c.closeAll()
+	// Without another member of the service the keys cannot be moved; the process then gives them up by Revoke.
+	noTarget := len(c.moves) == 0 && c.now.Sub(d.since) >= c.opt.timings.DrainTimeout
+	if m.Owned == 0 && len(c.moves) == 0 || noTarget {
+		c.closeAll()
+	}
 }
 
 // closeAll waits for the last requests, those without a key included.
--- a/internal/sequoiacontrol/core.go
+++ b/internal/sequoiacontrol/core.go
@@ -46,6 +46,9 @@
 	suspects  map[sequoiatable.IncarnationID]*suspicion
 	takeovers map[sequoiatable.IncarnationID]*takeover
 	firstSeen map[sequoiatable.IncarnationID]time.Time
+	// confirmed holds members whose loss an operator has confirmed.
+	confirmed map[sequoiatable.IncarnationID]bool
+	view      view
 
 	initial  map[string]*initialWait
 	loads    map[sequoiatable.IncarnationID]measuredLoad
@@ -73,6 +76,7 @@
 		suspects:  map[sequoiatable.IncarnationID]*suspicion{},
 		takeovers: map[sequoiatable.IncarnationID]*takeover{},
 		firstSeen: map[sequoiatable.IncarnationID]time.Time{},
+		confirmed: map[sequoiatable.IncarnationID]bool{},
 		initial:   map[string]*initialWait{},
 		loads:     map[sequoiatable.IncarnationID]measuredLoad{},
 		lastMove:  map[string]time.Time{},
@@ -244,9 +248,9 @@
 func (c *Core) planners(except sequoiatable.IncarnationID) []sequoiatable.IncarnationID {
 	var ids []sequoiatable.IncarnationID
 	domains := map[string]bool{}
-	for _, id := range c.table.Members() {
+	for _, id := range c.view.eligible {
 		m := c.live(id)
-		if m == nil || id == except || !c.authority.Eligible(m) || domains[m.FailureDomain] {
+		if id == except || domains[m.FailureDomain] {
 			continue
 		}
 		domains[m.FailureDomain] = true
@@ -264,12 +268,7 @@
 }
 
 func (c *Core) servicePlanner(service string) sequoiatable.IncarnationID {
-	for _, id := range c.table.Members() {
-		if m := c.live(id); m != nil && m.Service == service && c.authority.Eligible(m) {
-			return id
-		}
-	}
-	return 0
+	return c.view.planner[service]
 }
 
 // input describes the members that may be given keys of the service.
@@ -278,9 +277,9 @@
 	if t, ok := c.lastMove[service]; ok {
 		in.SinceLastMove = c.now.Sub(t)
 	}
-	for _, id := range c.table.Members() {
+	for _, id := range c.view.eligible {
 		m := c.live(id)
-		if m == nil || m.Service != service || !c.authority.Eligible(m) || c.suspects[id] != nil {
+		if m.Service != service || c.suspects[id] != nil {
 			continue
 		}
 		u := sequoiaplacement.Upstream{
--- a/internal/sequoiacontrol/event.go
+++ b/internal/sequoiacontrol/event.go
@@ -86,10 +86,18 @@
 	Configure *sequoiatable.SetConfiguration
 	// Move asks for a move of keys; the process that owns them carries it out.
 	Move *Release
+	// ConfirmLoss names a member whose process is gone for good, for the case that too few of its witnesses are left to
+	// end its lease. If the process is alive after all, two owners may result.
+	ConfirmLoss *ConfirmLoss
 	// Drain makes this process move all keys away and leave.
 	Drain *Drain
 }
 
+// ConfirmLoss names a lost member.
+type ConfirmLoss struct {
+	Incarnation sequoiatable.IncarnationID
+}
+
 // Drain is the reason of a planned stop.
 type Drain struct {
 	Reason string
--- a/internal/sequoiacontrol/lease.go
+++ b/internal/sequoiacontrol/lease.go
@@ -12,6 +12,8 @@
 	unresponsiveFor = 10 * time.Second
 	// witnessChangeInterval separates two changes of a witness set.
 	witnessChangeInterval = 500 * time.Millisecond
+	// reviewInterval is the longest time between two choices of the witness set; a choice scans all members.
+	reviewInterval = time.Second
 	// isolatedChangeInterval applies while no quorum answers. A holder that is itself cut off would otherwise name new
 	// witnesses faster than they can suspect it, and its keys would never be taken over.
 	isolatedChangeInterval = 3 * time.Second
@@ -76,6 +78,9 @@
 	avoid     map[sequoiatable.IncarnationID]time.Time
 	next      []sequoiatable.IncarnationID
 	changedAt time.Time
+	// review is set when the set has to be chosen again; reviewedAt is when it last was.
+	review     bool
+	reviewedAt time.Time
 
 	// The witness's side, kept for the life of the process.
 	records map[recordKey]*record
@@ -201,15 +206,21 @@
 		return
 	}
 	w.noticeUnresponsive()
+	if !w.review && c.now.Sub(w.reviewedAt) < reviewInterval {
+		return
+	}
+	w.reviewedAt = c.now
 	set := chooseWitnesses(c.table, c.self, w.current(), w.usable)
 	if set == nil || sameSet(set, w.current()) {
 		w.next = nil
+		w.review = false
 		return
 	}
 	if w.next == nil && c.now.Sub(w.changedAt) < w.changeInterval() {
 		return
 	}
 	w.next = set
+	w.review = false
 }
 
 func (w *witnessing) changeInterval() time.Duration {
@@ -228,6 +239,7 @@
 	for _, id := range w.current() {
 		since := latest(w.answered[id], w.namedAt[id], c.resumedAt)
 		if c.now.Sub(since) > c.opt.timings.SuspectAfter {
+			w.review = w.review || w.usable(id)
 			w.avoid[id] = c.now.Add(unresponsiveFor)
 		}
 	}
@@ -248,6 +260,7 @@
 
 func (w *witnessing) tableChanged() {
 	c := w.c
+	w.review = true
 	current := w.current()
 	if w.next != nil && !w.pendingSet() && sameSet(w.next, current) {
 		w.next = nil
--- a/internal/sequoiacontrol/log.go
+++ b/internal/sequoiacontrol/log.go
@@ -213,6 +213,7 @@
 
 // tableChanged updates what is derived from the table.
 func (c *Core) tableChanged() {
+	c.view = newView(c.table, c.authority.Eligible)
 	seen := map[sequoiatable.IncarnationID]time.Time{}
 	for _, id := range c.table.Members() {
 		at, ok := c.firstSeen[id]
@@ -310,15 +311,8 @@
 	if me == nil {
 		return false
 	}
-	first := c.self
-	for _, id := range c.table.Members() {
-		m := c.live(id)
-		if m != nil && m.FailureDomain == me.FailureDomain && c.authority.Eligible(m) {
-			first = id
-			break
-		}
-	}
-	return first == c.self
+	first := c.view.reader[me.FailureDomain]
+	return first == 0 || first == c.self
 }
 
 func (c *Core) advanceAppend() {
--- a/internal/sequoiacontrol/member.go
+++ b/internal/sequoiacontrol/member.go
@@ -24,7 +24,9 @@
 func (c *Core) wantMembership(b *batch) {
 	m := c.table.Member(c.self)
 	if c.stopping() && (m == nil || c.drain.leave) {
-		if m != nil {
+		if m != nil && m.Owned > 0 {
+			c.wantRevoke(b, c.self, "Drained")
+		} else if m != nil {
 			b.add(sequoiatable.Change{Leave: &sequoiatable.Leave{Incarnation: c.self}}, origin{})
 		}
 		return
--- a/internal/sequoiacontrol/takeover.go
+++ b/internal/sequoiacontrol/takeover.go
@@ -100,6 +100,9 @@
 			c.wantRevoke(b, id, "Silent")
 		}
 	}
+	for _, id := range sortedKeys(c.confirmed) {
+		c.wantRevoke(b, id, "LossConfirmed")
+	}
 	if c.selfRevoke {
 		c.wantRevoke(b, c.self, "UpstreamSilent")
 	}
@@ -116,20 +119,19 @@
 
 // wantRemovals removes members that have had no witnesses for a long time.
 func (c *Core) wantRemovals(b *batch) {
-	position := c.position(0)
-	if me := c.live(c.self); me == nil || !c.authority.Eligible(me) {
+	me := c.live(c.self)
+	if me == nil || !c.authority.Eligible(me) || len(c.view.unwatched) == 0 {
 		return
 	}
+	position := c.position(0)
 	wait := c.opt.timings.WithoutWitnesses + time.Duration(position)*c.opt.timings.PlannerDelay
 	if position >= witnessCount || c.now.Sub(c.resumedAt) < wait {
 		return
 	}
-	for _, id := range c.table.Members() {
-		m := c.live(id)
-		if m == nil || c.authority.Eligible(m) || c.now.Sub(c.firstSeen[id]) < wait {
-			continue
+	for _, id := range c.view.unwatched {
+		if c.now.Sub(c.firstSeen[id]) >= wait {
+			c.wantRevoke(b, id, "NoWitnesses")
 		}
-		c.wantRevoke(b, id, "NoWitnesses")
 	}
 }
 
@@ -148,10 +150,9 @@
 // advanceTakeovers takes the keys of revoked members. The process that revoked a member starts at once; the planners
 // follow later, in case that process is lost.
 func (c *Core) advanceTakeovers() {
-	for _, id := range c.table.Members() {
-		m := c.table.Member(id)
-		if m.Revoked() && c.takeovers[id] == nil {
-			c.startTakeover(m)
+	for _, id := range c.view.revoked {
+		if c.takeovers[id] == nil {
+			c.startTakeover(c.table.Member(id))
 		}
 	}
 	for _, id := range sortedKeys(c.takeovers) {
@@ -161,7 +162,7 @@
 			continue
 		}
 		if !c.now.Before(t.startAt) && !t.ready {
-			t.ready = c.authority.Fence(t)
+			t.ready = c.authority.Fence(t) || c.lossConfirmed(t)
 		}
 	}
 }
@@ -187,6 +188,12 @@
 	return ok && len(entries) > 0 && c.isSelf(entries[0].Writer)
 }
 
+// lossConfirmed reports whether an operator has confirmed that the holder is lost. A lease that was valid when the
+// revocation was written has then ended, as long as no witness has renewed it since.
+func (c *Core) lossConfirmed(t *takeover) bool {
+	return c.confirmed[t.holder] && c.now.Sub(t.since) >= c.opt.timings.Lease
+}
+
 // wantTakeovers assigns the keys of holders whose lease has ended.
 func (c *Core) wantTakeovers(b *batch) {
 	for _, id := range sortedKeys(c.takeovers) {
@@ -194,6 +201,9 @@
 			continue
 		}
 		for _, name := range c.table.ServiceNames() {
+			if c.servicePlanner(name) == 0 {
+				continue
+			}
 			set := ownedKeys(c.table.Service(name), id)
 			c.wantPlaced(b, sequoiatable.AssignTakeover, id, set)
 		}
