--- /dev/null
+++ b/cmd/sequoiaspring/demo.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiafleet"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiasettings"
+)
+
+const (
+	// demoStartTimeout bounds the start of the fleet, which takes about 2 s.
+	demoStartTimeout = 30 * time.Second
+	// minDemoDuration leaves time for the loss and the drain to show.
+	minDemoDuration = 5 * time.Second
+	maxDemoDuration = 10 * time.Minute
+)
+
+// errInvariant reports that the demo saw an invariant violated.
+var errInvariant = errors.New("an invariant was violated")
+
+type demoCommand struct {
+	Deployment string        `arg:"--deployment" default:"howrah" help:"howrah or pinehollow"`
+	Duration   time.Duration `arg:"--duration" default:"10s" help:"duration of the load"`
+	Seed       uint64        `arg:"--seed" default:"1" help:"seed of the callers' keys"`
+	Log        string        `arg:"--log" help:"file for the processes' logs; by default they are discarded"`
+}
+
+// demoSummary is the last line of the demo.
+type demoSummary struct {
+	Requests                int
+	Answered                int
+	NotRun                  int
+	Unknown                 int
+	DoubleOwned             int
+	RanTwice                int
+	WrongAnswers            int
+	FalseNotRun             int
+	LostAssignments         int
+	UnavailableMilliseconds int64
+	StoreCallsPerSecond     float64
+}
+
+func (c *demoCommand) run(ctx context.Context, out io.Writer) error {
+	d, err := sequoiafleet.FindDeployment(c.Deployment)
+	if err != nil {
+		return inputFault{err}
+	}
+	if c.Duration < minDemoDuration || c.Duration > maxDemoDuration {
+		return inputFault{errors.Errorf("--duration %s; allowed: %s to %s", c.Duration, minDemoDuration, maxDemoDuration)}
+	}
+	w, closeLog, err := c.openLog()
+	if err != nil {
+		return err
+	}
+	defer closeLog()
+	log := newLog(w, sequoiasettings.LogLimits{Level: "Info", LinesPerSecond: 200, SampleOneIn: 1})
+	defer log.Close()
+	startCtx, cancel := context.WithTimeout(ctx, demoStartTimeout)
+	defer cancel()
+	fleet, err := sequoiafleet.Start(startCtx, d, log)
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	fmt.Fprintf(out, "%s: %d processes, each beside an upstream; the store stand-in is at %s\n",
+		d.Name, len(fleet.Nodes), fleet.Store.Addr())
+	result, err := fleet.Run(ctx, c.plan())
+	if err != nil {
+		return err
+	}
+	return printDemo(out, result)
+}
+
+func (c *demoCommand) openLog() (io.Writer, func(), error) {
+	if c.Log == "" {
+		return io.Discard, func() {}, nil
+	}
+	f, err := os.Create(c.Log)
+	if err != nil {
+		return nil, nil, inputFault{err}
+	}
+	return f, func() { _ = f.Close() }, nil
+}
+
+// plan loses an owner after a third of the time and drains another one after two thirds.
+func (c *demoCommand) plan() sequoiafleet.Plan {
+	return sequoiafleet.Plan{
+		Duration: c.Duration, Rate: 400, Callers: 200, Keys: 500, Skew: 1.1, Seed: c.Seed,
+		RepeatableShare: 0.2, Timeout: 5 * time.Second, Slow: 250 * time.Millisecond,
+		Faults: []sequoiafleet.Fault{
+			sequoiafleet.KillOwner(c.Duration / 3),
+			sequoiafleet.DrainOwner(c.Duration * 2 / 3),
+		},
+	}
+}
+
+func printDemo(out io.Writer, r *sequoiafleet.Result) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "EVENT\tTOOK")
+	for _, f := range r.Done {
+		fmt.Fprintf(w, "%s\t%s\n", f.Name, f.Took.Round(time.Millisecond))
+	}
+	l := r.Load
+	fmt.Fprintln(w, "\nREQUESTS\tANSWERED\tNOT RUN\tUNKNOWN\tP50\tP99\tLONGEST UNAVAILABLE")
+	fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%s\t%s\t%s\n", l.Requests(), l.Answered, l.NotRun, l.Unknown,
+		microseconds(l.Latency.ValueAtQuantile(50)), microseconds(l.Latency.ValueAtQuantile(99)),
+		r.Longest().Round(time.Millisecond))
+	_ = w.Flush()
+	for _, v := range r.Report.Violations {
+		fmt.Fprintf(out, "%s: service %s key %s request %s: %s\n", v.Kind, v.Service, v.Key, v.RequestID, v.Detail)
+	}
+	line, err := json.Marshal(demoSummary{
+		Requests: l.Requests(), Answered: l.Answered, NotRun: l.NotRun, Unknown: l.Unknown,
+		DoubleOwned: r.Report.DoubleOwned, RanTwice: r.Report.RanTwice, WrongAnswers: r.Report.WrongAnswers,
+		FalseNotRun: r.Report.FalseNotRun, LostAssignments: r.Report.LostAssignments,
+		UnavailableMilliseconds: r.Longest().Milliseconds(), StoreCallsPerSecond: r.StoreCallsPerSecond,
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%s\n", line)
+	if !r.Report.OK() {
+		return errInvariant
+	}
+	return nil
+}
+
+func microseconds(n int64) time.Duration {
+	return time.Duration(n) * time.Microsecond
+}
--- a/internal/sequoiafleet/fleet.go
+++ b/internal/sequoiafleet/fleet.go
@@ -51,6 +51,9 @@
 	Nodes      []*Node
 	log        *sequoialog.Log
 	cfg        config
+	// upstreams lists every upstream that was started, the killed ones included, for their records.
+	upstreams    []*sequoiastandin.Upstream
+	acknowledged entries
 }
 
 type config struct {
@@ -160,13 +163,16 @@
 		Slots: n.plan.Slots, Connections: n.plan.Connections, ChecksGrants: f.cfg.checksGrants,
 	})
 	n.Upstream = u
+	if err == nil {
+		f.upstreams = append(f.upstreams, u)
+	}
 	return err
 }
 
 // StartProcess starts the process of a node, for example after it was killed.
 func (f *Fleet) StartProcess(n *Node) error {
 	n.store = sequoiastore.New(f.Store.Addr())
-	store := sequoiainstance.NewStore(n.store)
+	store := f.acknowledged.observe(sequoiainstance.NewStore(n.store))
 	if f.cfg.store != nil {
 		store = f.cfg.store(n.Settings.Instance, store)
 	}
