--- a/internal/sequoiaplacement/balance.go
+++ b/internal/sequoiaplacement/balance.go
@@ -206,10 +206,17 @@
 		a, _ := b.in.Table.HotKey(k)
 		owner := b.byID[a.Owner]
 		shardOwner := b.in.Table.Shard(sequoiatable.ShardOf(k, b.in.Table.Shards)).Owner
-		if owner == nil || b.byID[shardOwner] == nil || !b.cooled(owner, k) || b.moves.count >= budget {
+		if owner == nil || b.byID[shardOwner] == nil || !b.cooled(owner, k) {
+			continue
+		}
+		if a.Owner != shardOwner && b.moves.count >= budget {
 			continue
 		}
 		b.moves.addKey(a.Owner, shardOwner, k, ReasonMerge)
+		if a.Owner == shardOwner {
+			// No key changes owner, so the cap on moves does not apply.
+			b.moves.count--
+		}
 		b.movedKeys[k] = true
 	}
 }
--- a/internal/sequoiaplacement/placement_test.go
+++ b/internal/sequoiaplacement/placement_test.go
@@ -211,6 +211,7 @@
 		for second := range 60 {
 			in := c.input(loaded(c, upstreams, 6, 1, 1))
 			in.SinceLastMove = since
+			in.Tuning.MovesPerMinute = 6
 			moves := sequoiaplacement.Balance(in)
 			n, _ := movedFrom(moves)
 			inMinute += n
--- a/internal/sequoiaplacement/tuning.go
+++ b/internal/sequoiaplacement/tuning.go
@@ -25,7 +25,7 @@
 // Defaults of Tuning.
 const (
 	DefaultHysteresis      = 0.2
-	DefaultMovesPerMinute  = 6
+	DefaultMovesPerMinute  = 12
 	DefaultHotKeyBusySlots = 1.0
 	DefaultWarmUp          = 30 * time.Second
 	DefaultStaleAfter      = 3 * time.Minute
--- a/internal/sequoiasettings/configuration.go
+++ b/internal/sequoiasettings/configuration.go
@@ -68,7 +68,7 @@
 		Limits:           Limits{Queued: 1000, Timeout: 30 * time.Second, RetryPercent: 10},
 		ResendWindow:     DefaultResendWindow,
 		MaximumBodyBytes: DefaultMaximumBodyBytes,
-		Balancing:        Balancing{Hysteresis: 0.2, MovesPerMinute: 6, HotKeyBusySlots: 1},
+		Balancing:        Balancing{Hysteresis: sequoiaplacement.DefaultHysteresis, MovesPerMinute: sequoiaplacement.DefaultMovesPerMinute, HotKeyBusySlots: sequoiaplacement.DefaultHotKeyBusySlots},
 	}
 }
 
--- /dev/null
+++ b/internal/sequoiatrace/trace.go
@@ -0,0 +1,241 @@
+// Package sequoiatrace generates and replays traces of a service: its upstreams, the rate of requests and what happens
+// to the upstreams. A replay runs the placement decisions and the choice of upstream of several policies on a
+// deterministic queueing model and compares them. The package does no input or output but to the given readers and
+// writers.
+package sequoiatrace
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/pkg/errors"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaplacement"
+)
+
+// ErrTrace reports a trace that cannot be replayed.
+var ErrTrace = errors.New("not a valid trace")
+
+// Kind says what an event is.
+type Kind string
+
+// The kinds of events.
+const (
+	// KindRate sets the rate of requests to PerSecond.
+	KindRate Kind = "Rate"
+	// KindHotKey sends the part Share of all requests to Key; zero ends that.
+	KindHotKey Kind = "HotKey"
+	// KindJoin adds Upstream, cold.
+	KindJoin Kind = "Join"
+	// KindLeave drains Upstream and removes it.
+	KindLeave Kind = "Leave"
+	// KindLoseDomain loses all upstreams of FailureDomain without notice.
+	KindLoseDomain Kind = "LoseDomain"
+	// KindSlow multiplies the duration of Upstream's requests by Factor.
+	KindSlow Kind = "Slow"
+	// KindLie makes Upstream's load endpoint report ReportedBusySlots.
+	KindLie Kind = "Lie"
+)
+
+// Upstream is an upstream of the model.
+type Upstream struct {
+	ID            uint64
+	FailureDomain string
+	Slots         int
+}
+
+// Header is the first line of a trace.
+type Header struct {
+	Name       string
+	Deployment string
+	Service    string
+	Divided    bool
+	Shards     uint32
+	// Keys is the number of keys. Key n is drawn with a weight of 1/(n+10).
+	Keys            int
+	Seed            uint64
+	DurationSeconds float64
+	// RequestSeconds is the mean duration of a request; durations are exponentially distributed.
+	RequestSeconds float64
+	Upstreams      []Upstream
+	// Cold is true if the upstreams start cold.
+	Cold    bool
+	Weights sequoiaplacement.Weights
+	// MovesPerMinute, Hysteresis and HotKeyBusySlots are the parameters of the service's configuration.
+	MovesPerMinute  int
+	Hysteresis      float64
+	HotKeyBusySlots float64
+}
+
+// Event is one event of a trace, At seconds after its start. Fields that its kind does not use are empty.
+type Event struct {
+	At                float64
+	Kind              Kind
+	PerSecond         float64   `json:",omitempty"`
+	Key               int       `json:",omitempty"`
+	Share             float64   `json:",omitempty"`
+	Upstream          *Upstream `json:",omitempty"`
+	FailureDomain     string    `json:",omitempty"`
+	Factor            float64   `json:",omitempty"`
+	ReportedBusySlots float64   `json:",omitempty"`
+}
+
+// Outcome is the last line of a trace: the bounds that the policy has to keep. They are requirements, not figures of an
+// earlier run.
+type Outcome struct {
+	// LongestUnavailableSeconds bounds the time for which any key has no owner: 2 s after a loss.
+	LongestUnavailableSeconds float64
+	// OverloadedSeconds bounds the time in which an upstream gets more work than its slots can do. The hottest keys
+	// change within minutes, so relief has to take no more than a few.
+	OverloadedSeconds float64
+	// MovesPerMinute bounds the moves for balance in every minute; it is the configured cap.
+	MovesPerMinute int
+	// DepartureSeconds bounds the time in which a leaving upstream gets new requests.
+	DepartureSeconds float64
+}
+
+// line is one line of a trace; exactly one field is set.
+type line struct {
+	Header  *Header  `json:",omitempty"`
+	Event   *Event   `json:",omitempty"`
+	Outcome *Outcome `json:",omitempty"`
+}
+
+// Trace is a recorded or generated course of events.
+type Trace struct {
+	Header  Header
+	Events  []Event
+	Outcome Outcome
+}
+
+// Write writes the trace as JSON lines.
+func (t *Trace) Write(w io.Writer) error {
+	enc := json.NewEncoder(w)
+	if err := enc.Encode(line{Header: &t.Header}); err != nil {
+		return errors.Wrap(err, "write trace")
+	}
+	for i := range t.Events {
+		if err := enc.Encode(line{Event: &t.Events[i]}); err != nil {
+			return errors.Wrap(err, "write trace")
+		}
+	}
+	return errors.Wrap(enc.Encode(line{Outcome: &t.Outcome}), "write trace")
+}
+
+// Read reads a trace that Write wrote. It returns ErrTrace with the line's number for an invalid one.
+func Read(r io.Reader) (*Trace, error) {
+	t := &Trace{}
+	scanner := bufio.NewScanner(r)
+	n, done := 0, false
+	for scanner.Scan() {
+		n++
+		if done {
+			return nil, errors.Wrapf(ErrTrace, "line %d: text after the outcome", n)
+		}
+		var l line
+		dec := json.NewDecoder(bytes.NewReader(scanner.Bytes()))
+		dec.DisallowUnknownFields()
+		if err := dec.Decode(&l); err != nil {
+			return nil, errors.Wrapf(ErrTrace, "line %d: %v", n, err)
+		}
+		switch {
+		case l.Header != nil && n == 1:
+			t.Header = *l.Header
+		case l.Event != nil && n > 1:
+			t.Events = append(t.Events, *l.Event)
+		case l.Outcome != nil && n > 1:
+			t.Outcome = *l.Outcome
+			done = true
+		default:
+			return nil, errors.Wrapf(ErrTrace, "line %d: want a header first, then events, then the outcome", n)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, errors.Wrap(err, "read trace")
+	}
+	if !done {
+		return nil, errors.Wrap(ErrTrace, "the outcome is missing")
+	}
+	return t, t.check()
+}
+
+// Bounds of a trace, which keep a replay to seconds and its memory to a few megabytes.
+const (
+	maximumDurationSeconds = 86_400
+	maximumRequests        = 20_000_000
+	maximumUpstreams       = 1_000
+	maximumKeys            = 1_000_000
+	maximumSlots           = 10_000
+)
+
+func (t *Trace) check() error {
+	h := &t.Header
+	switch {
+	case h.Shards == 0 || h.Shards > 65_536:
+		return errors.Wrapf(ErrTrace, "Shards %d; allowed: 1 to 65536", h.Shards)
+	case h.Keys < 1 || h.Keys > maximumKeys:
+		return errors.Wrapf(ErrTrace, "Keys %d; allowed: 1 to %d", h.Keys, maximumKeys)
+	case h.DurationSeconds <= 0 || h.DurationSeconds > maximumDurationSeconds:
+		return errors.Wrapf(ErrTrace, "DurationSeconds %v; allowed: above 0, to %d", h.DurationSeconds, maximumDurationSeconds)
+	case h.RequestSeconds <= 0:
+		return errors.Wrapf(ErrTrace, "RequestSeconds %v; allowed: above 0", h.RequestSeconds)
+	case len(h.Upstreams) == 0 || len(h.Upstreams) > maximumUpstreams:
+		return errors.Wrapf(ErrTrace, "%d upstreams; allowed: 1 to %d", len(h.Upstreams), maximumUpstreams)
+	}
+	known := map[uint64]bool{}
+	for _, u := range h.Upstreams {
+		if err := checkUpstream(u, known); err != nil {
+			return err
+		}
+	}
+	at := 0.0
+	for i, e := range t.Events {
+		if e.At < at || e.At > h.DurationSeconds {
+			return errors.Wrapf(ErrTrace, "event %d at %v s; allowed: in order, up to the duration", i, e.At)
+		}
+		at = e.At
+		if err := e.check(h, known); err != nil {
+			return errors.Wrapf(err, "event %d", i)
+		}
+	}
+	return nil
+}
+
+func checkUpstream(u Upstream, known map[uint64]bool) error {
+	if u.ID == 0 || known[u.ID] || u.Slots < 1 || u.Slots > maximumSlots {
+		return errors.Wrapf(ErrTrace, "upstream %d with %d slots; allowed: a new number above 0, 1 to %d slots", u.ID, u.Slots, maximumSlots)
+	}
+	known[u.ID] = true
+	return nil
+}
+
+func (e *Event) check(h *Header, known map[uint64]bool) error {
+	switch e.Kind {
+	case KindRate:
+		if e.PerSecond < 0 || e.PerSecond*h.DurationSeconds > maximumRequests {
+			return errors.Wrapf(ErrTrace, "PerSecond %v; allowed: 0 to %v", e.PerSecond, maximumRequests/h.DurationSeconds)
+		}
+	case KindHotKey:
+		if e.Key < 0 || e.Key >= h.Keys || e.Share < 0 || e.Share > 1 {
+			return errors.Wrapf(ErrTrace, "Key %d, Share %v; allowed: a key of the trace, 0 to 1", e.Key, e.Share)
+		}
+	case KindJoin:
+		if e.Upstream == nil {
+			return errors.Wrap(ErrTrace, "Upstream is missing")
+		}
+		return checkUpstream(*e.Upstream, known)
+	case KindLeave, KindSlow, KindLie:
+		if e.Upstream == nil || !known[e.Upstream.ID] {
+			return errors.Wrap(ErrTrace, "Upstream is missing or not known")
+		}
+		if e.Kind == KindSlow && e.Factor <= 0 {
+			return errors.Wrapf(ErrTrace, "Factor %v; allowed: above 0", e.Factor)
+		}
+	case KindLoseDomain:
+	default:
+		return errors.Wrapf(ErrTrace, "Kind %q; allowed: Rate, HotKey, Join, Leave, LoseDomain, Slow, Lie", e.Kind)
+	}
+	return nil
+}
