--- a/cmd/sequoiaspring/demo.go
+++ b/cmd/sequoiaspring/demo.go
@@ -12,7 +12,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiafleet"
-	"github.com/sequoiaspring/sequoiaspring/internal/sequoiasettings"
 )
 
 const (
@@ -61,11 +60,9 @@
 		return err
 	}
 	defer closeLog()
-	log := newLog(w, sequoiasettings.LogLimits{Level: "Info", LinesPerSecond: 200, SampleOneIn: 1})
-	defer log.Close()
 	startCtx, cancel := context.WithTimeout(ctx, demoStartTimeout)
 	defer cancel()
-	fleet, err := sequoiafleet.Start(startCtx, d, log)
+	fleet, err := sequoiafleet.Start(startCtx, d, w)
 	if err != nil {
 		return err
 	}
@@ -93,7 +90,7 @@
 // plan loses an owner after a third of the time and drains another one after two thirds.
 func (c *demoCommand) plan() sequoiafleet.Plan {
 	return sequoiafleet.Plan{
-		Duration: c.Duration, Rate: 400, Callers: 200, Keys: 500, Skew: 1.1, Seed: c.Seed,
+		Duration: c.Duration, Rate: 400, Callers: 200, Keys: 64, Seed: c.Seed,
 		RepeatableShare: 0.2, Timeout: 5 * time.Second, Slow: 250 * time.Millisecond,
 		Faults: []sequoiafleet.Fault{
 			sequoiafleet.KillOwner(c.Duration / 3),
--- a/cmd/sequoiaspring/run.go
+++ b/cmd/sequoiaspring/run.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiainstance"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoialog"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiastore"
 )
 
@@ -19,7 +20,7 @@
 	if err != nil {
 		return err
 	}
-	log := newLog(os.Stderr, settings.Log)
+	log := sequoialog.New(os.Stderr, sequoialog.WithRate(settings.Log.LinesPerSecond), sequoialog.WithInstance(settings.Instance))
 	defer log.Close()
 	client := sequoiastore.New(settings.Store[0])
 	defer client.Close()
--- a/internal/sequoiafleet/fleet.go
+++ b/internal/sequoiafleet/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"time"
@@ -36,6 +37,7 @@
 	Process  *sequoiainstance.Instance
 	Upstream *sequoiastandin.Upstream
 	store    *sequoiastore.Client
+	log      *sequoialog.Logger
 	plan     ServicePlan
 }
 
@@ -49,7 +51,7 @@
 	Deployment Deployment
 	Store      *sequoiastandin.Store
 	Nodes      []*Node
-	log        *sequoialog.Log
+	output     io.Writer
 	cfg        config
 	// upstreams lists every upstream that was started, the killed ones included, for their records.
 	upstreams    []*sequoiastandin.Upstream
@@ -87,9 +89,9 @@
 }
 
 // Start starts the stand-ins and processes of a deployment, applies its configuration and waits until every shard has
-// an owner. It returns ErrNotReady if ctx ends first.
-func Start(ctx context.Context, d Deployment, log *sequoialog.Log, opts ...Option) (*Fleet, error) {
-	f := &Fleet{Deployment: d, log: log, cfg: config{checksGrants: true, authority: sequoiasettings.AuthorityWitnesses}}
+// an owner. The processes' logs go to output, which must allow concurrent writes. It returns ErrNotReady if ctx ends first.
+func Start(ctx context.Context, d Deployment, output io.Writer, opts ...Option) (*Fleet, error) {
+	f := &Fleet{Deployment: d, output: output, cfg: config{checksGrants: true, authority: sequoiasettings.AuthorityWitnesses}}
 	for _, opt := range opts {
 		opt(&f.cfg)
 	}
@@ -180,7 +182,8 @@
 	if f.cfg.instance != nil {
 		opts = f.cfg.instance(n.Settings.Instance)
 	}
-	p, err := sequoiainstance.New(n.Settings, store, f.log, opts...)
+	n.log = sequoialog.New(f.output, sequoialog.WithInstance(n.Settings.Instance))
+	p, err := sequoiainstance.New(n.Settings, store, n.log, opts...)
 	n.Process = p
 	return err
 }
@@ -190,6 +193,7 @@
 	n.Process.Close()
 	n.Upstream.Close()
 	n.store.Close()
+	n.log.Close()
 }
 
 func (f *Fleet) configure(ctx context.Context) error {
--- a/internal/sequoiainstance/admin.go
+++ b/internal/sequoiainstance/admin.go
@@ -48,7 +48,7 @@
 		Metrics:    promhttp.HandlerFor(in.metrics, promhttp.HandlerOpts{}),
 		Refused: func(remote string) {
 			in.counters.refusedCalls.Inc()
-			in.log.Warn("administration call refused", "Peer", remote)
+			in.logFault("AdministrationRefused", errors.Wrap(sequoiaadmin.ErrCredential, remote))
 		},
 	}
 	listener, err := net.Listen("tcp", in.settings.Administration.String())
@@ -173,7 +173,7 @@
 func (in *Instance) startDrain(_ context.Context, req sequoiaadmin.DrainRequest) (sequoiaadmin.Done, error) {
 	in.running.Go(func() {
 		if err := in.Drain(in.ctx, req.Reason); err != nil {
-			in.log.Warn("drain", "Err", err)
+			in.logFault("DrainFailed", err)
 		}
 	})
 	return sequoiaadmin.Done{Revision: in.snapshot.Load().Table.Index}, nil
--- a/internal/sequoiainstance/instance.go
+++ b/internal/sequoiainstance/instance.go
@@ -46,7 +46,7 @@
 	control  *sequoiapeer.Control
 	forward  *sequoiapeer.Forwarder
 	timers   *sequoiatimer.Service
-	log      *sequoialog.Log
+	log      *sequoialog.Logger
 	metrics  *prometheus.Registry
 	counters *counters
 	history  *history
@@ -90,7 +90,7 @@
 
 // New returns a process that listens on the addresses of its settings. The store and the log stay the caller's to
 // close. It returns an error if an address cannot be used.
-func New(settings sequoiasettings.Settings, store Store, log *sequoialog.Log, opts ...Option) (*Instance, error) {
+func New(settings sequoiasettings.Settings, store Store, log *sequoialog.Logger, opts ...Option) (*Instance, error) {
 	var o options
 	for _, opt := range opts {
 		opt(&o)
@@ -198,7 +198,7 @@
 // Drain hands all keys over and returns once no request is in progress, or with ctx's error.
 func (in *Instance) Drain(ctx context.Context, reason string) error {
 	if _, err := in.command(ctx, sequoiacontrol.Command{Drain: &sequoiacontrol.Drain{Reason: reason}}); err != nil {
-		in.log.Warn("drain", "Err", err)
+		in.logFault("DrainFailed", err)
 	}
 	select {
 	case <-in.stopped:
@@ -251,7 +251,7 @@
 
 func (in *Instance) rejected(peer netip.AddrPort, err error) {
 	in.counters.rejectedPeers.Inc()
-	in.log.Warn("peer rejected", "Peer", peer.String(), "Err", err)
+	in.log.PeerRejected(peer, err)
 }
 
 func (in *Instance) post(ev sequoiacontrol.Event) {
--- a/internal/sequoiainstance/loop.go
+++ b/internal/sequoiainstance/loop.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiacontrol"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoialog"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
 )
 
@@ -90,7 +91,7 @@
 
 func (in *Instance) installMemory(a sequoiacontrol.InstallMemory) {
 	if err := in.router.InstallMemory(time.Now(), a.Keys, a.Identifiers); err != nil {
-		in.log.Warn("request identifiers were not taken over", "Service", a.Keys.Service, "Err", err)
+		in.logFault("MemoryRejected", err)
 		return
 	}
 	in.post(sequoiacontrol.MemoryInstalled{From: a.From, Move: a.Move})
@@ -103,9 +104,28 @@
 		return
 	}
 	in.counters.decisions.WithLabelValues(r.Decision).Inc()
-	in.log.Placement(r)
+	d := sequoialog.Decision{
+		Name: r.Decision, Service: r.Service, Shards: r.Keys.Shards,
+		Owner: r.Owner, Previous: r.Previous, Epoch: r.Epoch, Reason: r.Reason,
+	}
+	if len(r.Keys.Shards) > 0 || len(r.Keys.Keys) == 0 {
+		in.log.Placement(d)
+	}
+	d.Shards = nil
+	for _, k := range r.Keys.Keys {
+		d.Key = k
+		in.log.Placement(d)
+	}
 }
 
 func (in *Instance) logRequest(req *sequoiarouter.Request, resp *sequoiarouter.Response) {
-	in.log.Routing(req, resp)
+	in.log.Routing(sequoialog.Decision{
+		Name: "Route", Service: req.Service, Key: req.Key, Owner: resp.Owner, Epoch: resp.Epoch,
+		Outcome: resp.Outcome.String(), Reason: resp.Reason,
+	})
+}
+
+// logFault logs a fault of the process's surroundings that needs no other reaction.
+func (in *Instance) logFault(name string, err error) {
+	in.log.Placement(sequoialog.Decision{Name: name, Reason: err.Error()})
 }
--- a/internal/sequoiainstance/store.go
+++ b/internal/sequoiainstance/store.go
@@ -78,7 +78,7 @@
 	ctx, cancel := context.WithTimeout(in.ctx, storeTimeout)
 	defer cancel()
 	if err := in.store.WriteCheckpoint(ctx, t); err != nil {
-		in.log.Warn("the checkpoint was not written", "Index", t.Index, "Err", err)
+		in.logFault("CheckpointNotWritten", err)
 	}
 }
 
--- a/internal/sequoiastandin/load.go
+++ b/internal/sequoiastandin/load.go
@@ -122,7 +122,8 @@
 	return r.Answered + r.NotRun + r.Unknown
 }
 
-func (r *LoadReport) merge(o *LoadReport) {
+// Merge adds the counts, latencies and records of another report.
+func (r *LoadReport) Merge(o *LoadReport) {
 	r.Answered += o.Answered
 	r.NotRun += o.NotRun
 	r.Unknown += o.Unknown
@@ -153,7 +154,7 @@
 	total.Started = g.started
 	total.Ended = time.Now()
 	for _, r := range reports {
-		total.merge(r)
+		total.Merge(r)
 	}
 	return total, nil
 }
