Fold hot keys, avoid a lost domain, end expired store leases

Cause: the table's Merge change had no writer, and a takeover did not tell the policy which failure domain was lost. With the store-lease baseline the test showed two owners: an incarnation whose lease had ended renewed it before it read its revocation.

Merge is not written for a key whose shard is in a planned move, nor does such a move start while a Merge is pending: the key would be assigned with the shard without having been closed. An incarnation whose store lease has ended takes a new identifier instead of renewing. Expired leases are kept until the log shows the revocation, since the store reports each only once.

--- a/internal/sequoiacontrol/authority.go
+++ b/internal/sequoiacontrol/authority.go
@@ -36,9 +36,9 @@
 
 // StoreLeases returns the baseline: a store lease for each incarnation, renewed by RenewLease actions.
 func StoreLeases(c *Core) Authority {
-	s := &storeLease{c: c}
+	s := &storeLease{c: c, expired: map[sequoiatable.IncarnationID]bool{}}
 	return Authority{
-		Reset:        func() { *s = storeLease{c: c} },
+		Reset:        func() { *s = storeLease{c: c, expired: s.expired} },
 		Event:        s.event,
 		Advance:      s.advance,
 		TableChanged: func() {},
@@ -58,10 +58,24 @@
 	sent     time.Time
 	waiting  bool
 	end      time.Time
+	// expired holds members whose lease has ended, until the log says that they are revoked.
+	expired map[sequoiatable.IncarnationID]bool
 }
 
+// advance renews the lease. An incarnation whose lease has ended does not renew it: it may have been revoked in an
+// entry that this process has not read yet.
 func (s *storeLease) advance() {
 	t := s.c.opt.timings
+	if !s.end.IsZero() && !s.c.now.Before(s.end) {
+		s.c.renewIncarnation("LeaseExpired")
+	}
+	for _, id := range sortedKeys(s.expired) {
+		if s.c.live(id) == nil {
+			delete(s.expired, id)
+			continue
+		}
+		s.c.suspect(id)
+	}
 	due := s.c.now.Sub(s.sent) >= 2*t.RenewInterval
 	late := s.c.now.Sub(s.sent) >= t.Lease
 	if s.c.selfRevoke || s.c.live(s.c.self) == nil || !due || (s.waiting && !late) {
@@ -84,7 +98,7 @@
 			s.end = s.sent.Add(s.c.opt.timings.HolderLease)
 		}
 	case LeaseExpired:
-		s.c.suspect(ev.Incarnation)
+		s.expired[ev.Incarnation] = true
 	}
 }
 
--- a/internal/sequoiacontrol/core.go
+++ b/internal/sequoiacontrol/core.go
@@ -56,7 +56,9 @@
 	balanced time.Time
 	lastMove map[string]time.Time
 
-	moves    []*move
+	moves []*move
+	// merges lists hot keys of each service that are to be folded into their shards.
+	merges   map[string][]string
 	lastID   uint64
 	commands []*command
 	drain    *drainState
@@ -78,6 +80,7 @@
 		firstSeen: map[sequoiatable.IncarnationID]time.Time{},
 		confirmed: map[sequoiatable.IncarnationID]bool{},
 		initial:   map[string]*initialWait{},
+		merges:    map[string][]string{},
 		loads:     map[sequoiatable.IncarnationID]measuredLoad{},
 		lastMove:  map[string]time.Time{},
 	}
@@ -150,6 +153,7 @@
 	c.advanceLoad()
 	c.advanceDrain()
 	c.advanceMoves()
+	c.advanceMerges()
 	c.advanceCommands()
 	c.advanceAppend()
 	c.publish()
@@ -287,6 +291,7 @@
 		}
 		if l, ok := c.loads[id]; ok {
 			u.BusySlots, u.Keys, u.Shards, u.LoadAge = l.BusySlots, l.Keys, l.Shards, c.now.Sub(l.at)
+			u.ReportedBusySlots, u.HasReport = l.ReportedBusySlots, l.HasReport
 		}
 		in.Upstreams = append(in.Upstreams, u)
 	}
--- a/internal/sequoiacontrol/fleet_test.go
+++ b/internal/sequoiacontrol/fleet_test.go
@@ -34,7 +34,9 @@
 	// storeLoss is the probability that a store call, or its reply, is lost.
 	storeLoss float64
 	storeDown bool
-	tables    map[uint64]*sequoiatable.Table
+	// leases holds the end of each store lease.
+	leases map[sequoiatable.IncarnationID]time.Time
+	tables map[uint64]*sequoiatable.Table
 	// reach is the latest moment to which each node may still act on a shard: the lease end under which it last served.
 	reach      map[uint32]map[*node]time.Time
 	violations []string
@@ -99,6 +101,7 @@
 		now:      time.Unix(1000, 0),
 		reach:    map[uint32]map[*node]time.Time{},
 		unserved: map[uint32]time.Duration{},
+		leases:   map[sequoiatable.IncarnationID]time.Time{},
 		tables:   map[uint64]*sequoiatable.Table{},
 	}
 }
@@ -257,6 +260,17 @@
 	return total
 }
 
+// settled is served, after the end of a planned move that may be in progress; it closes its keys for about 50 ms.
+func (f *fleet) settled() int {
+	for range 20 {
+		if f.served() == testShards {
+			break
+		}
+		f.run(10 * time.Millisecond)
+	}
+	return f.served()
+}
+
 func (n *node) index() uint64 {
 	if n.snapshot == nil {
 		return 0
@@ -308,6 +322,8 @@
 		f.send(n, a)
 	case Append:
 		f.append(n, a.Entry)
+	case RenewLease:
+		f.renewLease(n, a)
 	case ReadLog:
 		f.read(n, a.After)
 	case WatchLog:
@@ -397,3 +413,23 @@
 		})
 	})
 }
+
+// renewLease is the store's side of StoreLeases. Every watching node is told when a lease has ended.
+func (f *fleet) renewLease(n *node, a RenewLease) {
+	f.after(f.delay(), func() {
+		if !f.storeAnswers(n) {
+			f.after(storeWait, func() { n.step(f, LeaseRenewed{a.Incarnation, a.Sequence, errStoreDown}) })
+			return
+		}
+		end := f.now.Add(DefaultTimings().Lease)
+		f.leases[a.Incarnation] = end
+		f.after(f.delay(), func() { n.step(f, LeaseRenewed{a.Incarnation, a.Sequence, nil}) })
+		f.after(DefaultTimings().Lease, func() {
+			for _, other := range f.nodes {
+				if f.leases[a.Incarnation].Equal(end) && f.storeAnswers(other) {
+					other.step(f, LeaseExpired{a.Incarnation})
+				}
+			}
+		})
+	})
+}
--- a/internal/sequoiacontrol/log.go
+++ b/internal/sequoiacontrol/log.go
@@ -78,6 +78,8 @@
 	witnesses bool
 	revoked   sequoiatable.IncarnationID
 	move      *move
+	// merge is the service of a Merge change.
+	merge     string
 	configure *command
 }
 
@@ -369,6 +371,7 @@
 	c.wantTakeovers(b)
 	c.wantInitial(b)
 	c.wantMoves(b)
+	c.wantMerges(b)
 	c.wantConfiguration(b)
 	return b.changes, b.origins
 }
--- a/internal/sequoiacontrol/message.go
+++ b/internal/sequoiacontrol/message.go
@@ -105,7 +105,10 @@
 	Service     string
 	// BusySlots is the mean number of requests in progress.
 	BusySlots float64
-	Slots     int
+	// ReportedBusySlots is what the upstream's own load endpoint says, if HasReport is set.
+	ReportedBusySlots float64
+	HasReport         bool
+	Slots             int
 	// Requests is the number of requests per second.
 	Requests float64
 	// Keys and Shards list those that cause the most load, highest first, a bounded number of each.
--- a/internal/sequoiacontrol/move.go
+++ b/internal/sequoiacontrol/move.go
@@ -43,9 +43,13 @@
 
 // release starts a planned move of the part of the keys that this process owns and is not moving already.
 func (c *Core) release(r *Release) {
+	if r.To == c.self {
+		c.mergeKeys(r.Keys)
+		return
+	}
 	keys := r.Keys.ownedBy(c.table, c.self)
 	target := c.live(r.To)
-	if keys.empty() || target == nil || target.Service != keys.Service || r.To == c.self {
+	if keys.empty() || target == nil || target.Service != keys.Service {
 		return
 	}
 	if c.store.failing || c.selfRevoke || c.conflicts(keys) {
@@ -59,6 +63,10 @@
 // conflicts reports whether a move in progress concerns some of the keys, directly or through a hot key's shard.
 func (c *Core) conflicts(keys KeySet) bool {
 	s := c.table.Service(keys.Service)
+	merging := KeySet{Service: keys.Service, Keys: c.merges[keys.Service]}
+	if overlap(s, keys, merging) || overlap(s, merging, keys) {
+		return true
+	}
 	for _, m := range c.moves {
 		if m.keys.Service != keys.Service {
 			continue
--- a/internal/sequoiacontrol/takeover.go
+++ b/internal/sequoiacontrol/takeover.go
@@ -219,6 +219,9 @@
 	if len(in.Upstreams) == 0 {
 		return
 	}
+	if kind == sequoiatable.AssignTakeover {
+		in.AvoidFailureDomain = c.table.Member(from).FailureDomain
+	}
 	for _, m := range c.opt.policy.Place(in, from, set.Shards, set.Keys) {
 		if len(m.Shards) == 0 && len(m.Keys) == 0 {
 			continue
