Correct comments that state figures without a run

Three comments gave sizes and times that no run had produced. They now state the reason without a figure.

--- a/internal/sequoiastandin/load.go
+++ b/internal/sequoiastandin/load.go
@@ -19,7 +19,7 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiachecker"
 )
 
-// Limits of a load run. A caller's record takes about 0.5 KB, so the records of the longest run take about 1 GB.
+// Limits of a load run. maxLoadRequests bounds the memory of the callers' records, which include the answers.
 const (
 	maxLoadCallers  = 10_000
 	maxLoadRequests = 2_000_000
--- a/internal/sequoiastore/client.go
+++ b/internal/sequoiastore/client.go
@@ -21,8 +21,8 @@
 
 // Defaults of a client.
 const (
-	// DefaultCallTimeout bounds one call. It is above the 95th percentile of a slow store and below the time after
-	// which a caller of the core gives up.
+	// DefaultCallTimeout bounds one call, so that a connection that went silent is given up. The store usually answers
+	// within milliseconds.
 	DefaultCallTimeout = 2 * time.Second
 	// DefaultTrimPause separates the deletions of a trim: 100 a second leave the store's write limit of several hundred
 	// a second to others.
--- a/internal/sequoiatable/checkpoint.go
+++ b/internal/sequoiatable/checkpoint.go
@@ -14,7 +14,8 @@
 //	magic "SQCP" | version, 1 byte | part number, 4 | number of parts, 4 | log index, 8 | xxHash64 of all content, 8
 //
 // Numbers are big-endian. The owner of an assignment is written as its position in the list of members plus one, zero
-// for none, and the columns of the assignments are written separately: 13 instead of 40 bytes for a shard.
+// for none, and the columns of the assignments are written separately, which is several times smaller than a list of
+// assignments with field names.
 const (
 	checkpointMagic   = "SQCP"
 	checkpointVersion = 1
