Add the JSON decision log

Each routing or placement decision is one line, written by a goroutine of its own with the time of the decision. Placement lines have their own buffer and are never dropped: when 16,384 wait, the deciding goroutine waits too. An unbounded buffer was ruled out because a stuck output would use up the process's memory. Routing lines beyond the rate, or beyond their buffer, are counted per reason in one summary line per second, as are rejected peers.

--- /dev/null
+++ b/internal/sequoialog/logger_test.go
@@ -0,0 +1,131 @@
+package sequoialog_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
+	"github.com/pkg/errors"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoialog"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
+)
+
+func TestLog(t *testing.T) {
+	RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "sequoialog")
+}
+
+var start = time.Date(2026, 3, 4, 5, 6, 7, 890123456, time.FixedZone("", 3600))
+
+// lines closes l and decodes what it wrote.
+func lines(l *sequoialog.Logger, out *bytes.Buffer) []map[string]any {
+	l.Close()
+	var decoded []map[string]any
+	d := json.NewDecoder(out)
+	for d.More() {
+		var line map[string]any
+		Expect(d.Decode(&line)).To(Succeed())
+		decoded = append(decoded, line)
+	}
+	return decoded
+}
+
+var _ = ginkgo.Describe("Logger", func() {
+	var out *bytes.Buffer
+	var clock *sequoiatimer.ManualClock
+	var timers *sequoiatimer.Service
+
+	ginkgo.BeforeEach(func() {
+		out = &bytes.Buffer{}
+		clock = sequoiatimer.NewManualClock(start)
+		timers = sequoiatimer.New(sequoiatimer.WithClock(clock.Clock()))
+	})
+
+	ginkgo.It("writes every field, with the time of the decision rather than of the write", func() {
+		l := sequoialog.New(out, sequoialog.WithTimers(timers))
+		l.Placement(sequoialog.Decision{
+			Name: "Takeover", Service: "dispatch", Key: "k\"\n", Shards: []uint32{7, 0, 1, 2, 9}, Owner: 0xab, Previous: 1,
+			Epoch: 12, Outcome: "Assigned", Reason: "LeaseEnded",
+		})
+		clock.Advance(time.Hour)
+		Expect(lines(l, out)).To(Equal([]map[string]any{{
+			"time": "2026-03-04T04:06:07.890123Z", "level": "info", "msg": "placement", "Decision": "Takeover",
+			"Service": "dispatch", "Key": "k\"\n", "Shards": "0-2,7,9", "Owner": "00000000000000ab",
+			"Previous": "0000000000000001", "Epoch": 12.0, "Outcome": "Assigned", "Reason": "LeaseEnded",
+		}}))
+	})
+
+	ginkgo.It("accounts for every routing decision beyond the rate in a summary, so that none is lost silently", func() {
+		l := sequoialog.New(out, sequoialog.WithTimers(timers), sequoialog.WithRate(2))
+		for range 5 {
+			l.Routing(sequoialog.Decision{Outcome: "NotRun", Reason: "NotOwner"})
+		}
+		l.Routing(sequoialog.Decision{Outcome: "Answered"})
+		l.PeerRejected(netip.MustParseAddrPort("127.0.0.1:1"), errors.New("wrong key"))
+		written := lines(l, out)
+		Expect(written).To(HaveLen(3))
+		Expect(written[2]).To(HaveKeyWithValue("Lines", 5.0))
+		Expect(written[2]).To(HaveKeyWithValue("Reasons", map[string]any{"NotOwner": 3.0, "Answered": 1.0, "PeerRejected": 1.0}))
+	})
+
+	ginkgo.It("admits routing lines again in the next second", func() {
+		out := gbytes.NewBuffer()
+		l := sequoialog.New(out, sequoialog.WithTimers(timers), sequoialog.WithRate(1))
+		defer l.Close()
+		l.Routing(sequoialog.Decision{Reason: "A"})
+		Eventually(func() string {
+			clock.Advance(time.Second)
+			l.Routing(sequoialog.Decision{Reason: "B"})
+			return string(out.Contents())
+		}).Should(ContainSubstring(`"Reason":"B"`))
+	})
+
+	ginkgo.It("drops no placement decision when the output is slow and the buffer is full", func() {
+		r, w := io.Pipe()
+		l := sequoialog.New(w, sequoialog.WithTimers(timers))
+		const n = 20000
+		go func() {
+			for range n {
+				l.Placement(sequoialog.Decision{Name: "Move"})
+			}
+			l.Close()
+			_ = w.Close()
+		}()
+		time.Sleep(50 * time.Millisecond)
+		all, err := io.ReadAll(r)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(bytes.Count(all, []byte("\n"))).To(Equal(n))
+	})
+})
+
+// BenchmarkLine measures the whole cost of one line, formatting included.
+func BenchmarkLine(b *testing.B) {
+	l := sequoialog.New(io.Discard)
+	d := sequoialog.Decision{
+		Name: "Route", Service: "dispatch", Key: "booking-12345678", Owner: 0xabcdef, Epoch: 123456, Outcome: "Answered",
+		Reason: "Owner",
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Placement(d)
+	}
+	l.Close()
+}
+
+// BenchmarkSuppressed measures what the deciding goroutine pays for a line beyond the rate.
+func BenchmarkSuppressed(b *testing.B) {
+	l := sequoialog.New(io.Discard, sequoialog.WithRate(0))
+	d := sequoialog.Decision{Outcome: "Answered", Reason: "Owner"}
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Routing(d)
+	}
+	l.Close()
+}
