Add CloseAll for the end of a drain

Cause: CloseKeys with All, which the control core has gained, also covers requests without a key, for which there is no key set.

Ruled out: holding these requests as CloseKeys does, since the keys are not coming back; they are answered NotRun and run elsewhere.

--- a/internal/sequoiarouter/admit.go
+++ b/internal/sequoiarouter/admit.go
@@ -175,7 +175,7 @@
 		return ReasonLeaseEnded
 	case r.upstream == nil || r.upstream.service != w.req.Service:
 		return ReasonNoUpstream
-	case !w.keyed && (r.upstream.draining || r.snapshot.Draining):
+	case !w.keyed && (r.upstream.draining || r.snapshot.Draining), r.closedToAll():
 		return ReasonDraining
 	case !now.Before(w.req.Deadline):
 		return ReasonDeadlinePassed
--- a/internal/sequoiarouter/move.go
+++ b/internal/sequoiarouter/move.go
@@ -15,6 +15,8 @@
 
 // closedMove is a set of keys that are closed until their move has ended.
 type closedMove struct {
+	// all closes the whole process at the end of a drain.
+	all     bool
 	service string
 	shards  map[uint32]struct{}
 	keys    map[string]struct{}
@@ -73,6 +75,36 @@
 	})
 }
 
+// CloseAll refuses new and queued requests, those without a key included, and calls drained once none is in progress.
+// It is used at the end of a drain, when other processes own all keys; a refused request is sent to one of them.
+func (r *Router) CloseAll(now time.Time, move uint64, drained func()) {
+	r.locked(func() {
+		if r.snapshot == nil || r.moves[move] != nil {
+			return
+		}
+		m := newClosedMove(sequoiacontrol.KeySet{})
+		m.all = true
+		m.drained = func([]sequoiacontrol.Identifier) { drained() }
+		r.moves[move] = m
+		for t := range r.active {
+			t.closing = append(t.closing, m)
+			m.pending++
+		}
+		r.pump(now)
+		r.checkDrained(now, m)
+	})
+}
+
+// closedToAll reports whether the process has been closed by CloseAll.
+func (r *Router) closedToAll() bool {
+	for _, m := range r.moves {
+		if m.all {
+			return true
+		}
+	}
+	return false
+}
+
 // holdQueued moves requests that wait for a slot to the closed keys. They lose their place as the first copy of their
 // identifier, so that nothing of a closed key counts as running.
 func (r *Router) holdQueued(now time.Time, m *closedMove, s *sequoiatable.ServiceTable) {
@@ -97,7 +129,10 @@
 	}
 	drained := m.drained
 	m.drained = nil
-	ids := r.memory.identifiers(now, r.snapshot.Table.Service(m.service), m)
+	var ids []sequoiacontrol.Identifier
+	if !m.all {
+		ids = r.memory.identifiers(now, r.snapshot.Table.Service(m.service), m)
+	}
 	r.call(func() { drained(ids) })
 }
 
--- a/internal/sequoiarouter/router_test.go
+++ b/internal/sequoiarouter/router_test.go
@@ -204,6 +204,18 @@
 		expectEnd(admit(next, start, request("a")), sequoiarouter.Answered, "")
 	})
 
+	ginkgo.It("ends a drain only after the last request, and starts no other", func() {
+		r := newRouter(1)
+		running, queued := admit(r, start, request("")), admit(r, start, request(""))
+		drained := 0
+		r.CloseAll(start, 9, func() { drained++ })
+		expectEnd(queued, sequoiarouter.NotRun, sequoiarouter.ReasonDraining)
+		expectEnd(admit(r, start, request("")), sequoiarouter.NotRun, sequoiarouter.ReasonDraining)
+		Expect(drained).To(BeZero())
+		r.Finish(start, running.ticket, answered(""))
+		Expect(drained).To(Equal(1))
+	})
+
 	ginkgo.It("runs held requests when the move failed and the keys stayed", func() {
 		r := newRouter(1)
 		r.CloseKeys(start, 7, keys, func([]sequoiacontrol.Identifier) {})
