--- a/internal/sequoiainstance/loop.go
+++ b/internal/sequoiainstance/loop.go
@@ -69,7 +69,9 @@
 
 func (in *Instance) closeKeys(a sequoiacontrol.CloseKeys) {
 	if a.All {
-		in.running.Go(func() { in.awaitIdle(a.Move) })
+		in.router.CloseAll(time.Now(), a.Move, func() {
+			in.running.Go(func() { in.awaitIdle(a.Move) })
+		})
 		return
 	}
 	in.router.CloseKeys(time.Now(), a.Move, a.Keys, func(ids []sequoiacontrol.Identifier) {
--- /dev/null
+++ b/internal/sequoiaproxy/announce.go
@@ -0,0 +1,176 @@
+package sequoiaproxy
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiacontrol"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
+)
+
+// Guarantee texts of the announce response.
+const (
+	guaranteeChecked = "Requests are fenced: the upstream rejects a request whose grant, epoch or deadline has passed, " +
+		"so a key has one owner even if the upstream freezes."
+	guaranteeUnchecked = "Requests are protected by deadlines only: an upstream that freezes during a request and " +
+		"commits it after Sequoia-Deadline, or a wall clock that is set back, can violate single ownership."
+)
+
+// Announcement is the body of POST /v1/announce.
+type Announcement struct {
+	Service      string
+	Address      netip.AddrPort
+	Slots        int
+	Connections  int
+	ChecksGrants bool
+	// Load and Healthy may be stale or wrong. They are shown in metrics and decide nothing.
+	Load     float64
+	Healthy  bool
+	Draining bool
+}
+
+// Grant is the response to an announcement. GrantMilliseconds counts from the moment the announcement was sent.
+type Grant struct {
+	Incarnation       sequoiatable.IncarnationID
+	GrantMilliseconds int64
+	Guarantee         string
+}
+
+// announcer follows the local upstream's announcements.
+type announcer struct {
+	mu      sync.Mutex
+	last    time.Time
+	current sequoiacontrol.Upstream
+	present bool
+	// goneFrom is the incarnation under which the upstream fell silent. It gets no further upstream: requests that
+	// the silent one has not finished may still run under it.
+	goneFrom sequoiatable.IncarnationID
+}
+
+// Errors of an announcement.
+var (
+	errInvalidAnnouncement = errors.New("the announcement is not valid")
+	errOtherUpstream       = errors.New("another upstream has announced itself to this process")
+	errIncarnationEnding   = errors.New("the upstream was silent; its incarnation is being revoked")
+)
+
+func (p *Proxy) serveAnnounce(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	var a Announcement
+	body, err := io.ReadAll(r.Body)
+	if err == nil {
+		err = json.Unmarshal(body, &a)
+	}
+	if err != nil {
+		writeError(w, r, http.StatusBadRequest, errors.Wrap(errInvalidAnnouncement, err.Error()))
+		return
+	}
+	if err := p.accept(now, a); err != nil {
+		status := http.StatusConflict
+		if errors.Is(err, errInvalidAnnouncement) {
+			status = http.StatusBadRequest
+		}
+		writeError(w, r, status, err)
+		return
+	}
+	writeJSON(w, r, p.grant(now, a))
+}
+
+func (p *Proxy) accept(now time.Time, a Announcement) error {
+	switch {
+	case a.Service == "":
+		return errors.Wrap(errInvalidAnnouncement, "Service is empty")
+	case !a.Address.IsValid() || a.Address.Port() == 0:
+		return errors.Wrap(errInvalidAnnouncement, "Address: want IP:port")
+	case a.Slots <= 0 || a.Connections <= 0:
+		return errors.Wrap(errInvalidAnnouncement, "Slots and Connections: want positive numbers")
+	}
+	u := sequoiacontrol.Upstream{
+		Service: a.Service, Address: a.Address, Slots: a.Slots, Connections: a.Connections,
+		ChecksGrants: a.ChecksGrants, Draining: a.Draining,
+	}
+	changed, err := p.announce.update(now, u, p.router.Snapshot(), p.silence)
+	if err != nil || !changed {
+		return err
+	}
+	p.upstream.SetMaxIdle(u.Connections)
+	p.router.SetUpstream(now, u)
+	if p.OnUpstream != nil {
+		p.OnUpstream(u)
+	}
+	return nil
+}
+
+func (a *announcer) update(
+	now time.Time, u sequoiacontrol.Upstream, s *sequoiacontrol.Snapshot, silence time.Duration,
+) (changed bool, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.present && a.current.Address != u.Address {
+		return false, errors.Wrap(errOtherUpstream, a.current.Address.String())
+	}
+	// An upstream that comes back before the next check for silence was silent too.
+	late := a.present && now.Sub(a.last) >= silence
+	ending := s != nil && a.goneFrom == s.Self && a.goneFrom != 0 && s.Table.Member(s.Self) != nil
+	if late || ending {
+		return false, errIncarnationEnding
+	}
+	changed = !a.present || a.current != u
+	a.present, a.current, a.last = true, u, now
+	return changed, nil
+}
+
+// checkSilence reports an upstream that has not announced itself in time.
+func (p *Proxy) checkSilence(now time.Time) {
+	a := &p.announce
+	a.mu.Lock()
+	if !a.present || now.Sub(a.last) < p.silence {
+		a.mu.Unlock()
+		return
+	}
+	gone := a.current
+	gone.Gone = true
+	a.present = false
+	a.goneFrom = 0
+	if s := p.router.Snapshot(); s != nil {
+		a.goneFrom = s.Self
+	}
+	a.mu.Unlock()
+	p.router.SetUpstream(now, gone)
+	if p.OnUpstream != nil {
+		p.OnUpstream(gone)
+	}
+}
+
+func (p *Proxy) grant(now time.Time, a Announcement) Grant {
+	g := Grant{Guarantee: guaranteeUnchecked}
+	if a.ChecksGrants {
+		g.Guarantee = guaranteeChecked
+	}
+	if s := p.router.Snapshot(); s != nil {
+		g.Incarnation = s.Self
+		g.GrantMilliseconds = max(0, s.LeaseEnd.Sub(now).Milliseconds())
+	}
+	return g
+}
+
+func writeError(w http.ResponseWriter, r *http.Request, status int, err error) {
+	writeBody(w, r, status, []byte(strconv.Quote(err.Error())+"\n"))
+}
+
+func writeJSON(w http.ResponseWriter, r *http.Request, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		writeError(w, r, http.StatusInternalServerError, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	writeBody(w, r, http.StatusOK, body)
+}
--- /dev/null
+++ b/internal/sequoiaproxy/upstream.go
@@ -0,0 +1,149 @@
+package sequoiaproxy
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiahttp"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
+)
+
+// runLocal waits for admission and calls the local upstream.
+func (p *Proxy) runLocal(ctx context.Context, req *sequoiarouter.Request) *sequoiarouter.Response {
+	admitted := make(chan sequoiarouter.Admission, 1)
+	cancel := p.router.Admit(time.Now(), req, func(a sequoiarouter.Admission) { admitted <- a })
+	var a sequoiarouter.Admission
+	select {
+	case a = <-admitted:
+	case <-ctx.Done():
+		cancel(time.Now())
+		a = <-admitted
+	}
+	if a.Response != nil {
+		return a.Response
+	}
+	resp := p.callUpstream(ctx, a.Ticket, req)
+	p.router.Finish(time.Now(), a.Ticket, resp)
+	return resp
+}
+
+func (p *Proxy) callUpstream(
+	ctx context.Context, t *sequoiarouter.Ticket, req *sequoiarouter.Request,
+) *sequoiarouter.Response {
+	ctx, cancel := context.WithDeadline(ctx, t.Deadline)
+	defer cancel()
+	resp, err := p.upstream.Do(ctx, t.Address, upstreamRequest(t, req, time.Now()))
+	if err != nil {
+		return failedCall(ctx, err)
+	}
+	if refused := resp.Header.Get(headerRefused); refused != "" {
+		return refusedCall(refused)
+	}
+	h := passedHeader(resp.Header)
+	if n := resp.Header.Get("Content-Length"); req.Method == http.MethodHead && n != "" {
+		h.Set("Content-Length", n)
+	}
+	return &sequoiarouter.Response{Outcome: sequoiarouter.Answered, Status: resp.Status, Header: h, Body: resp.Body}
+}
+
+func failedCall(ctx context.Context, err error) *sequoiarouter.Response {
+	resp := &sequoiarouter.Response{Outcome: sequoiarouter.Unknown}
+	if sequoiahttp.NotSent(err) {
+		resp.Outcome = sequoiarouter.NotRun
+	}
+	switch {
+	case errors.Is(err, sequoiahttp.ErrResponseTooLarge), errors.Is(err, sequoiahttp.ErrNotDelimited),
+		errors.Is(err, sequoiahttp.ErrProtocol):
+		resp.Reason = sequoiarouter.ReasonBadResponse
+	default:
+		resp.Reason = failureReason(ctx, sequoiarouter.ReasonUpstreamFailed)
+	}
+	return resp
+}
+
+func failureReason(ctx context.Context, reason string) string {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return sequoiarouter.ReasonDeadlinePassed
+	case ctx.Err() != nil:
+		return sequoiarouter.ReasonCancelled
+	}
+	return reason
+}
+
+// refusedCall maps Sequoia-Refused. Only the agreed values prove that the request was not run.
+func refusedCall(refused string) *sequoiarouter.Response {
+	switch refused {
+	case sequoiarouter.ReasonStaleGrant, sequoiarouter.ReasonShed, sequoiarouter.ReasonDraining,
+		sequoiarouter.ReasonDeadlinePassed:
+		return &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: refused}
+	}
+	return &sequoiarouter.Response{Outcome: sequoiarouter.Unknown, Reason: sequoiarouter.ReasonBadResponse}
+}
+
+func upstreamRequest(t *sequoiarouter.Ticket, req *sequoiarouter.Request, now time.Time) *sequoiahttp.Request {
+	h := passedHeader(req.Header)
+	if req.Key != "" {
+		h.Set(headerKey, req.Key)
+	}
+	if req.RequestID != "" {
+		h.Set(headerRequestID, req.RequestID)
+	}
+	h.Set(headerEpoch, strconv.FormatUint(uint64(t.Epoch), 10))
+	h.Set(headerIncarnation, t.Incarnation.String())
+	// The deadline's own wall clock reading may be from before the clock was set, so the remaining time is added to
+	// the present one.
+	h.Set(headerDeadline, strconv.FormatInt(now.Add(t.Deadline.Sub(now)).UnixMilli(), 10))
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = []string{""} // keeps net/http from adding its own
+	}
+	return &sequoiahttp.Request{
+		Method: req.Method, Path: req.Path, Host: hostOf(req.Header), Header: h, Body: req.Body,
+	}
+}
+
+func hostOf(h map[string][]string) string {
+	if v := h["Host"]; len(v) > 0 {
+		return v[0]
+	}
+	return ""
+}
+
+// hopByHop are the headers that concern one connection only. Host and Content-Length are written anew, and Expect has
+// been dealt with by the front.
+var hopByHop = map[string]struct{}{
+	"Connection": {}, "Keep-Alive": {}, "Proxy-Connection": {}, "Proxy-Authenticate": {}, "Proxy-Authorization": {},
+	"Te": {}, "Trailer": {}, "Transfer-Encoding": {}, "Upgrade": {}, "Host": {}, "Content-Length": {}, "Expect": {},
+}
+
+// passedHeader copies the headers that may cross the proxy. Headers of this system are set by it alone, also under
+// spellings with underscores, which some servers treat alike.
+func passedHeader(in map[string][]string) http.Header {
+	named := map[string]struct{}{}
+	for _, v := range in["Connection"] {
+		for _, name := range strings.Split(v, ",") {
+			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = struct{}{}
+		}
+	}
+	out := make(http.Header, len(in)+6)
+	for k, vs := range in {
+		c := http.CanonicalHeaderKey(k)
+		if _, drop := hopByHop[c]; drop {
+			continue
+		}
+		if _, drop := named[c]; drop || reserved(c) {
+			continue
+		}
+		out[c] = append(out[c], vs...)
+	}
+	return out
+}
+
+func reserved(name string) bool {
+	return strings.HasPrefix(strings.ToLower(strings.ReplaceAll(name, "_", "-")), headerPrefix)
+}
