Put configuration changes in force in the data path and for placement

Cause: an applied configuration reached every table, but the router, the front and the balancing decisions kept the defaults they started with. Ruled out: reading the document on each request; it is parsed once per revision. Conclusion: limits are per service; the resend window stays while an upstream is silent, because a shorter one would forget identifiers too early.

--- a/internal/sequoiacontrol/core.go
+++ b/internal/sequoiacontrol/core.go
@@ -277,7 +277,9 @@
 
 // input describes the members that may be given keys of the service.
 func (c *Core) input(service string) sequoiaplacement.Input {
-	in := sequoiaplacement.Input{Table: c.table.Service(service), SinceLastMove: c.now.Sub(c.started)}
+	in := sequoiaplacement.Input{
+		Table: c.table.Service(service), SinceLastMove: c.now.Sub(c.started), Tuning: c.opt.tuning(service),
+	}
 	if t, ok := c.lastMove[service]; ok {
 		in.SinceLastMove = c.now.Sub(t)
 	}
--- a/internal/sequoiacontrol/options.go
+++ b/internal/sequoiacontrol/options.go
@@ -96,6 +96,7 @@
 	contacts  []netip.AddrPort
 	timings   Timings
 	policy    Policy
+	tuning    func(service string) sequoiaplacement.Tuning
 	codec     TableCodec
 	random    func() uint64
 	authority func(c *Core) Authority
@@ -125,6 +126,11 @@
 	return func(o *options) { o.policy = p }
 }
 
+// WithTuning sets the source of the balancing parameters in force; without it the defaults apply.
+func WithTuning(f func(service string) sequoiaplacement.Tuning) Option {
+	return func(o *options) { o.tuning = f }
+}
+
 // WithTableCodec enables Checkpoint messages. Without it a peer that lacks trimmed entries has to read the store.
 func WithTableCodec(t TableCodec) Option {
 	return func(o *options) { o.codec = t }
@@ -144,6 +150,7 @@
 	return options{
 		timings:   DefaultTimings(),
 		policy:    Policy{Place: sequoiaplacement.Place, Balance: sequoiaplacement.Balance},
+		tuning:    func(string) sequoiaplacement.Tuning { return sequoiaplacement.Tuning{} },
 		random:    rand.Uint64,
 		authority: Witnesses,
 	}
--- a/internal/sequoiafleet/run.go
+++ b/internal/sequoiafleet/run.go
@@ -64,7 +64,7 @@
 // Run sends load to every service through the client package, does the faults on the way, and checks the invariants
 // from what the upstreams recorded.
 func (f *Fleet) Run(ctx context.Context, plan Plan) (*Result, error) {
-	client, err := sequoiaclient.New(f.callerAddresses())
+	client, err := sequoiaclient.New(f.Addresses())
 	if err != nil {
 		return nil, err
 	}
@@ -87,7 +87,8 @@
 	return result, err
 }
 
-func (f *Fleet) callerAddresses() []netip.AddrPort {
+// Addresses returns the addresses for callers of the live processes.
+func (f *Fleet) Addresses() []netip.AddrPort {
 	var addrs []netip.AddrPort
 	for _, n := range f.Nodes {
 		addrs = append(addrs, n.Settings.HTTP)
--- a/internal/sequoiainstance/instance.go
+++ b/internal/sequoiainstance/instance.go
@@ -52,11 +52,12 @@
 	history  *history
 	commands *commands
 
-	snapshot  atomic.Pointer[sequoiacontrol.Snapshot]
-	events    *queue[sequoiacontrol.Event]
-	stopWatch func()
-	stopped   chan struct{}
-	stopOnce  sync.Once
+	configuration atomic.Pointer[sequoiasettings.Configuration]
+	snapshot      atomic.Pointer[sequoiacontrol.Snapshot]
+	events        *queue[sequoiacontrol.Event]
+	stopWatch     func()
+	stopped       chan struct{}
+	stopOnce      sync.Once
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -124,6 +125,7 @@
 			Control: s.Control, Forward: s.Forward, HTTP: s.HTTP,
 		}),
 		sequoiacontrol.WithContacts(s.Contacts),
+		sequoiacontrol.WithTuning(in.tuning),
 		sequoiacontrol.WithTableCodec(sequoiacontrol.TableCodec{Encode: encodeTable, Decode: sequoiatable.DecodeCheckpoint}),
 	}
 	if s.Authority == sequoiasettings.AuthorityStoreLease {
--- a/internal/sequoiainstance/loop.go
+++ b/internal/sequoiainstance/loop.go
@@ -65,6 +65,9 @@
 		in.control.SetIncarnation(s.Self)
 	}
 	in.router.Publish(time.Now(), s)
+	if c := s.Table.Configuration; c.Revision != previous.Table.Configuration.Revision {
+		in.configure(c)
+	}
 }
 
 func (in *Instance) closeKeys(a sequoiacontrol.CloseKeys) {
--- a/internal/sequoiaproxy/front.go
+++ b/internal/sequoiaproxy/front.go
@@ -1,6 +1,7 @@
 package sequoiaproxy
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -226,6 +227,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "read the body")
 	}
+	if limit := p.router.Limits(req.Service).MaximumBodyBytes; limit > 0 && int64(len(body)) > limit {
+		return nil, errors.Errorf("the body has %d bytes; allowed: %d", len(body), limit)
+	}
 	req.Body = body
 	return req, nil
 }
@@ -245,7 +249,8 @@
 	default:
 		return errors.Errorf("%s %q: want true or false", headerRepeatable, v)
 	}
-	timeout := p.timeout
+	limits := p.router.Limits(req.Service)
+	timeout := cmp.Or(limits.Timeout, p.timeout)
 	if v := h.Get(headerTimeout); v != "" {
 		n, err := strconv.ParseUint(v, 10, 31)
 		if err != nil || n == 0 {
--- a/internal/sequoiaproxy/proxy.go
+++ b/internal/sequoiaproxy/proxy.go
@@ -129,7 +129,7 @@
 	done := p.metrics.begin()
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	p.router.BeginRequest()
+	p.router.BeginRequest(req.Service)
 	resp := p.attempts(ctx, req)
 	done()
 	p.metrics.end(req, resp, time.Since(started))
--- a/internal/sequoiarouter/admit.go
+++ b/internal/sequoiarouter/admit.go
@@ -157,7 +157,7 @@
 		r.endUnstarted(now, w, reason)
 		return
 	}
-	if len(r.queue) == 0 && len(r.active) < r.upstream.capacity {
+	if len(r.queue) == 0 && len(r.active) < r.capacity() {
 		r.start(now, w)
 		return
 	}
@@ -205,7 +205,7 @@
 			r.endUnstarted(now, w, reason)
 			continue
 		}
-		if len(r.active) < r.upstream.capacity {
+		if len(r.active) < r.capacity() {
 			r.start(now, w)
 			continue
 		}
@@ -374,7 +374,7 @@
 	if w.counted {
 		return true
 	}
-	if r.waiting >= r.cfg.maxQueue {
+	if r.waiting >= r.localLimits().Queued {
 		return false
 	}
 	r.waiting++
--- a/internal/sequoiarouter/budget.go
+++ b/internal/sequoiarouter/budget.go
@@ -27,18 +27,36 @@
 
 // Take takes the token of one retry. It returns false if there is none.
 func (b *RetryBudget) Take() bool {
-	if b.tokens < 1 {
+	if b.fraction < 0 || b.tokens < 1 {
 		return false
 	}
 	b.tokens--
 	return true
 }
 
-// BeginRequest counts a caller's request for the retry budget.
-func (r *Router) BeginRequest() {
+// BeginRequest counts a caller's request for the retry budget of its service.
+func (r *Router) BeginRequest(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.budget.Request()
+	if b := r.budget(service); b != nil {
+		b.Request()
+	}
+}
+
+// budget returns the retry budget of a service, nil for a service that the table does not have: callers' requests
+// must not grow the state.
+func (r *Router) budget(service string) *RetryBudget {
+	if r.snapshot == nil || r.snapshot.Table.Service(service) == nil {
+		return nil
+	}
+	fraction := r.limitsOf(service).RetryFraction
+	b := r.budgets[service]
+	if b == nil || b.fraction != fraction {
+		fresh := NewRetryBudget(fraction, r.cfg.retryBurst)
+		b = &fresh
+		r.budgets[service] = b
+	}
+	return b
 }
 
 // MayRetry decides whether a request that ended with resp is attempted again. Only a request that was not run, or one
@@ -52,7 +70,8 @@
 	if resp.Reason == ReasonNotOwner && r.snapshot != nil && resp.LogIndex > 0 {
 		return true
 	}
-	return r.budget.Take()
+	b := r.budget(req.Service)
+	return b != nil && b.Take()
 }
 
 // truthfulRetry reports whether another attempt cannot run a request twice that must not be repeated, and could end
--- a/internal/sequoiarouter/router.go
+++ b/internal/sequoiarouter/router.go
@@ -106,8 +106,8 @@
 type upstream struct {
 	service      string
 	address      netip.AddrPort
-	capacity     int
 	slots        int
+	connections  int
 	checksGrants bool
 	draining     bool
 }
@@ -127,10 +127,13 @@
 	moves    map[uint64]*closedMove
 	memory   memory
 	peers    map[sequoiatable.IncarnationID]*peerState
-	budget   RetryBudget
-	indexes  []indexSeen
-	load     loadMeter
-	waits    map[*indexWait]struct{}
+	budgets  map[string]*RetryBudget
+	limits   map[string]Limits
+	// localService is the service that the local upstream last announced.
+	localService string
+	indexes      []indexSeen
+	load         loadMeter
+	waits        map[*indexWait]struct{}
 }
 
 // New returns a Router that answers NotRun until it has a snapshot and an upstream.
@@ -148,7 +151,7 @@
 	}
 	return &Router{
 		cfg: cfg, active: map[*Ticket]struct{}{}, moves: map[uint64]*closedMove{}, memory: newMemory(),
-		peers: map[sequoiatable.IncarnationID]*peerState{}, budget: NewRetryBudget(cfg.retryFraction, cfg.retryBurst),
+		peers: map[sequoiatable.IncarnationID]*peerState{}, budgets: map[string]*RetryBudget{},
 		load: newLoadMeter(), waits: map[*indexWait]struct{}{},
 	}
 }
@@ -196,8 +199,9 @@
 	r.locked(func() {
 		r.upstream = nil
 		if !u.Gone {
+			r.localService = u.Service
 			r.upstream = &upstream{
-				service: u.Service, address: u.Address, capacity: min(u.Slots, u.Connections), slots: u.Slots,
+				service: u.Service, address: u.Address, slots: u.Slots, connections: u.Connections,
 				checksGrants: u.ChecksGrants, draining: u.Draining,
 			}
 		}
@@ -214,7 +218,7 @@
 			r.expireHeld(now, m)
 		}
 		r.expireFollowers(now)
-		r.memory.expire(now.Add(-r.cfg.resendWindow))
+		r.memory.expire(now.Add(-r.localLimits().ResendWindow))
 		if r.snapshot != nil {
 			r.sawIndex(now, r.snapshot.Table.Index)
 		}
@@ -258,7 +262,7 @@
 	if n == 0 || now.Sub(r.indexes[n-1].at) >= indexResolution {
 		r.indexes = append(r.indexes, indexSeen{now, index})
 	}
-	old := now.Add(-r.cfg.resendWindow)
+	old := now.Add(-r.localLimits().ResendWindow)
 	for len(r.indexes) > 1 && !r.indexes[1].at.After(old) {
 		r.indexes = r.indexes[1:]
 	}
@@ -272,7 +276,7 @@
 		return false
 	}
 	first := r.indexes[0]
-	return now.Sub(first.at) >= r.cfg.resendWindow && uint64(e) <= first.index
+	return now.Sub(first.at) >= r.localLimits().ResendWindow && uint64(e) <= first.index
 }
 
 // indexWait is a request that waits for the table to reach an index.
--- a/internal/sequoiarouter/router_test.go
+++ b/internal/sequoiarouter/router_test.go
@@ -253,7 +253,7 @@
 		failed := &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: sequoiarouter.ReasonUnreachable}
 		retries := 0
 		for range 1000 {
-			r.BeginRequest()
+			r.BeginRequest("dispatch")
 			if r.MayRetry(start, request(""), failed, 1) {
 				retries++
 			}
