--- a/internal/sequoiachecker/check.go
+++ b/internal/sequoiachecker/check.go
@@ -21,6 +21,10 @@
 	// Slow is the time above which an answered request counts as unavailable time of its key. Retries within a request
 	// otherwise hide an interruption. Zero counts only requests without an answer.
 	Slow time.Duration
+	// Departures are the planned stops, Configurations the accepted configurations and Seen what processes had in force.
+	Departures     []Departure
+	Configurations []Configuration
+	Seen           []ConfigurationSeen
 }
 
 // Kind is a kind of violation.
@@ -38,6 +42,15 @@
 	FalseNotRun Kind = "FalseNotRun"
 	// LostAssignments: an acknowledged assignment is not in the log.
 	LostAssignments Kind = "LostAssignments"
+	// LateWork: a departing upstream began a request later than the bound after it was told to stop.
+	LateWork Kind = "LateWork"
+	// Interrupted: a request in progress at a departing upstream did not take effect.
+	Interrupted Kind = "Interrupted"
+	// ConfigurationLate: an accepted configuration was not in force at a process within the bound.
+	ConfigurationLate Kind = "ConfigurationLate"
+	// ConfigurationReverted: a process went back to an older configuration, or a configuration was accepted that was
+	// made from an older one than the one in force.
+	ConfigurationReverted Kind = "ConfigurationReverted"
 )
 
 // Violation is one violation of an invariant.
@@ -69,6 +82,11 @@
 	WrongAnswers    int
 	FalseNotRun     int
 	LostAssignments int
+	LateWork        int
+	Interrupted     int
+	// ConfigurationLate and ConfigurationReverted count faults of the configuration.
+	ConfigurationLate     int
+	ConfigurationReverted int
 	// Unverified counts acknowledged assignments in entries that were trimmed.
 	Unverified int
 	// Violations describes up to 100 violations of each kind.
@@ -79,7 +97,8 @@
 
 // OK reports whether no invariant was violated.
 func (r *Report) OK() bool {
-	return r.DoubleOwned+r.RanTwice+r.WrongAnswers+r.FalseNotRun+r.LostAssignments == 0
+	owners := r.DoubleOwned + r.RanTwice + r.WrongAnswers + r.FalseNotRun + r.LostAssignments
+	return owners+r.LateWork+r.Interrupted+r.ConfigurationLate+r.ConfigurationReverted == 0
 }
 
 func (r *Report) counter(k Kind) *int {
@@ -92,6 +111,14 @@
 		return &r.WrongAnswers
 	case FalseNotRun:
 		return &r.FalseNotRun
+	case LateWork:
+		return &r.LateWork
+	case Interrupted:
+		return &r.Interrupted
+	case ConfigurationLate:
+		return &r.ConfigurationLate
+	case ConfigurationReverted:
+		return &r.ConfigurationReverted
 	}
 	return &r.LostAssignments
 }
@@ -111,6 +138,8 @@
 	r.checkRequests(run)
 	r.checkAnswers(run.Callers)
 	r.checkLog(run)
+	r.checkDepartures(run)
+	r.checkConfigurations(run)
 	r.Unavailable = unavailable(run)
 	return r
 }
--- a/internal/sequoiacontrol/command.go
+++ b/internal/sequoiacontrol/command.go
@@ -43,6 +43,9 @@
 
 func (c *Core) command(ev Command) {
 	cmd := &command{Command: ev, since: c.now}
+	if ev.Configure != nil && c.opt.removed.anyConfigurationBase {
+		ev.Configure.Base = c.table.Configuration.Revision
+	}
 	switch {
 	case ev.Configure != nil, ev.Move != nil:
 		c.commands = append(c.commands, cmd)
@@ -183,7 +186,7 @@
 		return
 	}
 	d := c.drain
-	if d.stopped {
+	if d.stopped || c.opt.removed.drainIgnored {
 		return
 	}
 	m := c.table.Member(c.self)
--- a/internal/sequoiacontrol/options.go
+++ b/internal/sequoiacontrol/options.go
@@ -83,14 +83,6 @@
 	Decode func(parts [][]byte) (*sequoiatable.Table, error)
 }
 
-// safeguards lets a test remove a rule to show that it detects the fault which the rule prevents.
-type safeguards struct {
-	takeoverWithoutPromises bool
-	leaseFromAnswer         bool
-	witnessSetAtOnce        bool
-	reopenUnknown           bool
-}
-
 type options struct {
 	member    sequoiatable.Member
 	contacts  []netip.AddrPort
--- a/internal/sequoiahttp/exchange.go
+++ b/internal/sequoiahttp/exchange.go
@@ -85,6 +85,8 @@
 	maxResponse int64
 	dialTimeout time.Duration
 	dialer      net.Dialer
+	// reuseCancelled is set by tests only.
+	reuseCancelled bool
 
 	mu      sync.Mutex
 	maxIdle int
@@ -111,6 +113,13 @@
 	return func(c *Client) { c.dialTimeout = d }
 }
 
+// WithReuseOfCancelled removes a safeguard, so that a test can show that it detects the fault which it prevents: the
+// connection of a cancelled request is used again, and the next request gets the late response. The product never uses
+// it.
+func WithReuseOfCancelled() Option {
+	return func(c *Client) { c.reuseCancelled = true }
+}
+
 // New returns a Client.
 func New(opts ...Option) *Client {
 	c := &Client{
@@ -139,12 +148,15 @@
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
+	stop := context.AfterFunc(ctx, func() { c.interrupt(cn) })
 	resp, reusable, err := cn.exchange(hr, c.maxResponse)
 	if !stop() {
 		reusable = false
 	}
-	if err != nil || !reusable {
+	if c.reuseCancelled && err != nil && ctx.Err() != nil {
+		_ = cn.SetReadDeadline(time.Time{})
+		c.put(addr, cn)
+	} else if err != nil || !reusable {
 		_ = cn.Close()
 	} else {
 		c.put(addr, cn)
@@ -158,6 +170,15 @@
 	return resp, nil
 }
 
+// interrupt ends an exchange in progress.
+func (c *Client) interrupt(cn *conn) {
+	if c.reuseCancelled {
+		_ = cn.SetReadDeadline(time.Now())
+		return
+	}
+	_ = cn.Close()
+}
+
 // SetMaxIdle changes the limit of idle connections to each address.
 func (c *Client) SetMaxIdle(n int) {
 	c.mu.Lock()
--- a/internal/sequoiainstance/instance.go
+++ b/internal/sequoiainstance/instance.go
@@ -71,6 +71,7 @@
 type options struct {
 	control []sequoiacontrol.Option
 	router  []sequoiarouter.Option
+	proxy   []sequoiaproxy.Option
 	adjust  func(c *sequoiapeer.Control, f *sequoiapeer.Forwarder)
 }
 
@@ -84,6 +85,11 @@
 	return func(o *options) { o.router = append(o.router, opts...) }
 }
 
+// WithProxy passes options to the proxy.
+func WithProxy(opts ...sequoiaproxy.Option) Option {
+	return func(o *options) { o.proxy = append(o.proxy, opts...) }
+}
+
 // WithTransport lets a test replace the dial and packet functions before the listeners open.
 func WithTransport(adjust func(c *sequoiapeer.Control, f *sequoiapeer.Forwarder)) Option {
 	return func(o *options) { o.adjust = adjust }
@@ -106,7 +112,7 @@
 	in.timers = sequoiatimer.New()
 	in.core = sequoiacontrol.New(append(in.coreOptions(), o.control...)...)
 	in.router = sequoiarouter.New(o.router...)
-	in.proxy = sequoiaproxy.New(in.router, sequoiaproxy.WithRegistry(in.metrics))
+	in.proxy = sequoiaproxy.New(in.router, append(o.proxy, sequoiaproxy.WithRegistry(in.metrics))...)
 	in.proxy.OnUpstream = func(u sequoiacontrol.Upstream) { in.post(u) }
 	in.proxy.OnDecision = in.logRequest
 	if err := in.connect(o.adjust); err != nil {
--- a/internal/sequoiaproxy/proxy.go
+++ b/internal/sequoiaproxy/proxy.go
@@ -62,6 +62,7 @@
 	stopped     sync.WaitGroup
 	stopOnce    sync.Once
 	fronts      fronts
+	removed     safeguards
 }
 
 // Option changes a setting of a Proxy.
@@ -102,7 +103,7 @@
 	for _, o := range opts {
 		o(p)
 	}
-	p.upstream = sequoiahttp.New(sequoiahttp.WithMaxResponse(p.maxResponse))
+	p.upstream = sequoiahttp.New(append(p.removed.upstream(), sequoiahttp.WithMaxResponse(p.maxResponse))...)
 	p.metrics = newMetrics(p.registry, router)
 	p.stopped.Go(p.run)
 	return p
@@ -218,7 +219,7 @@
 		Outcome: sequoiarouter.Unknown, Reason: failureReason(ctx, sequoiarouter.ReasonUnreachable),
 		Owner: target.Incarnation, Epoch: target.Epoch,
 	}
-	if p.NotSent(err) {
+	if p.NotSent(err) || p.removed.notSent {
 		resp.Outcome = sequoiarouter.NotRun
 	}
 	return resp
@@ -257,6 +258,9 @@
 // its response has been written. The end of a drain waits for it, since a process that has no keys left may still pass
 // on requests.
 func (p *Proxy) InProgress() int {
+	if p.removed.drainWait {
+		return 0
+	}
 	return int(p.inProgress.Load())
 }
 
--- a/internal/sequoiarouter/admit.go
+++ b/internal/sequoiarouter/admit.go
@@ -101,7 +101,7 @@
 
 // answerDuplicate ends or attaches a request whose identifier is retained.
 func (r *Router) answerDuplicate(w *waiter) bool {
-	if w.req.RequestID == "" || !w.keyed {
+	if w.req.RequestID == "" || !w.keyed || r.cfg.removed.identifiers {
 		return false
 	}
 	rec := r.memory.records[recordID{w.req.Service, w.key, w.req.RequestID}]
@@ -136,7 +136,7 @@
 	case uint64(first) > r.snapshot.Table.Index:
 		r.refuse(w, ReasonStaleTable, a)
 		return false
-	case first != 0 && first < a.Floor:
+	case first != 0 && first < a.Floor && !r.cfg.removed.floor:
 		r.settle(w, Admission{Response: r.respond(Unknown, ReasonBelowFloor, a)})
 		return false
 	case first == 0 && a.Floor != 0 && !r.older(now, a.Floor):
--- a/internal/sequoiarouter/move.go
+++ b/internal/sequoiarouter/move.go
@@ -124,7 +124,7 @@
 }
 
 func (r *Router) checkDrained(now time.Time, m *closedMove) {
-	if m.pending > 0 || m.drained == nil {
+	if m.pending > 0 && !r.cfg.removed.drainWait || m.drained == nil {
 		return
 	}
 	drained := m.drained
--- a/internal/sequoiarouter/router.go
+++ b/internal/sequoiarouter/router.go
@@ -60,6 +60,7 @@
 	retryBurst     float64
 	slowStart      time.Duration
 	rand           *rand.Rand
+	removed        safeguards
 }
 
 // Option changes a setting of a Router.
--- a/internal/sequoiastandin/upstream.go
+++ b/internal/sequoiastandin/upstream.go
@@ -52,6 +52,9 @@
 	ColdFactor float64
 	// AnswerPadding is the number of bytes added to each answer.
 	AnswerPadding int
+	// WithoutChecks removes the checks of grants, epochs and deadlines, though the upstream announces that it checks
+	// grants. A test shows with it that it detects the faults which the checks prevent.
+	WithoutChecks bool
 	// RecordFile receives the execution records as JSON lines if it is not empty.
 	RecordFile string
 }
@@ -343,6 +346,9 @@
 
 // check returns the reason why a request may not run or take effect.
 func (u *Upstream) check(q *request, deadline bool) string {
+	if u.cfg.WithoutChecks {
+		return ""
+	}
 	now := time.Now()
 	if deadline && q.expired(now) {
 		return refusedDeadlinePassed
@@ -360,7 +366,7 @@
 // work takes the service time. It returns false if the request was cancelled or the upstream was closed meanwhile.
 func (u *Upstream) work(r *http.Request, q *request) bool {
 	d := u.serviceTime(r)
-	if !q.deadline.IsZero() && !u.Faults().CommitsLate {
+	if !q.deadline.IsZero() && !u.Faults().CommitsLate && !u.cfg.WithoutChecks {
 		d = min(d, time.Until(q.deadline))
 	}
 	t := time.NewTimer(d)
