--- a/internal/sequoiacontrol/core_test.go
+++ b/internal/sequoiacontrol/core_test.go
@@ -70,6 +70,26 @@
 	f.storeDown = false
 }
 
+// replace stops, kills or freezes a random process and starts another one in its failure domain.
+func replace(f *fleet) {
+	n := f.nodes[f.random.IntN(len(f.nodes))]
+	switch f.random.IntN(3) {
+	case 0:
+		n.killed = true
+	case 1:
+		n.step(f, Command{ID: uint64(f.order), Drain: &Drain{Reason: "replace"}})
+	case 2:
+		n.frozen = true
+		f.run(600 * time.Millisecond)
+		n.step(f, Upstream{Gone: true})
+		f.run(time.Second)
+		n.frozen = false
+		n.step(f, Upstream{Service: testService, Slots: 6})
+		return
+	}
+	f.add(n.domain)
+}
+
 func (f *fleet) moveRandom() {
 	n := f.nodes[f.random.IntN(len(f.nodes))]
 	to := f.nodes[f.random.IntN(len(f.nodes))]
@@ -130,6 +150,22 @@
 		}
 	})
 
+	ginkgo.It("never occur while processes are replaced one after the other", func() {
+		for seed := range uint64(20) {
+			f := startFleet(seed, 6, 3)
+			f.loss, f.storeLoss = 0.02, 0.02
+			for range 10 {
+				replace(f)
+				f.run(time.Duration(2000+f.random.IntN(3000)) * time.Millisecond)
+				f.moveRandom()
+			}
+			f.loss, f.storeLoss = 0, 0
+			f.run(15 * time.Second)
+			Expect(f.violations).To(BeEmpty(), "seed %d", seed)
+			Expect(f.settled()).To(Equal(testShards), "seed %d", seed)
+		}
+	})
+
 	ginkgo.It("are detected if the takeover does not wait for the promises", func() {
 		Expect(findsViolation(10, cutOff)).To(BeFalse())
 		Expect(findsViolation(10, cutOff, without(safeguards{takeoverWithoutPromises: true}))).To(BeTrue())
