Keep nbio's own lines out of the log and test the service label

Cause: nbio prints its starts and stops in a format of its own, while the process's log has JSON lines only.

Callers choose the service name, so names that the table does not have share one metric label; a spec now guards this.

--- a/internal/sequoiaproxy/front.go
+++ b/internal/sequoiaproxy/front.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 
@@ -93,7 +94,11 @@
 	return p.listen(addr, mux)
 }
 
+// quietLibrary keeps nbio's own lines about starts and stops out of the process's log, which has JSON lines only.
+var quietLibrary = sync.OnceFunc(func() { logging.SetLevel(logging.LevelError) })
+
 func (p *Proxy) listen(addr netip.AddrPort, h http.Handler) (netip.AddrPort, error) {
+	quietLibrary()
 	ln, err := net.Listen("tcp", addr.String())
 	if err != nil {
 		return netip.AddrPort{}, errors.Wrapf(err, "listen on %s", addr)
--- a/internal/sequoiaproxy/proxy_test.go
+++ b/internal/sequoiaproxy/proxy_test.go
@@ -34,10 +34,11 @@
 
 // process is a proxy with its front, whose upstream is a raw TCP server.
 type process struct {
-	router *sequoiarouter.Router
-	proxy  *sequoiaproxy.Proxy
-	front  netip.AddrPort
-	local  netip.AddrPort
+	metrics *prometheus.Registry
+	router  *sequoiarouter.Router
+	proxy   *sequoiaproxy.Proxy
+	front   netip.AddrPort
+	local   netip.AddrPort
 }
 
 // table assigns the only shard of dispatch to owner. Members 1 and 2 exist.
@@ -61,8 +62,9 @@
 func newProcess(tb testing.TB, owner IncarnationID, opts ...sequoiaproxy.Option) *process {
 	r := sequoiarouter.New()
 	r.Publish(time.Now(), &sequoiacontrol.Snapshot{Table: table(owner), Self: 1, LeaseEnd: time.Now().Add(time.Minute)})
-	opts = append(opts, sequoiaproxy.WithSilence(time.Minute), sequoiaproxy.WithRegistry(prometheus.NewRegistry()))
-	p := &process{router: r, proxy: sequoiaproxy.New(r, opts...)}
+	reg := prometheus.NewRegistry()
+	opts = append(opts, sequoiaproxy.WithSilence(time.Minute), sequoiaproxy.WithRegistry(reg))
+	p := &process{metrics: reg, router: r, proxy: sequoiaproxy.New(r, opts...)}
 	var err error
 	if p.front, err = p.proxy.ListenCallers(loopback); err != nil {
 		tb.Fatal(err)
@@ -351,6 +353,23 @@
 		Expect(p.announce("127.0.0.1:2").StatusCode).To(Equal(200))
 	})
 
+	ginkgo.It("counts services that do not exist under one label, so that callers cannot add series without bound", func() {
+		p := newProcess(ginkgo.GinkgoTB(), 1)
+		for i := range 5 {
+			p.get(fmt.Sprintf("/s/none%d/", i), nil)
+		}
+		families, err := p.metrics.Gather()
+		Expect(err).NotTo(HaveOccurred())
+		for _, f := range families {
+			if f.GetName() == "sequoia_requests_total" {
+				Expect(f.GetMetric()).To(HaveLen(1))
+				Expect(f.GetMetric()[0].GetCounter().GetValue()).To(Equal(5.0))
+				return
+			}
+		}
+		ginkgo.Fail("sequoia_requests_total is not registered")
+	})
+
 	ginkgo.It("answers an unchanged table with 304 and stamps with the key's epoch", func() {
 		p := newProcess(ginkgo.GinkgoTB(), 1)
 		a := p.get("/v1/table", nil)
