--- a/internal/sequoiaplacement/choose.go
+++ b/internal/sequoiaplacement/choose.go
@@ -144,13 +144,21 @@
 // ringPoints is the number of points of an upstream on the ring.
 const ringPoints = 16
 
+// pointNames are hashed with an incarnation to give its points.
+var pointNames = func() (names [ringPoints]string) {
+	for p := range names {
+		names[p] = "point/" + strconv.Itoa(p)
+	}
+	return names
+}()
+
 func ringOwner(ids []sequoiatable.IncarnationID, name string) int {
 	at := hashPair(name, 0)
 	best, bestDistance := 0, ^uint64(0)
 	for i, id := range ids {
-		for p := range ringPoints {
+		for _, point := range pointNames {
 			// The subtraction wraps around, as the ring does.
-			if distance := hashPair("point/"+strconv.Itoa(p), id) - at; distance < bestDistance {
+			if distance := hashPair(point, id) - at; distance < bestDistance {
 				best, bestDistance = i, distance
 			}
 		}
