State the load age of an upstream that has no measurement

Cause: Upstream's zero value reads as a new measurement of no load, which makes an upstream that has not reported yet the first to receive keys.

Ruled out: treating a zero load of age zero as unknown, since an idle upstream that has just been measured looks the same and a joined one would not be filled.

Conclusion: callers set LoadAge to Tuning.StaleAfter or more where nothing has been measured.

--- a/internal/sequoiaplacement/plan.go
+++ b/internal/sequoiaplacement/plan.go
@@ -28,7 +28,8 @@
 	Slots int
 	// BusySlots is the mean number of requests in progress over the last reporting interval.
 	BusySlots float64
-	// LoadAge is the time since BusySlots, Keys and Shards were measured.
+	// LoadAge is the time since BusySlots, Keys and Shards were measured. Where nothing has been measured it has to
+	// be Tuning.StaleAfter or more: a load of zero that is new makes the upstream the first to receive keys.
 	LoadAge time.Duration
 	// ReportedBusySlots is what the upstream's own load endpoint says, if HasReport is set. It breaks ties only, and
 	// only while it agrees with BusySlots.
