--- a/internal/sequoiapeer/forward.go
+++ b/internal/sequoiapeer/forward.go
@@ -446,8 +446,8 @@
 	return c, nil
 }
 
-// remove forgets a connection that has ended and reports why if the peer is to blame.
-func (f *Forwarder) remove(c *forwardConn, reason error) {
+// remove forgets a connection that has ended.
+func (f *Forwarder) remove(c *forwardConn) {
 	f.mu.Lock()
 	delete(f.conns, c)
 	if p := f.pools[c.addr]; p != nil && c.dialed {
@@ -455,6 +455,10 @@
 		f.dropEmptyPool(c.addr)
 	}
 	f.mu.Unlock()
+}
+
+// blame counts and reports the end of a connection if the peer is at fault.
+func (f *Forwarder) blame(c *forwardConn, reason error) {
 	switch {
 	case errors.Is(reason, ErrUnauthenticated):
 		f.rejected.Add(1)
--- a/internal/sequoiapeer/forwardconn.go
+++ b/internal/sequoiapeer/forwardconn.go
@@ -212,6 +212,8 @@
 	serving := c.serving
 	c.serving = map[uint64]context.CancelFunc{}
 	c.mu.Unlock()
+	// The peer is counted before the requests that wait are told, so that they find it in the counts.
+	c.forwarder.blame(c, reason)
 	close(c.done)
 	_ = c.nb.Close()
 	for _, p := range calls {
@@ -223,7 +225,7 @@
 	if !authenticated {
 		c.forwarder.unauthenticated.Add(-1)
 	}
-	c.forwarder.remove(c, reason)
+	c.forwarder.remove(c)
 }
 
 // reason returns why the connection has ended, nil if it has not.
