Wait for an absent owner instead of spending the retry budget

Cause: while a lost owner's keys were taken over, each request to it was retried within about 70 ms and then ended NotRun, and the retries used up the budget. Ruled out: a larger budget; it would also multiply the load of an upstream that sheds. Conclusion: an attempt that reached no upstream takes no budget and is repeated when the table changes, for at most 2 s.

Also: the fleet kills a process and its upstream together, since the one closed last went on serving, and takes only ports that are free for TCP and UDP.

--- a/internal/sequoiafleet/fleet.go
+++ b/internal/sequoiafleet/fleet.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -190,8 +191,11 @@
 
 // Kill ends the process and the upstream of a node at once.
 func (n *Node) Kill() {
-	n.Process.Close()
-	n.Upstream.Close()
+	var closing sync.WaitGroup
+	// One after the other, the one closed last would go on serving while the first closes its listeners.
+	closing.Go(n.Process.Close)
+	closing.Go(n.Upstream.Close)
+	closing.Wait()
 	n.store.Close()
 	n.log.Close()
 }
@@ -264,19 +268,31 @@
 // freeAddresses returns loopback addresses whose TCP and UDP ports were free a moment ago.
 func freeAddresses(count int) ([]netip.AddrPort, error) {
 	var addrs []netip.AddrPort
-	var open []net.Listener
+	var open []io.Closer
 	defer func() {
-		for _, l := range open {
-			_ = l.Close()
+		for _, c := range open {
+			_ = c.Close()
 		}
 	}()
-	for range count {
+	for attempts := 0; len(addrs) < count; attempts++ {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return nil, errors.Wrap(err, "find a free port")
 		}
 		open = append(open, l)
-		addrs = append(addrs, l.Addr().(*net.TCPAddr).AddrPort())
+		addr := l.Addr().(*net.TCPAddr).AddrPort()
+		udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+		if err != nil && attempts < maxPortAttempts {
+			continue
+		}
+		if err != nil {
+			return nil, errors.Wrap(err, "find a free UDP port")
+		}
+		open = append(open, udp)
+		addrs = append(addrs, addr)
 	}
 	return addrs, nil
 }
+
+// maxPortAttempts bounds the search for ports that are free for both TCP and UDP.
+const maxPortAttempts = 100
--- a/internal/sequoiaproxy/proxy.go
+++ b/internal/sequoiaproxy/proxy.go
@@ -30,6 +30,8 @@
 	indexWait = 250 * time.Millisecond
 	// ownerWait is the bound of a takeover, 2 s.
 	ownerWait = 2 * time.Second
+	// absentRetry is the interval at which an owner that could not be reached is tried again.
+	absentRetry = 100 * time.Millisecond
 	// backoffBase is the pause before the first retry, doubled for each further one.
 	backoffBase = 10 * time.Millisecond
 )
@@ -142,12 +144,17 @@
 func (p *Proxy) attempts(ctx context.Context, req *sequoiarouter.Request) *sequoiarouter.Response {
 	var tried []sequoiatable.IncarnationID
 	mayHaveRun := false
+	patience := time.Now().Add(ownerWait)
 	for n := 1; ; n++ {
 		target, resp := p.routeToOwned(ctx, req, tried)
 		if resp == nil {
 			tried = append(tried, target.Incarnation)
 			resp = p.attempt(ctx, target, req)
 		}
+		if ownerAbsent(target, resp) && time.Now().Before(patience) && p.awaitOwner(ctx) {
+			n--
+			continue
+		}
 		mayHaveRun = mayHaveRun || resp.Outcome == sequoiarouter.Unknown
 		if ctx.Err() != nil || !p.router.MayRetry(time.Now(), req, resp, n) || !p.pause(ctx, resp, n) {
 			return truthful(resp, mayHaveRun)
@@ -179,6 +186,42 @@
 	}
 }
 
+// ownerAbsent reports whether a key's owner provably did not take a request because it cannot be reached or cannot
+// serve at present. Its keys are then taken over, or it returns. Epoch is zero for a request that may go to any
+// upstream.
+func ownerAbsent(t sequoiarouter.Target, resp *sequoiarouter.Response) bool {
+	if t.Epoch == 0 || resp.Outcome != sequoiarouter.NotRun {
+		return false
+	}
+	switch resp.Reason {
+	case sequoiarouter.ReasonUnreachable, sequoiarouter.ReasonLeaseEnded, sequoiarouter.ReasonNoUpstream,
+		sequoiarouter.ReasonUpstreamFailed:
+		return true
+	}
+	return false
+}
+
+// awaitOwner waits for a new table, or for a short time in which the owner may have returned. Such an attempt reached
+// no upstream, so it takes no retry budget; a budget would end requests during each takeover. It returns false if the
+// request's time is over.
+func (p *Proxy) awaitOwner(ctx context.Context) bool {
+	index := uint64(0)
+	if s := p.router.Snapshot(); s != nil {
+		index = s.Table.Index
+	}
+	changed := make(chan struct{})
+	defer p.router.WaitIndex(index+1, func() { close(changed) })()
+	t := time.NewTimer(absentRetry)
+	defer t.Stop()
+	select {
+	case <-changed:
+	case <-t.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // truthful turns NotRun into Unknown if an earlier attempt may have run.
 func truthful(resp *sequoiarouter.Response, mayHaveRun bool) *sequoiarouter.Response {
 	if resp.Outcome == sequoiarouter.NotRun && mayHaveRun {
--- a/pkg/sequoiaclient/client.go
+++ b/pkg/sequoiaclient/client.go
@@ -242,6 +242,9 @@
 		case sequoiarouter.ReasonBadRequest, sequoiarouter.ReasonKeyMissing, sequoiarouter.ReasonServiceUnknown,
 			sequoiarouter.ReasonDeadlinePassed:
 			return false
+		case sequoiarouter.ReasonUnreachable:
+			// Nothing was sent, so that the next process is the first one to have any work with the request.
+			return true
 		}
 	default:
 		if !k.req.Repeatable || k.req.RequestID != "" {
