Fix the causes of flaky runs of sequoiapeer and sequoiaproxy

Causes, and what was done:

- Hang: nbio's event loop clears its stop mark when its goroutine begins.
An engine stopped before that waits for ever in Stop, and the loop spins.
A loop of NewForwarder and Close hung within 10 s with GOMAXPROCS 1, 2 and 10, in Engine.Stop, with event loops in EpollWait.
The new package sequoiapoller waits for a byte through each event loop before the engine is used.
- Race in nbhttp between acceptor and poller: nbio hands connections over through the kernel only.
Our use does not cause it, and accepting ourselves does not avoid it by itself.
An atomic counter written in nbio's OnOpen, which it calls when the connection is complete and before epoll knows it, and read in OnData orders the accesses.
- Stats().Rejected was 0 and Connections 1 after Forward returned: close told the waiting requests before it changed the counts and the pool.
It changes them first now.
- The test with another key said both sides, but the server could not know: the client closed without a proof.
It now sends an empty one, which the server counts as unauthenticated.
The test checks for exactly 1 on both sides.
- Silent connection (test at fault): the relay passed on the close by the side that noticed the silence first.
A cut connection now stays silent for good, as in the design's failure model.
- A control message was dropped if the connection was lost between its choice and the send.
It goes to the next connection, once, because a peer that rejects this process closes each one.
- Silent control connection (test at fault): an acknowledgement in flight at the cut counts as a sign of life, so that the single message of the test was never missed.
A holder sends one every 250 ms.
The test cuts when nothing is on its way.

Ruled out: a close callback that nbio does not make, and a request that keeps Close waiting.

--- a/internal/sequoiapeer/control_test.go
+++ b/internal/sequoiapeer/control_test.go
@@ -44,6 +44,25 @@
 	return sequoiacontrol.Message{LogIndex: 7, Renew: &sequoiacontrol.Renew{Holder: 1, Witness: 2, Sequence: n}}
 }
 
+// awaitQuiet returns once no packet is on its way to c. One that was sent before a cut and arrives after it counts as a
+// sign of life, so that the silence is noticed only after the next message.
+func awaitQuiet(c *Control) {
+	ginkgo.GinkgoHelper()
+	packets := func() (n uint64) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for conn := range c.conns {
+			n += conn.ConnectionStats().PacketsReceived
+		}
+		return n
+	}
+	Eventually(func() bool {
+		before := packets()
+		time.Sleep(200 * time.Millisecond)
+		return packets() == before
+	}).WithTimeout(5 * time.Second).Should(BeTrue())
+}
+
 var _ = ginkgo.Describe("Control", func() {
 	ginkgo.It("delivers small and large messages with the sender's incarnation, over one connection in both directions", func() {
 		a, atA := startControl(testKey, 1, nil)
@@ -98,6 +117,7 @@
 		b, atB := startControl(testKey, 2, network)
 		a.Send(2, b.Addr(), renew(1))
 		Eventually(atB).Should(Receive())
+		awaitQuiet(a)
 		network.set(b.Addr(), true)
 		a.Send(2, b.Addr(), renew(2))
 		Eventually(func() uint64 { return a.Stats().Silent }).WithTimeout(2 * time.Second).Should(Equal(uint64(1)))
--- a/internal/sequoiapeer/forward.go
+++ b/internal/sequoiapeer/forward.go
@@ -15,6 +15,7 @@
 	"github.com/lesismal/nbio/logging"
 	"github.com/pkg/errors"
 
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiapoller"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
@@ -96,9 +97,6 @@
 	// opening counts goroutines that open connections, running those that serve requests.
 	opening, running sync.WaitGroup
 	unauthenticated  atomic.Int64
-	// published is written after a connection is constructed and read before the event loop uses it. nbio hands
-	// connections over through the kernel only, which does not order memory accesses for the Go memory model.
-	published atomic.Uint64
 
 	mu     sync.Mutex
 	conns  map[*forwardConn]struct{}
@@ -168,14 +166,18 @@
 		ReadBufferSize:     readBuffer,
 		MaxWriteBufferSize: maxWriteBuffer,
 	})
-	f.engine.OnData(func(nb *nbio.Conn, b []byte) {
-		f.published.Load()
-		nb.Session().(*forwardConn).receive(b)
+	loops := sequoiapoller.New(f.engine, func(nb *nbio.Conn, b []byte) { nb.Session().(*forwardConn).receive(b) })
+	f.engine.OnClose(func(nb *nbio.Conn, err error) {
+		if !sequoiapoller.Own(nb) {
+			nb.Session().(*forwardConn).close(lost(err))
+		}
 	})
-	f.engine.OnClose(func(nb *nbio.Conn, err error) { nb.Session().(*forwardConn).close(lost(err)) })
 	if err := f.engine.Start(); err != nil {
 		return nil, errors.Wrap(err, "start the event loops")
 	}
+	if err := loops.AwaitStart(); err != nil {
+		return nil, err
+	}
 	f.checks = f.timers.Every(checkInterval, func(time.Time) { f.check() })
 	return f, nil
 }
@@ -421,7 +423,6 @@
 	nb.SetSession(c)
 	hello := c.helloFrame()
 	f.unauthenticated.Add(1)
-	f.published.Add(1)
 	if _, err := f.engine.AddConn(nb); err != nil {
 		c.close(lost(err))
 		return nil, errors.Wrap(err, "use the connection")
@@ -446,7 +447,7 @@
 	return c, nil
 }
 
-// remove forgets a connection that has ended and reports why if the peer is to blame.
+// remove forgets a connection that has ended and counts why.
 func (f *Forwarder) remove(c *forwardConn, reason error) {
 	f.mu.Lock()
 	delete(f.conns, c)
@@ -458,9 +459,16 @@
 	switch {
 	case errors.Is(reason, ErrUnauthenticated):
 		f.rejected.Add(1)
-		f.Rejected(c.addr, reason)
 	case isWrongFrame(reason):
 		f.invalid.Add(1)
+	case errors.Is(reason, ErrSilent):
+		f.silent.Add(1)
+	}
+}
+
+// report tells why a connection has ended if the peer is to blame.
+func (f *Forwarder) report(c *forwardConn, reason error) {
+	if errors.Is(reason, ErrUnauthenticated) || isWrongFrame(reason) {
 		f.Rejected(c.addr, reason)
 	}
 }
--- a/internal/sequoiapeer/forward_test.go
+++ b/internal/sequoiapeer/forward_test.go
@@ -44,11 +44,14 @@
 	}
 }
 
-// relay passes bytes between a forwarder and addr until it is cut; then it drops them without a reset.
+// relay passes bytes between a forwarder and addr. cut makes the open connections silent for good, without a reset;
+// later ones work.
 type relay struct {
-	cut atomic.Bool
+	cuts atomic.Int64
 }
 
+func (r *relay) cut() { r.cuts.Add(1) }
+
 func (r *relay) dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 	listener, err := net.Listen("tcp", loopback.String())
 	if err != nil {
@@ -67,18 +70,23 @@
 	if err != nil {
 		return nil, err
 	}
-	cut := r.cut.Load
+	opened := r.cuts.Load()
+	cut := func() bool { return r.cuts.Load() != opened }
 	go pass(accepted, far, cut)
 	go pass(far, accepted, cut)
 	return near, nil
 }
 
+// pass drops the end of a connection too while it is cut. Otherwise the side that notices the silence first would tell
+// the other one by its close, which a network that has gone silent does not pass on.
 func pass(from, to net.Conn, cut func() bool) {
-	defer to.Close()
 	b := make([]byte, 4096)
 	for {
 		n, err := from.Read(b)
 		if err != nil {
+			if !cut() {
+				_ = to.Close()
+			}
 			return
 		}
 		if !cut() {
@@ -305,7 +313,8 @@
 		_, err := client.Forward(context.Background(), server.Addr(), request("k", 5*time.Second))
 		Expect(err).To(MatchError(ErrNotSent))
 		Expect(err).To(MatchError(ErrUnauthenticated))
-		Expect(client.Stats().Rejected).To(BeNumerically(">", 0))
+		Expect(client.Stats()).To(HaveField("Rejected", uint64(1)))
+		Eventually(server.Stats).Should(HaveField("Rejected", uint64(1)))
 	})
 
 	ginkgo.DescribeTable("rejects a client that has not proved that it holds the key, and runs nothing for it",
@@ -379,13 +388,12 @@
 		client.Dial = r.dial
 		_, err := client.Forward(context.Background(), server.Addr(), request("a", 5*time.Second))
 		Expect(err).NotTo(HaveOccurred())
-		r.cut.Store(true)
+		r.cut()
 		start := time.Now()
 		_, err = client.Forward(context.Background(), server.Addr(), request("b", time.Minute))
 		Expect(err).To(MatchError(ErrUnknown))
 		Expect(err).To(MatchError(ErrSilent))
 		Expect(time.Since(start)).To(BeNumerically("<", 4*time.Second))
-		r.cut.Store(false)
 		_, err = client.Forward(context.Background(), server.Addr(), request("c", 5*time.Second))
 		Expect(err).NotTo(HaveOccurred())
 		Eventually(server.Stats).WithTimeout(4 * time.Second).Should(HaveField("Silent", uint64(1)))
--- a/internal/sequoiapeer/forwardconn.go
+++ b/internal/sequoiapeer/forwardconn.go
@@ -212,6 +212,12 @@
 	serving := c.serving
 	c.serving = map[uint64]context.CancelFunc{}
 	c.mu.Unlock()
+	if !authenticated {
+		c.forwarder.unauthenticated.Add(-1)
+	}
+	// The pool and the counts are changed before a request on the connection ends, so that a caller that has seen the
+	// failure finds it in Stats and does not get the connection again.
+	c.forwarder.remove(c, reason)
 	close(c.done)
 	_ = c.nb.Close()
 	for _, p := range calls {
@@ -220,10 +226,7 @@
 	for _, cancel := range serving {
 		cancel()
 	}
-	if !authenticated {
-		c.forwarder.unauthenticated.Add(-1)
-	}
-	c.forwarder.remove(c, reason)
+	c.forwarder.report(c, reason)
 }
 
 // reason returns why the connection has ended, nil if it has not.
@@ -314,6 +317,8 @@
 	case c.state == stateChallenge && fr.kind == frameChallenge:
 		answer, err := c.challenge.answerChallenge(fr.payload)
 		if err != nil {
+			// An empty proof tells the server that the keys differ; a lost connection would not.
+			_ = c.write(encodeFrame(frameProof, 0, nil))
 			return err
 		}
 		if err := c.write(encodeFrame(frameProof, 0, answer)); err != nil {
@@ -466,7 +471,6 @@
 	case late:
 		c.close(errors.Wrap(ErrUnauthenticated, "handshake not finished in time"))
 	case silent > silentTicks:
-		c.forwarder.silent.Add(1)
 		c.close(errors.WithStack(ErrSilent))
 	case idle:
 		c.close(errors.WithStack(errIdle))
--- a/internal/sequoiapeer/link.go
+++ b/internal/sequoiapeer/link.go
@@ -141,16 +141,31 @@
 		if !ok {
 			return
 		}
-		conn := l.connect(&backoff)
-		for conn == nil && time.Since(m.at) <= maxQueueAge && l.control.ctx.Err() == nil {
-			conn = l.connect(&backoff)
-		}
-		if conn == nil || !l.send(conn, m) {
+		if !l.deliver(m, &backoff) {
 			l.control.dropped.Add(1)
 		}
 	}
 }
 
+// deliver sends a message, on another connection if the first one is lost before the message is sent on it. It returns
+// false if the message is lost. It tries only one other connection, because a peer that rejects this process closes
+// each one at once.
+func (l *link) deliver(m queued, backoff *time.Duration) bool {
+	replaced := false
+	for time.Since(m.at) <= maxQueueAge && l.control.ctx.Err() == nil {
+		conn := l.connect(backoff)
+		if conn == nil {
+			continue
+		}
+		sent, err := l.send(conn, m)
+		if replaced || !errors.Is(err, errReplaced) {
+			return sent
+		}
+		replaced = true
+	}
+	return false
+}
+
 // connect returns the current connection or dials one. After a failure the next call waits for the backoff.
 func (l *link) connect(backoff *time.Duration) *quic.Conn {
 	if conn := l.current(); conn != nil {
@@ -215,23 +230,28 @@
 	return conn, nil
 }
 
-// send sends a message on conn. It returns false if the message is lost.
-func (l *link) send(conn *quic.Conn, m queued) bool {
+// errReplaced reports a connection that is no longer the link's, on which nothing was sent.
+var errReplaced = errors.New("the connection was replaced")
+
+// send sends a message on conn. It returns false if the message is lost, and errReplaced if another connection is to be
+// used.
+func (l *link) send(conn *quic.Conn, m queued) (sent bool, err error) {
 	if len(m.b) > maxDatagram {
-		return l.sendStream(conn, m)
+		return l.sendStream(conn, m), nil
+	}
+	if !l.expectAnswer(conn, m) {
+		return false, errReplaced
 	}
-	noted := l.expectAnswer(conn, m)
-	err := conn.SendDatagram(m.b)
+	err = conn.SendDatagram(m.b)
 	var tooLarge *quic.DatagramTooLargeError
 	if errors.As(err, &tooLarge) {
-		return l.sendStream(conn, m)
+		return l.sendStream(conn, m), nil
 	}
-	if err != nil {
-		// A noted message is sent again when the closed connection is replaced.
-		return noted
+	if err == nil {
+		l.control.sent.Add(1)
 	}
-	l.control.sent.Add(1)
-	return true
+	// After another error the noted message is sent again when the closed connection is replaced.
+	return true, nil
 }
 
 // expectAnswer notes a datagram that is about to be sent, and starts the timer for the peer's silence. It returns
--- a/internal/sequoiaproxy/front.go
+++ b/internal/sequoiaproxy/front.go
@@ -12,10 +12,12 @@
 	"sync"
 	"time"
 
+	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiapoller"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
 )
@@ -114,11 +116,15 @@
 		IOMod: nbhttp.IOModNonBlocking, SupportServerOnly: true,
 		Listen: func(string, string) (net.Listener, error) { return ln, nil },
 	})
+	loops := sequoiapoller.New(e.Engine, func(c *nbio.Conn, b []byte) { c.DataHandler()(c, b) })
 	if err := e.Start(); err != nil {
 		_ = ln.Close()
 		return netip.AddrPort{}, errors.Wrapf(err, "listen on %s", addr)
 	}
 	p.fronts.add(e)
+	if err := loops.AwaitStart(); err != nil {
+		return netip.AddrPort{}, errors.Wrapf(err, "listen on %s", addr)
+	}
 	return bound, nil
 }
 
