Stamp a request anew while no attempt may have run

A stamp names the epoch that the first attempt that may have run saw. It was fixed at the first attempt that was sent, so a request whose every attempt was provably NotRun ended as Unknown (BelowFloor) after a takeover.

The client drops the stamp, and the start of the resend window, after a NotRun answer while nothing may have run. A process retries too but cannot know of the caller's earlier attempts, so it stamps anew only a request that carries the new header Sequoia-First-Attempt: true, which the client sends, and returns its stamp in Sequoia-First-Epoch. Stamping every request anew in the process was ruled out: a resend would be run twice after a takeover.

A Result whose outcome is not NotRun now counts as one that may have run in Resend. An outcome that a caller did not keep was taken as not run.

--- a/internal/sequoiaproxy/front.go
+++ b/internal/sequoiaproxy/front.go
@@ -28,6 +28,7 @@
 	headerKey         = "Sequoia-Key"
 	headerRequestID   = "Sequoia-Request-Id"
 	headerFirstEpoch  = "Sequoia-First-Epoch"
+	headerFirst       = "Sequoia-First-Attempt"
 	headerRepeatable  = "Sequoia-Repeatable"
 	headerTimeout     = "Sequoia-Timeout-Milliseconds"
 	headerOutcome     = "Sequoia-Outcome"
@@ -212,6 +213,9 @@
 	if r.Context().Err() != nil {
 		return
 	}
+	if req.RequestID != "" && req.FirstEpoch != 0 {
+		w.Header().Set(headerFirstEpoch, strconv.FormatUint(uint64(req.FirstEpoch), 10))
+	}
 	writeResponse(w, r, resp)
 }
 
@@ -253,12 +257,12 @@
 		}
 		req.FirstEpoch = sequoiatable.Epoch(n)
 	}
-	switch v := h.Get(headerRepeatable); v {
-	case "", "false":
-	case "true":
-		req.Repeatable = true
-	default:
-		return errors.Errorf("%s %q: want true or false", headerRepeatable, v)
+	var err error
+	if req.Repeatable, err = parseFlag(h, headerRepeatable); err != nil {
+		return err
+	}
+	if req.FirstAttempt, err = parseFlag(h, headerFirst); err != nil {
+		return err
 	}
 	limits := p.router.Limits(req.Service)
 	timeout := cmp.Or(limits.Timeout, p.timeout)
@@ -273,6 +277,18 @@
 	return nil
 }
 
+// parseFlag returns false for a header that is not set.
+func parseFlag(h http.Header, name string) (bool, error) {
+	switch v := h.Get(name); v {
+	case "", "false":
+		return false, nil
+	case "true":
+		return true, nil
+	default:
+		return false, errors.Errorf("%s %q: want true or false", name, v)
+	}
+}
+
 // writeResponse writes the end of a request to the caller.
 func writeResponse(w http.ResponseWriter, r *http.Request, resp *sequoiarouter.Response) {
 	h := w.Header()
--- a/internal/sequoiaproxy/proxy.go
+++ b/internal/sequoiaproxy/proxy.go
@@ -124,6 +124,7 @@
 }
 
 // Do carries out a caller's request: it routes, forwards at most once per attempt, and retries where that is truthful.
+// It leaves the stamp of the first attempt that may have run in req.
 func (p *Proxy) Do(ctx context.Context, req *sequoiarouter.Request) *sequoiarouter.Response {
 	started := time.Now()
 	done := p.metrics.begin()
@@ -146,8 +147,11 @@
 		target, resp := p.routeToOwned(ctx, req, tried)
 		if resp == nil {
 			tried = append(tried, target.Incarnation)
-			resp = p.attempt(ctx, target, req)
+			req.Stamp(target.Epoch)
+			out := *req
+			resp = p.attempt(ctx, target, &out)
 		}
+		req.Attempted(resp)
 		mayHaveRun = mayHaveRun || resp.Outcome == sequoiarouter.Unknown
 		if ctx.Err() != nil || !p.router.MayRetry(time.Now(), req, resp, n) || !p.pause(ctx, resp, n) {
 			return truthful(resp, mayHaveRun)
--- a/internal/sequoiaproxy/proxy_test.go
+++ b/internal/sequoiaproxy/proxy_test.go
@@ -216,6 +216,50 @@
 		expectOutcome(p.get("/s/dispatch/", nil), 200, "Answered", "")
 	})
 
+	ginkgo.It("stamps a first attempt anew while nothing may have run, and never changes the stamp of one that may have", func() {
+		p := newProcess(ginkgo.GinkgoTB(), 2)
+		revoked, _, _ := table(2).Apply(Entry{Index: 5, Writer: 1, Changes: []Change{{Revoke: &Revoke{Incarnation: 2}}}})
+		taken, _, _ := revoked.Apply(Entry{Index: 6, Writer: 1, Changes: []Change{{Assign: &Assign{
+			Service: "dispatch", Kind: AssignTakeover, From: 2, To: 1, Shards: []uint32{0},
+		}}}})
+		var runs atomic.Int32
+		serve(ginkgo.GinkgoTB(), p, func(c net.Conn, r *bufio.Reader) {
+			_, _ = http.ReadRequest(r)
+			runs.Add(1)
+			reply(c, 200, "ok")
+		})
+		unsent := errors.New("not sent")
+		fail := unsent
+		var stamps []Epoch
+		p.proxy.NotSent = func(err error) bool { return errors.Is(err, unsent) }
+		p.proxy.Forward = func(_ context.Context, _ netip.AddrPort, req *sequoiarouter.Request) (*sequoiarouter.Response, error) {
+			stamps = append(stamps, req.FirstEpoch)
+			p.router.Publish(time.Now(), &sequoiacontrol.Snapshot{Table: taken, Self: 1, LeaseEnd: time.Now().Add(time.Minute)})
+			return nil, fail
+		}
+		restore := func() {
+			p.router.Publish(time.Now(), &sequoiacontrol.Snapshot{Table: table(2), Self: 1, LeaseEnd: time.Now().Add(time.Minute)})
+		}
+		header := func(id, first string) map[string]string {
+			return map[string]string{"Sequoia-Request-Id": id, "Sequoia-First-Epoch": "4", "Sequoia-First-Attempt": first}
+		}
+		a := p.get("/s/dispatch/", header("a", "true"))
+		expectOutcome(a, 200, "Answered", "")
+		Expect(a.Header.Get("Sequoia-First-Epoch")).To(Equal("6"))
+		Expect(stamps).To(Equal([]Epoch{4}))
+
+		restore()
+		a = p.get("/s/dispatch/", header("b", "false"))
+		expectOutcome(a, 504, "Unknown", sequoiarouter.ReasonBelowFloor)
+
+		restore()
+		fail = errors.New("reset")
+		a = p.get("/s/dispatch/", header("c", "true"))
+		expectOutcome(a, 504, "Unknown", sequoiarouter.ReasonUnreachable)
+		Expect(a.Header.Get("Sequoia-First-Epoch")).To(Equal("4"))
+		Expect(runs.Load()).To(Equal(int32(1)))
+	})
+
 	ginkgo.DescribeTable("never passes on a response that is not provably whole",
 		func(raw string) {
 			p := newProcess(ginkgo.GinkgoTB(), 1, sequoiaproxy.WithMaxResponse(100))
--- a/internal/sequoiarouter/request.go
+++ b/internal/sequoiarouter/request.go
@@ -41,8 +41,11 @@
 	Key string
 	// RequestID is set on requests that must not be repeated.
 	RequestID string
-	// FirstEpoch is the epoch that the first attempt saw, zero if the caller did not say.
+	// FirstEpoch is the epoch that the first attempt that may have run saw, zero if the caller did not say.
 	FirstEpoch sequoiatable.Epoch
+	// FirstAttempt is true while no attempt may have run, as far as the caller and this process know. It is not passed
+	// on to other processes.
+	FirstAttempt bool
 	// Repeatable is true for a request that may be run more than once.
 	Repeatable bool
 	// Deadline is on this process's clock. Between processes the remaining time is sent.
@@ -56,6 +59,19 @@
 	Body   []byte
 }
 
+// Stamp sets the stamp of the next attempt, which goes to the owner by the assignment with this epoch. Once an attempt
+// may have run the stamp does not change, because an owner by a later takeover could not tell that it may have.
+func (req *Request) Stamp(epoch sequoiatable.Epoch) {
+	if req.FirstAttempt && req.RequestID != "" {
+		req.FirstEpoch = max(req.FirstEpoch, epoch)
+	}
+}
+
+// Attempted notes the end of an attempt for Stamp.
+func (req *Request) Attempted(resp *Response) {
+	req.FirstAttempt = req.FirstAttempt && resp.Outcome == NotRun
+}
+
 // Response is the end of a request.
 type Response struct {
 	Outcome Outcome
--- a/internal/sequoiarouter/router_test.go
+++ b/internal/sequoiarouter/router_test.go
@@ -129,6 +129,24 @@
 		Expect(second.ticket).NotTo(BeNil())
 	})
 
+	ginkgo.It("stamps anew only while no attempt may have run, so that a takeover neither repeats nor blocks a request", func() {
+		stamp := func(first bool, end sequoiarouter.Outcome) Epoch {
+			req := request("a")
+			req.FirstAttempt = first
+			req.Stamp(4)
+			req.Attempted(&sequoiarouter.Response{Outcome: end})
+			req.Stamp(6)
+			return req.FirstEpoch
+		}
+		Expect(stamp(true, sequoiarouter.NotRun)).To(Equal(Epoch(6)))
+		Expect(stamp(true, sequoiarouter.Unknown)).To(Equal(Epoch(4)))
+		Expect(stamp(false, sequoiarouter.NotRun)).To(BeZero())
+		resent := request("a")
+		resent.FirstEpoch = 4
+		resent.Stamp(6)
+		Expect(resent.FirstEpoch).To(Equal(Epoch(4)))
+	})
+
 	ginkgo.It("does not run a request that an earlier owner may have run before a takeover", func() {
 		r := newRouter(1)
 		t := apply(table(), 2, Change{Revoke: &Revoke{Incarnation: 1}})
--- a/pkg/sequoiaclient/client.go
+++ b/pkg/sequoiaclient/client.go
@@ -84,7 +84,8 @@
 	Header   http.Header
 	Body     []byte
 	Attempts int
-	// FirstEpoch and FirstSent are the stamp and the moment of the first attempt; Resend needs them.
+	// FirstEpoch and FirstSent are the stamp and the moment of the first attempt that may have run, zero if every
+	// attempt was provably not run; Resend needs them.
 	FirstEpoch uint64
 	FirstSent  time.Time
 }
@@ -166,7 +167,7 @@
 }
 
 // Resend sends a request again whose outcome was Unknown. It needs RequestID, by which the owner recognises the
-// request, and carries the stamp of the first attempt. It returns ErrResendWindow once the owner may have forgotten
+// request, and carries the stamp of the first attempt that may have run. It returns ErrResendWindow once the owner may have forgotten
 // the identifier.
 func (c *Client) Resend(ctx context.Context, req *Request, first *Result) (*Result, error) {
 	if req.RequestID == "" {
@@ -177,7 +178,7 @@
 	}
 	return c.run(ctx, &call{
 		req: req, sent: !first.FirstSent.IsZero(), stamp: first.FirstEpoch, firstSent: first.FirstSent,
-		mayHaveRun: first.Outcome == Unknown,
+		mayHaveRun: first.Outcome != NotRun,
 	})
 }
 
@@ -188,7 +189,8 @@
 // call is a request with what its attempts have shown.
 type call struct {
 	req *Request
-	// sent is true once a byte of the request may have been sent; the stamp is fixed from then on.
+	// sent is true once a byte of an attempt may have been sent that was not provably not run; the stamp is fixed from
+	// then on.
 	sent       bool
 	stamp      uint64
 	firstSent  time.Time
@@ -211,8 +213,12 @@
 	c.mu.Unlock()
 	for n := 1; ; n++ {
 		res := c.attempt(ctx, k)
-		res.Attempts, res.FirstEpoch, res.FirstSent = n, k.stamp, k.firstSent
 		k.mayHaveRun = k.mayHaveRun || res.Outcome == Unknown
+		if res.Outcome == NotRun && !k.mayHaveRun {
+			// A stamp from before a takeover would make the new owner answer Unknown, although nothing has run.
+			k.sent, k.stamp, k.firstSent = false, 0, time.Time{}
+		}
+		res.Attempts, res.FirstEpoch, res.FirstSent = n, k.stamp, k.firstSent
 		if !c.mayRetry(ctx, k, res) || !sleep(ctx, min(backoffMax, backoffBase<<(n-1))) || c.windowOver(k.firstSent) {
 			return truthful(res, k.mayHaveRun), nil
 		}
@@ -261,7 +267,8 @@
 	}
 	started := time.Now()
 	resp, err := c.http.Do(ctx, addr, encode(ctx, k))
-	if !sequoiahttp.NotSent(err) && !k.sent {
+	first := !k.sent
+	if !sequoiahttp.NotSent(err) && first {
 		k.sent = true
 		k.firstSent = started
 	}
@@ -270,9 +277,22 @@
 		return failed(ctx, err)
 	}
 	k.avoid = netip.AddrPort{}
+	if first {
+		k.stamp = max(k.stamp, stampOf(resp))
+	}
 	return c.decode(resp)
 }
 
+// stampOf returns the stamp that the process gave the request, zero if it gave none. The process may have seen a later
+// epoch than the client before it made the first attempt that may have run.
+func stampOf(resp *sequoiahttp.Response) uint64 {
+	n, err := strconv.ParseUint(resp.Header.Get("Sequoia-First-Epoch"), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // choose returns the owner's process, or any process if the owner's is unknown or was not reached. It sets the stamp
 // until the request has been sent.
 func (c *Client) choose(ctx context.Context, k *call) (netip.AddrPort, error) {
@@ -333,6 +353,9 @@
 	if k.req.RequestID != "" {
 		h.Set("Sequoia-Request-Id", k.req.RequestID)
 		h.Set("Sequoia-First-Epoch", strconv.FormatUint(k.stamp, 10))
+		if !k.sent {
+			h.Set("Sequoia-First-Attempt", "true")
+		}
 	}
 	if k.req.Repeatable {
 		h.Set("Sequoia-Repeatable", "true")
