--- a/internal/sequoiaproxy/proxy.go
+++ b/internal/sequoiaproxy/proxy.go
@@ -126,6 +126,7 @@
 }
 
 // Do carries out a caller's request: it routes, forwards at most once per attempt, and retries where that is truthful.
+// It leaves the stamp of the first attempt that may have run in req.
 func (p *Proxy) Do(ctx context.Context, req *sequoiarouter.Request) *sequoiarouter.Response {
 	started := time.Now()
 	done := p.metrics.begin()
@@ -149,8 +150,11 @@
 		target, resp := p.routeToOwned(ctx, req, tried)
 		if resp == nil {
 			tried = append(tried, target.Incarnation)
-			resp = p.attempt(ctx, target, req)
+			req.Stamp(target.Epoch)
+			out := *req
+			resp = p.attempt(ctx, target, &out)
 		}
+		req.Attempted(resp)
 		if ownerAbsent(target, resp) && time.Now().Before(patience) && p.awaitOwner(ctx) {
 			n--
 			continue
