Correct faults of planning, checkpoints and drains found in review

Cause, by fault: - An upstream without a load report had a load age of zero, so Balance read it as idle and moved keys there first. It is now notMeasured. - SinceLastMove began at a new planner's own start, while moves that its predecessor had asked for were still closing their keys. A new planner now waits a full interval, and a process without a lease plans nothing. - A merge with From == To was repeated until its entry was applied, and each repetition reset the time of the last move. - Only the writer of every 1,024th entry wrote a checkpoint, and only once. The planners now try in turn, and failed attempts are repeated. - Memory was one message of any size. It is now sent in parts that are acknowledged one by one. - A drain left after 10 s with requests still running. The wait is now 65 s, above the longest request of 60 s, which the settings and the front enforce. With the store down the process kept waiting until it was killed; it now leaves after a bounded time.

Ruled out: writing the checkpoint from the table in force at the time of the retry, which would write a new checkpoint each time instead of finding the existing one with one call.

--- a/internal/sequoiacontrol/assign.go
+++ b/internal/sequoiacontrol/assign.go
@@ -83,9 +83,10 @@
 	c.loads[l.Incarnation] = measuredLoad{Load: l, at: c.now}
 }
 
-// advanceLoad asks owners to move keys where the policy wants a better balance.
+// advanceLoad asks owners to move keys where the policy wants a better balance. Without a lease another process may
+// be the planner by now.
 func (c *Core) advanceLoad() {
-	if c.now.Sub(c.balanced) < c.opt.timings.BalanceInterval || c.store.failing {
+	if c.now.Sub(c.balanced) < c.opt.timings.BalanceInterval || c.store.failing || !c.leaseEnd().After(c.now) {
 		return
 	}
 	c.balanced = c.now
@@ -96,7 +97,10 @@
 		for _, m := range c.opt.policy.Balance(c.input(name)) {
 			r := &Release{Keys: KeySet{Service: name, Shards: m.Shards, Keys: m.Keys}, To: m.To, Reason: m.Reason}
 			c.sendRelease(m.From, r)
-			c.lastMove[name] = c.now
+			// A merge at its owner is proposed until the log has it and moves no key, so it must not delay moves.
+			if m.From != m.To {
+				c.lastMove[name] = c.now
+			}
 		}
 	}
 }
--- a/internal/sequoiacontrol/command.go
+++ b/internal/sequoiacontrol/command.go
@@ -27,8 +27,11 @@
 	since    time.Time
 	closeAll uint64
 	closedAt time.Time
+	// targetSeen is when another member could last take keys.
+	targetSeen time.Time
 	// leave is set when nothing is in progress any more.
 	leave   bool
+	leaveAt time.Time
 	stopped bool
 }
 
@@ -58,7 +61,7 @@
 			c.reply(cmd, errors.New("the process is already draining"))
 			return
 		}
-		c.drain = &drainState{command: cmd, reason: ev.Drain.Reason, since: c.now}
+		c.drain = &drainState{command: cmd, reason: ev.Drain.Reason, since: c.now, targetSeen: c.now}
 		c.joinAfter = c.now
 	default:
 		c.reply(cmd, errors.New("the command is empty"))
@@ -179,6 +182,8 @@
 	if c.drain == nil {
 		if c.upstream != nil && c.upstream.Draining {
 			c.moveAllAway("UpstreamDraining")
+		} else {
+			c.singly = false
 		}
 		return
 	}
@@ -191,25 +196,65 @@
 		c.stop()
 		return
 	}
-	if m == nil || m.Revoked() || d.leave {
+	if d.leave {
+		c.awaitLeave()
+		return
+	}
+	if m == nil || m.Revoked() {
 		return
 	}
 	if m.Owned > 0 || len(c.moves) > 0 {
 		c.moveAllAway(d.reason)
 	}
-	// Without another member of the service the keys cannot be moved; the process then gives them up by Revoke.
-	noTarget := len(c.moves) == 0 && c.now.Sub(d.since) >= c.opt.timings.DrainTimeout
-	if m.Owned == 0 && len(c.moves) == 0 || noTarget {
+	empty := m.Owned == 0 && len(c.moves) == 0 && m.Service == ""
+	if empty || c.cannotMove() {
 		c.closeAll()
 	}
 }
 
+// awaitLeave stops without an entry of its own if the store does not take it. Nothing is in progress then, and the
+// witnesses report the member as silent.
+func (c *Core) awaitLeave() {
+	d := c.drain
+	if d.leaveAt.IsZero() {
+		d.leaveAt = c.now
+	}
+	if c.now.Sub(d.leaveAt) >= c.opt.timings.LeaveTimeout {
+		c.emit(Record{Own: true, Decision: "LeftWithoutEntry", Owner: c.self, Reason: "the store did not answer"})
+		// The table still names this process as an owner, so its keys have to stay closed.
+		d.closeAll = 0
+		c.stop()
+	}
+}
+
+// cannotMove reports whether a draining process has to stop serving keys that it still owns: no other member can take
+// them, or the time for the moves is over. The process then gives them up by Revoke, and the planner assigns them.
+func (c *Core) cannotMove() bool {
+	d := c.drain
+	if len(c.moves) > 0 || c.store.failing || c.hasTarget() {
+		d.targetSeen = c.now
+	}
+	return c.now.Sub(d.targetSeen) >= c.opt.timings.NoTargetWait || c.now.Sub(d.since) >= c.opt.timings.DrainTimeout
+}
+
+// hasTarget reports whether another member can take keys of one of the services that this process owns keys of.
+func (c *Core) hasTarget() bool {
+	for _, name := range c.table.ServiceNames() {
+		if ownedKeys(c.table.Service(name), c.self).empty() {
+			continue
+		}
+		for _, u := range c.input(name).Upstreams {
+			if u.Incarnation != c.self {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // closeAll waits for the last requests, those without a key included.
 func (c *Core) closeAll() {
 	d := c.drain
-	if m := c.live(c.self); m.Service != "" {
-		return
-	}
 	if d.closeAll == 0 {
 		d.closeAll = c.nextID()
 		d.closedAt = c.now
@@ -243,7 +288,13 @@
 		}
 		for _, m := range c.opt.policy.Place(c.input(name), c.self, set.Shards, set.Keys) {
 			keys := KeySet{Service: name, Shards: m.Shards, Keys: m.Keys}
-			c.release(&Release{Keys: keys, To: m.To, Reason: reason})
+			if !c.singly {
+				c.startMove(&Release{Keys: keys, To: m.To, Reason: reason}, c.opt.timings.DrainFirstTry)
+				continue
+			}
+			for _, one := range keys.each() {
+				c.startMove(&Release{Keys: one, To: m.To, Reason: reason}, c.opt.timings.DrainTimeout)
+			}
 		}
 	}
 }
--- a/internal/sequoiacontrol/core.go
+++ b/internal/sequoiacontrol/core.go
@@ -1,6 +1,7 @@
 package sequoiacontrol
 
 import (
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -54,7 +55,10 @@
 	loads    map[sequoiatable.IncarnationID]measuredLoad
 	loadSent time.Time
 	balanced time.Time
-	lastMove map[string]time.Time
+	// lastMove is when keys of each service last moved, plannerSince when this process became the service's planner.
+	lastMove     map[string]time.Time
+	plannerSince map[string]time.Time
+	checkpoint   *dueCheckpoint
 
 	moves []*move
 	// merges lists hot keys of each service that are to be folded into their shards.
@@ -62,6 +66,8 @@
 	lastID   uint64
 	commands []*command
 	drain    *drainState
+	// singly makes a drain move each shard and hot key alone, since some have a long request in progress.
+	singly bool
 }
 
 // New returns a Core that has read nothing yet. The first Step starts it.
@@ -83,6 +89,8 @@
 		merges:    map[string][]string{},
 		loads:     map[sequoiatable.IncarnationID]measuredLoad{},
 		lastMove:  map[string]time.Time{},
+
+		plannerSince: map[string]time.Time{},
 	}
 	c.self = c.newIncarnation()
 	c.authority = o.authority(c)
@@ -130,7 +138,9 @@
 	case KeysDrained:
 		c.keysDrained(ev)
 	case MemoryInstalled:
-		c.send(ev.From, Message{MemoryReceived: &MemoryReceived{Move: ev.Move}})
+		c.send(ev.From, Message{MemoryReceived: &MemoryReceived{Move: ev.Move, Part: ev.Part}})
+	case CheckpointWritten:
+		c.checkpointWritten(ev)
 	case LoadMeasured:
 		c.loadMeasured(ev.Load)
 	case Command:
@@ -147,6 +157,7 @@
 	c.advanceSelfRevoke()
 	c.publish()
 	c.advanceStore()
+	c.advanceCheckpoint()
 	c.advancePeers()
 	c.advanceSuspects()
 	c.advanceTakeovers()
@@ -179,9 +190,11 @@
 	case m.Release != nil:
 		c.release(m.Release)
 	case m.Memory != nil:
-		c.emit(InstallMemory{From: from, Move: m.Memory.Move, Keys: m.Memory.Keys, Identifiers: m.Memory.Identifiers})
+		c.emit(InstallMemory{
+			From: from, Move: m.Memory.Move, Part: m.Memory.Part, Keys: m.Memory.Keys, Identifiers: m.Memory.Identifiers,
+		})
 	case m.MemoryReceived != nil:
-		c.memoryReceived(from, m.MemoryReceived.Move)
+		c.memoryReceived(from, m.MemoryReceived)
 	}
 }
 
@@ -275,13 +288,16 @@
 	return c.view.planner[service]
 }
 
-// input describes the members that may be given keys of the service.
+// notMeasured is the age of a load that was never measured. Policies count no load of that age; an age of zero would
+// make the upstream look idle, and it would be the first to receive keys.
+const notMeasured = time.Duration(math.MaxInt64)
+
+// input describes the members that may be given keys of the service. The former planner may have asked for moves that
+// the log does not show yet, so the time since the last move is at most that since this process became the planner.
 func (c *Core) input(service string) sequoiaplacement.Input {
+	since := latest(c.started, c.lastMove[service], c.plannerSince[service])
 	in := sequoiaplacement.Input{
-		Table: c.table.Service(service), SinceLastMove: c.now.Sub(c.started), Tuning: c.opt.tuning(service),
-	}
-	if t, ok := c.lastMove[service]; ok {
-		in.SinceLastMove = c.now.Sub(t)
+		Table: c.table.Service(service), SinceLastMove: c.now.Sub(since), Tuning: c.opt.tuning(service),
 	}
 	for _, id := range c.view.eligible {
 		m := c.live(id)
@@ -290,6 +306,7 @@
 		}
 		u := sequoiaplacement.Upstream{
 			Incarnation: id, FailureDomain: m.FailureDomain, Slots: m.Slots, Uptime: c.now.Sub(c.firstSeen[id]),
+			LoadAge: notMeasured,
 		}
 		if l, ok := c.loads[id]; ok {
 			u.BusySlots, u.Keys, u.Shards, u.LoadAge = l.BusySlots, l.Keys, l.Shards, c.now.Sub(l.at)
@@ -320,6 +337,18 @@
 	return len(k.Shards) == 0 && len(k.Keys) == 0
 }
 
+// each returns the shards and hot keys as sets of one.
+func (k KeySet) each() []KeySet {
+	var sets []KeySet
+	for _, n := range k.Shards {
+		sets = append(sets, KeySet{Service: k.Service, Shards: []uint32{n}})
+	}
+	for _, key := range k.Keys {
+		sets = append(sets, KeySet{Service: k.Service, Keys: []string{key}})
+	}
+	return sets
+}
+
 // owners returns the current owners of the keys, each once. Shards out of range have no owner.
 func (k KeySet) owners(t *sequoiatable.Table) []sequoiatable.IncarnationID {
 	var ids []sequoiatable.IncarnationID
--- a/internal/sequoiacontrol/event.go
+++ b/internal/sequoiacontrol/event.go
@@ -72,6 +72,13 @@
 type MemoryInstalled struct {
 	From sequoiatable.IncarnationID
 	Move uint64
+	Part int
+}
+
+// CheckpointWritten answers WriteCheckpoint. Err is nil too if the store holds that checkpoint or a later one already.
+type CheckpointWritten struct {
+	Index uint64
+	Err   error
 }
 
 // LoadMeasured is the process's own load over the last interval.
@@ -115,17 +122,18 @@
 	Incarnation sequoiatable.IncarnationID
 }
 
-func (LeaseRenewed) event()    {}
-func (LeaseExpired) event()    {}
-func (Tick) event()            {}
-func (Received) event()        {}
-func (LogRead) event()         {}
-func (Appended) event()        {}
-func (Upstream) event()        {}
-func (KeysDrained) event()     {}
-func (MemoryInstalled) event() {}
-func (LoadMeasured) event()    {}
-func (Command) event()         {}
+func (LeaseRenewed) event()      {}
+func (LeaseExpired) event()      {}
+func (Tick) event()              {}
+func (Received) event()          {}
+func (LogRead) event()           {}
+func (Appended) event()          {}
+func (Upstream) event()          {}
+func (KeysDrained) event()       {}
+func (MemoryInstalled) event()   {}
+func (CheckpointWritten) event() {}
+func (LoadMeasured) event()      {}
+func (Command) event()           {}
 
 // Action is an output of Core.Step, carried out in order.
 type Action interface{ action() }
@@ -179,6 +187,7 @@
 type InstallMemory struct {
 	From        sequoiatable.IncarnationID
 	Move        uint64
+	Part        int
 	Keys        KeySet
 	Identifiers []Identifier
 }
--- a/internal/sequoiacontrol/fleet_test.go
+++ b/internal/sequoiacontrol/fleet_test.go
@@ -40,6 +40,9 @@
 	// reach is the latest moment to which each node may still act on a shard: the lease end under which it last served.
 	reach      map[uint32]map[*node]time.Time
 	violations []string
+	// checkpoints lists the indexes of the written ones. killWriter ends the next process that is to write one.
+	checkpoints []uint64
+	killWriter  bool
 	// unserved is the time during which each shard had no owner that serves, since resetUnserved.
 	unserved map[uint32]time.Duration
 }
@@ -66,9 +69,16 @@
 	mute      bool
 	slow      time.Duration
 	drainTime time.Duration
-	replies   map[uint64]Reply
-	stopped   bool
-	records   []Record
+	// busyTime is how long requests for busyShard take, zero for drainTime.
+	busyShard uint32
+	busyTime  time.Duration
+	closedAll bool
+	// identifiers is what KeysDrained carries, installed what InstallMemory brought.
+	identifiers []Identifier
+	installed   []Identifier
+	replies     map[uint64]Reply
+	stopped     bool
+	records     []Record
 }
 
 type scheduled struct {
@@ -280,7 +290,7 @@
 
 func (n *node) serves(now time.Time, shard uint32) bool {
 	s := n.snapshot
-	if n.killed || n.paused || n.frozen || s == nil || !s.Serves(now) {
+	if n.killed || n.paused || n.frozen || n.stopped || n.closedAll || s == nil || !s.Serves(now) {
 		return false
 	}
 	for _, keys := range n.closed {
@@ -330,11 +340,19 @@
 		n.watching = a.On
 	case CloseKeys:
 		n.closed[a.Move] = a.Keys
-		f.after(n.drainTime, func() { f.drained(n, a) })
+		n.closedAll = n.closedAll || a.All
+		d := n.drainTime
+		if n.busyTime > 0 && slices.Contains(a.Keys.Shards, n.busyShard) {
+			d = n.busyTime
+		}
+		f.after(d, func() { f.drained(n, a) })
 	case OpenKeys:
 		delete(n.closed, a.Move)
 	case InstallMemory:
-		f.after(time.Millisecond, func() { n.step(f, MemoryInstalled{From: a.From, Move: a.Move}) })
+		n.installed = append(n.installed, a.Identifiers...)
+		f.after(time.Millisecond, func() { n.step(f, MemoryInstalled{From: a.From, Move: a.Move, Part: a.Part}) })
+	case WriteCheckpoint:
+		f.writeCheckpoint(n, a.Table.Index)
 	case Reply:
 		n.replies[a.ID] = a
 	case Record:
@@ -348,10 +366,30 @@
 	if _, ok := n.closed[a.Move]; !ok || n.killed || n.paused {
 		return
 	}
-	for _, shard := range a.Keys.Shards {
-		delete(f.reach[shard], n)
+	for shard := range uint32(testShards) {
+		if a.All || slices.Contains(a.Keys.Shards, shard) {
+			delete(f.reach[shard], n)
+		}
+	}
+	n.step(f, KeysDrained{Move: a.Move, Identifiers: n.identifiers})
+}
+
+func (f *fleet) writeCheckpoint(n *node, index uint64) {
+	if f.killWriter {
+		f.killWriter = false
+		n.killed = true
+		return
 	}
-	n.step(f, KeysDrained{Move: a.Move})
+	f.after(f.delay(), func() {
+		if !f.storeAnswers(n) {
+			n.step(f, CheckpointWritten{Index: index, Err: errStoreDown})
+			return
+		}
+		if !slices.Contains(f.checkpoints, index) {
+			f.checkpoints = append(f.checkpoints, index)
+		}
+		n.step(f, CheckpointWritten{Index: index})
+	})
 }
 
 func (f *fleet) send(n *node, a Send) {
--- a/internal/sequoiacontrol/log.go
+++ b/internal/sequoiacontrol/log.go
@@ -154,8 +154,8 @@
 	c.log.add(e)
 	c.recordEntry(e, refused)
 	c.resolve(e, refused)
-	if e.Index%checkpointInterval == 0 && c.isSelf(e.Writer) {
-		c.emit(WriteCheckpoint{Table: next})
+	if e.Index%c.opt.checkpointInterval == 0 {
+		c.startCheckpoint(next, c.isSelf(e.Writer))
 	}
 	return true
 }
@@ -230,11 +230,23 @@
 			delete(c.loads, id)
 		}
 	}
+	c.noticePlanner()
 	c.noticeOwnState()
 	c.authority.TableChanged()
 	c.publish()
 }
 
+// noticePlanner notes since when this process has planned each service.
+func (c *Core) noticePlanner() {
+	for _, name := range c.table.ServiceNames() {
+		if !c.plans(name) {
+			delete(c.plannerSince, name)
+		} else if _, ok := c.plannerSince[name]; !ok {
+			c.plannerSince[name] = c.now
+		}
+	}
+}
+
 func (c *Core) recordEntry(e sequoiatable.Entry, refused []sequoiatable.Refusal) {
 	isRefused := map[int]bool{}
 	for _, r := range refused {
--- a/internal/sequoiacontrol/member.go
+++ b/internal/sequoiacontrol/member.go
@@ -64,6 +64,7 @@
 	c.selfRevoke = false
 	c.leaseOut = time.Time{}
 	c.joinAfter = c.now.Add(c.opt.timings.Resend)
+	clear(c.plannerSince)
 	c.authority.Reset()
 	c.publish()
 	for _, m := range c.moves {
--- a/internal/sequoiacontrol/message.go
+++ b/internal/sequoiacontrol/message.go
@@ -130,9 +130,11 @@
 	Keys    []string `cbor:",omitempty"`
 }
 
-// Memory passes the remembered request identifiers of the keys to their next owner.
+// Memory passes a part of the remembered request identifiers of the keys to their next owner. Parts are numbered from
+// 0 and each is answered with MemoryReceived; the keys are listed in part 0 only.
 type Memory struct {
 	Move        uint64
+	Part        int
 	Keys        KeySet
 	Identifiers []Identifier
 }
@@ -153,4 +155,5 @@
 // MemoryReceived answers Memory.
 type MemoryReceived struct {
 	Move uint64
+	Part int
 }
--- a/internal/sequoiacontrol/move.go
+++ b/internal/sequoiacontrol/move.go
@@ -23,17 +23,18 @@
 // with one exception: while an append that assigns them has an unknown result the keys stay closed, because the next
 // owner may already serve them.
 type move struct {
-	id          uint64
-	keys        KeySet
-	to          sequoiatable.IncarnationID
-	reason      string
-	phase       movePhase
-	phaseSince  time.Time
-	sentAt      time.Time
-	identifiers []Identifier
-	refused     bool
-	ended       bool
-	err         error
+	id         uint64
+	keys       KeySet
+	to         sequoiatable.IncarnationID
+	reason     string
+	phase      movePhase
+	phaseSince time.Time
+	// closeLimit bounds the wait for requests in progress.
+	closeLimit time.Duration
+	parts      []*memoryPart
+	refused    bool
+	ended      bool
+	err        error
 }
 
 func (m *move) finish(err error) {
@@ -43,6 +44,10 @@
 
 // release starts a planned move of the part of the keys that this process owns and is not moving already.
 func (c *Core) release(r *Release) {
+	c.startMove(r, c.opt.timings.CloseTimeout)
+}
+
+func (c *Core) startMove(r *Release, closeLimit time.Duration) {
 	if r.To == c.self {
 		c.mergeKeys(r.Keys)
 		return
@@ -55,7 +60,7 @@
 	if c.store.failing || c.selfRevoke || c.conflicts(keys) {
 		return
 	}
-	m := &move{id: c.nextID(), keys: keys, to: r.To, reason: r.Reason, phaseSince: c.now}
+	m := &move{id: c.nextID(), keys: keys, to: r.To, reason: r.Reason, phaseSince: c.now, closeLimit: closeLimit}
 	c.moves = append(c.moves, m)
 	c.emit(CloseKeys{Move: m.id, Keys: keys})
 }
@@ -110,13 +115,13 @@
 	if m == nil || m.phase != moveClosing {
 		return
 	}
-	m.identifiers = ev.Identifiers
+	m.parts = splitMemory(ev.Identifiers)
 	c.enterPhase(m, moveMemory)
 }
 
-func (c *Core) memoryReceived(from sequoiatable.IncarnationID, id uint64) {
-	m := c.findMove(id)
-	if m != nil && m.phase == moveMemory && from == m.to {
+func (c *Core) memoryReceived(from sequoiatable.IncarnationID, r *MemoryReceived) {
+	m := c.findMove(r.Move)
+	if m != nil && m.phase == moveMemory && from == m.to && m.acknowledge(r.Part, c.now) {
 		c.enterPhase(m, moveAssigning)
 	}
 }
@@ -146,7 +151,7 @@
 	case m.refused:
 		c.endMove(m, ErrTarget)
 		return
-	case c.now.Sub(m.phaseSince) >= c.phaseTimeout(m.phase):
+	case c.now.Sub(m.phaseSince) >= c.phaseTimeout(m):
 		c.endMove(m, ErrTimeout)
 		return
 	}
@@ -154,9 +159,8 @@
 		c.endMove(m, ErrTarget)
 		return
 	}
-	if m.phase == moveMemory && c.now.Sub(m.sentAt) >= 2*c.opt.timings.Resend {
-		m.sentAt = c.now
-		c.send(m.to, Message{Memory: &Memory{Move: m.id, Keys: m.keys, Identifiers: m.identifiers}})
+	if m.phase == moveMemory {
+		c.sendMemory(m)
 	}
 }
 
@@ -172,10 +176,10 @@
 	return len(owners) == 1 && owners[0] == c.self
 }
 
-func (c *Core) phaseTimeout(p movePhase) time.Duration {
-	switch p {
+func (c *Core) phaseTimeout(m *move) time.Duration {
+	switch m.phase {
 	case moveClosing:
-		return c.opt.timings.DrainTimeout
+		return m.closeLimit
 	case moveMemory:
 		return c.opt.timings.MemoryTimeout
 	case moveAssigning:
@@ -187,6 +191,9 @@
 func (c *Core) endMove(m *move, err error) {
 	m.finish(err)
 	c.emit(OpenKeys{Move: m.id})
+	if err != nil && m.phase == moveClosing {
+		c.singly = true
+	}
 	if err != nil {
 		c.emit(Record{
 			Own: true, Decision: "MoveAbandoned", Service: m.keys.Service, Keys: m.keys, Owner: c.self, Reason: err.Error(),
--- a/internal/sequoiacontrol/options.go
+++ b/internal/sequoiacontrol/options.go
@@ -32,10 +32,24 @@
 	StoreRetry time.Duration
 	// Resend is the interval at which unanswered messages between processes are repeated.
 	Resend time.Duration
-	// DrainTimeout, MemoryTimeout and AssignTimeout bound the phases of a planned move.
-	DrainTimeout  time.Duration
+	// CloseTimeout, MemoryTimeout and AssignTimeout bound the phases of a planned move. MemoryTimeout counts from the
+	// last acknowledged part.
+	CloseTimeout  time.Duration
 	MemoryTimeout time.Duration
 	AssignTimeout time.Duration
+	// DrainTimeout bounds each of the waits for requests in progress in a drain: while keys move, and before the
+	// process leaves. It is longer than the longest request that a process accepts, 60 s, so that none is interrupted.
+	DrainTimeout time.Duration
+	// DrainFirstTry is how long the first attempt to move a drain's keys keeps them closed. Later attempts move each
+	// shard and hot key alone, so that a long request keeps no other key closed.
+	DrainFirstTry time.Duration
+	// NoTargetWait is how long a draining process serves on when no other member can take its keys. A departing
+	// process has to refuse new work within 3 s.
+	NoTargetWait time.Duration
+	// LeaveTimeout bounds the wait for the entry that ends a drain, which cannot be written while the store is down.
+	LeaveTimeout time.Duration
+	// CheckpointRetry separates attempts to write a checkpoint, by the writer and by each planner in turn.
+	CheckpointRetry time.Duration
 	// CommandTimeout bounds an operator's command.
 	CommandTimeout  time.Duration
 	BalanceInterval time.Duration
@@ -61,9 +75,14 @@
 		InitialWaitLimit: 5 * time.Second,
 		StoreRetry:       300 * time.Millisecond,
 		Resend:           100 * time.Millisecond,
-		DrainTimeout:     10 * time.Second,
+		CloseTimeout:     10 * time.Second,
 		MemoryTimeout:    2 * time.Second,
 		AssignTimeout:    2 * time.Second,
+		DrainTimeout:     65 * time.Second,
+		DrainFirstTry:    time.Second,
+		NoTargetWait:     2 * time.Second,
+		LeaveTimeout:     5 * time.Second,
+		CheckpointRetry:  10 * time.Second,
 		CommandTimeout:   10 * time.Second,
 		BalanceInterval:  5 * time.Second,
 		WithoutWitnesses: 30 * time.Second,
@@ -101,6 +120,8 @@
 	random    func() uint64
 	authority func(c *Core) Authority
 	removed   safeguards
+	// checkpointInterval is the number of entries between checkpoints.
+	checkpointInterval uint64
 }
 
 // Option sets one option of New.
@@ -153,5 +174,7 @@
 		tuning:    func(string) sequoiaplacement.Tuning { return sequoiaplacement.Tuning{} },
 		random:    rand.Uint64,
 		authority: Witnesses,
+
+		checkpointInterval: checkpointInterval,
 	}
 }
--- a/internal/sequoiainstance/instance.go
+++ b/internal/sequoiainstance/instance.go
@@ -32,8 +32,9 @@
 	maxWaitingMessages = 4096
 	// drainPoll is how often the end of the last requests is checked.
 	drainPoll = 10 * time.Millisecond
-	// stopTimeout bounds a planned stop. It covers the longest request and the time to hand keys over.
-	stopTimeout = 60 * time.Second
+	// stopTimeout bounds a planned stop. It covers the core's two waits of 65 s for requests in progress, while keys
+	// move and before the process leaves, and the entry that ends the stop.
+	stopTimeout = 140 * time.Second
 )
 
 // Instance is one running process.
--- a/internal/sequoiainstance/loop.go
+++ b/internal/sequoiainstance/loop.go
@@ -99,7 +99,7 @@
 		in.logFault("MemoryRejected", err)
 		return
 	}
-	in.post(sequoiacontrol.MemoryInstalled{From: a.From, Move: a.Move})
+	in.post(sequoiacontrol.MemoryInstalled{From: a.From, Move: a.Move, Part: a.Part})
 }
 
 // record logs a placement decision that this process made and keeps every one to explain assignments.
--- a/internal/sequoiainstance/store.go
+++ b/internal/sequoiainstance/store.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiacontrol"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiastore"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
@@ -77,9 +79,14 @@
 func (in *Instance) writeCheckpoint(t *sequoiatable.Table) {
 	ctx, cancel := context.WithTimeout(in.ctx, storeTimeout)
 	defer cancel()
-	if err := in.store.WriteCheckpoint(ctx, t); err != nil {
+	err := in.store.WriteCheckpoint(ctx, t)
+	if errors.Is(err, sequoiastore.ErrConflict) {
+		err = nil
+	}
+	if err != nil {
 		in.logFault("CheckpointNotWritten", err)
 	}
+	in.post(sequoiacontrol.CheckpointWritten{Index: t.Index, Err: err})
 }
 
 // setWatch starts or stops the wait for the next entry.
--- a/internal/sequoiaproxy/front.go
+++ b/internal/sequoiaproxy/front.go
@@ -261,9 +261,9 @@
 		if err != nil || n == 0 {
 			return errors.Errorf("%s %q: want a positive number", headerTimeout, v)
 		}
-		timeout = min(time.Duration(n)*time.Millisecond, p.maxTimeout)
+		timeout = time.Duration(n) * time.Millisecond
 	}
-	req.Deadline = time.Now().Add(timeout)
+	req.Deadline = time.Now().Add(min(timeout, p.maxTimeout))
 	return nil
 }
 
--- a/internal/sequoiasettings/configuration.go
+++ b/internal/sequoiasettings/configuration.go
@@ -63,6 +63,9 @@
 	DefaultMaximumBodyBytes = 1 << 20
 )
 
+// MaximumTimeout is the longest request that a process accepts. A planned stop waits somewhat longer than that.
+const MaximumTimeout = time.Minute
+
 func defaultService() Service {
 	return Service{
 		Limits:           Limits{Queued: 1000, Timeout: 30 * time.Second, RetryPercent: 10},
@@ -136,7 +139,7 @@
 	}
 	checkRange(d, path+"Limits.InFlight", s.Limits.InFlight, 0, 100_000)
 	checkRange(d, path+"Limits.Queued", s.Limits.Queued, 0, 100_000)
-	checkRange(d, path+"Limits.Timeout", s.Limits.Timeout, time.Millisecond, 10*time.Minute)
+	checkRange(d, path+"Limits.Timeout", s.Limits.Timeout, time.Millisecond, MaximumTimeout)
 	checkRange(d, path+"Limits.RetryPercent", s.Limits.RetryPercent, 0, 100)
 	checkRange(d, path+"ResendWindow", s.ResendWindow, time.Second, time.Hour)
 	checkRange(d, path+"MaximumBodyBytes", s.MaximumBodyBytes, 1, 64<<20)
