Choose an upstream for a request without a key from a bounded sample

Cause: each request without a key sorted and scanned all members. Ruled out: two draws without a sample; they would often hit ejected members or those already tried.

--- a/internal/sequoiarouter/route.go
+++ b/internal/sequoiarouter/route.go
@@ -90,9 +90,9 @@
 
 func (r *Router) routeToAny(now time.Time, service string, tried []sequoiatable.IncarnationID) (Target, *Response) {
 	var open, fallback []*sequoiatable.MemberState
-	for _, id := range r.snapshot.Table.Members() {
-		m := r.snapshot.Table.Member(id)
-		if m.Service != service || m.Revoked() || m.Slots <= 0 || r.localUnusable(id) {
+	for _, m := range r.sample(service) {
+		id := m.Incarnation
+		if r.localUnusable(id) {
 			continue
 		}
 		fallback = append(fallback, m)
@@ -110,6 +110,23 @@
 	return Target{Local: m.Incarnation == r.snapshot.Self, Incarnation: m.Incarnation, Forward: m.Forward}, nil
 }
 
+// sampleSize bounds the members that one choice looks at. Two random choices need two that are open; since at most
+// half of a service is ejected, 16 random members have none that is open in 1 of 65,536 cases.
+const sampleSize = 16
+
+// sample returns the members that may serve requests without a key of a service, or a random part of them.
+func (r *Router) sample(service string) []*sequoiatable.MemberState {
+	all := r.members[service]
+	if len(all) <= sampleSize {
+		return all
+	}
+	some := make([]*sequoiatable.MemberState, sampleSize)
+	for i := range some {
+		some[i] = all[r.cfg.rand.IntN(len(all))]
+	}
+	return some
+}
+
 // localUnusable is true for this process when its upstream is silent or about to leave, which others learn only from
 // the log.
 func (r *Router) localUnusable(id sequoiatable.IncarnationID) bool {
@@ -147,10 +164,14 @@
 	return float64(inFlight+1) / (float64(m.Slots) * warm)
 }
 
-// updatePeers follows the table's members.
+// updatePeers follows the table's members, once for each new log index.
 func (r *Router) updatePeers(now time.Time) {
 	first := len(r.peers) == 0
+	r.members = map[string][]*sequoiatable.MemberState{}
 	for _, id := range r.snapshot.Table.Members() {
+		if m := r.snapshot.Table.Member(id); m.Service != "" && !m.Revoked() && m.Slots > 0 {
+			r.members[m.Service] = append(r.members[m.Service], m)
+		}
 		if r.peers[id] != nil {
 			continue
 		}
--- a/internal/sequoiarouter/router.go
+++ b/internal/sequoiarouter/router.go
@@ -127,8 +127,10 @@
 	moves    map[uint64]*closedMove
 	memory   memory
 	peers    map[sequoiatable.IncarnationID]*peerState
-	budgets  map[string]*RetryBudget
-	limits   map[string]Limits
+	// members lists, by service, the members that may serve requests without a key.
+	members map[string][]*sequoiatable.MemberState
+	budgets map[string]*RetryBudget
+	limits  map[string]Limits
 	// localService is the service that the local upstream last announced.
 	localService string
 	indexes      []indexSeen
--- a/internal/sequoiarouter/router_test.go
+++ b/internal/sequoiarouter/router_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
@@ -391,3 +392,35 @@
 		r.Finish(start, o.ticket, answered(""))
 	}
 }
+
+// BenchmarkRouteWithoutKey shows that the cost of a choice does not grow with the members of the service.
+func BenchmarkRouteWithoutKey(b *testing.B) {
+	for _, members := range []int{9, 95, 950, 3800} {
+		b.Run(strconv.Itoa(members), func(b *testing.B) {
+			r := routerWithMembers(members)
+			req := &sequoiarouter.Request{Service: "parts", Deadline: start.Add(time.Second)}
+			for b.Loop() {
+				if _, resp := r.Route(start, req, nil); resp != nil {
+					b.Fatal(resp.Reason)
+				}
+			}
+		})
+	}
+}
+
+func routerWithMembers(n int) *sequoiarouter.Router {
+	t := New()
+	apply := func(writer IncarnationID, c Change) {
+		t, _, _ = t.Apply(Entry{Index: t.Index + 1, Writer: writer, Changes: []Change{c}})
+	}
+	services := []ServiceConfig{{Name: "parts", Shards: 64}}
+	apply(1, Change{SetConfiguration: &SetConfiguration{Services: services}})
+	for i := range n {
+		id := IncarnationID(i + 1)
+		member := Member{Incarnation: id, Service: "parts", Slots: 6}
+		apply(id, Change{Join: &Join{Member: member}})
+	}
+	r := sequoiarouter.New()
+	r.Publish(start, &sequoiacontrol.Snapshot{Table: t, Self: IncarnationID(n + 1)})
+	return r
+}
