Let a restarted process end its predecessor's ownership

Cause: after the restart of a whole fleet no witness was left that could promise not to renew, so every key stayed without an owner until an operator confirmed each loss. Ruled out: trusting an equal address alone; a platform may give the address of a machine that is only cut off to another one. The boot identifier in Join shows that both processes ran on the same machine. Conclusion: rule L8 of the design. A reboot of every machine at once still needs confirm-loss.

--- a/internal/sequoiacontrol/core.go
+++ b/internal/sequoiacontrol/core.go
@@ -31,6 +31,8 @@
 	joinAfter time.Time
 	// former maps earlier incarnations of this process to the latest lease end that the data path was given.
 	former map[sequoiatable.IncarnationID]time.Time
+	// predecessors maps incarnations of earlier processes at this process's address to the end of what they granted.
+	predecessors map[sequoiatable.IncarnationID]time.Time
 
 	published *Snapshot
 	// leaseOut is the latest lease end given to the data path, hence to grants and deadlines, by this incarnation.
@@ -77,18 +79,19 @@
 		opt(&o)
 	}
 	c := &Core{
-		opt:       o,
-		table:     sequoiatable.New(),
-		former:    map[sequoiatable.IncarnationID]time.Time{},
-		peers:     map[sequoiatable.IncarnationID]*peer{},
-		suspects:  map[sequoiatable.IncarnationID]*suspicion{},
-		takeovers: map[sequoiatable.IncarnationID]*takeover{},
-		firstSeen: map[sequoiatable.IncarnationID]time.Time{},
-		confirmed: map[sequoiatable.IncarnationID]bool{},
-		initial:   map[string]*initialWait{},
-		merges:    map[string][]string{},
-		loads:     map[sequoiatable.IncarnationID]measuredLoad{},
-		lastMove:  map[string]time.Time{},
+		opt:          o,
+		table:        sequoiatable.New(),
+		former:       map[sequoiatable.IncarnationID]time.Time{},
+		predecessors: map[sequoiatable.IncarnationID]time.Time{},
+		peers:        map[sequoiatable.IncarnationID]*peer{},
+		suspects:     map[sequoiatable.IncarnationID]*suspicion{},
+		takeovers:    map[sequoiatable.IncarnationID]*takeover{},
+		firstSeen:    map[sequoiatable.IncarnationID]time.Time{},
+		confirmed:    map[sequoiatable.IncarnationID]bool{},
+		initial:      map[string]*initialWait{},
+		merges:       map[string][]string{},
+		loads:        map[sequoiatable.IncarnationID]measuredLoad{},
+		lastMove:     map[string]time.Time{},
 
 		plannerSince: map[string]time.Time{},
 	}
--- a/internal/sequoiacontrol/lease.go
+++ b/internal/sequoiacontrol/lease.go
@@ -370,9 +370,13 @@
 	return silent >= quorum(len(m.Witnesses))
 }
 
-// promise gives the promise of L4. It returns nil if this process has never been the incarnation that is asked.
+// promise gives the promise of L4. It returns nil if this process neither has been the incarnation that is asked nor
+// succeeds it.
 func (w *witnessing) promise(m *Promise) *Promised {
 	c := w.c
+	if reply := c.promiseFor(m); reply != nil {
+		return reply
+	}
 	if !c.isSelf(m.Witness) {
 		return nil
 	}
@@ -439,7 +443,7 @@
 			continue
 		}
 		p := &Promise{Holder: t.holder, Witness: id, RevokeIndex: t.revokeIndex}
-		if !c.isSelf(id) {
+		if _, ok := c.predecessors[id]; !ok && !c.isSelf(id) {
 			c.send(id, Message{Promise: p})
 			continue
 		}
--- a/internal/sequoiacontrol/member.go
+++ b/internal/sequoiacontrol/member.go
@@ -44,6 +44,7 @@
 
 // noticeOwnState follows what the log says of this process.
 func (c *Core) noticeOwnState() {
+	c.notePredecessors()
 	m := c.table.Member(c.self)
 	if m != nil && !m.Revoked() {
 		c.joined = true
--- a/internal/sequoiacontrol/takeover.go
+++ b/internal/sequoiacontrol/takeover.go
@@ -106,6 +106,7 @@
 	if c.selfRevoke {
 		c.wantRevoke(b, c.self, "UpstreamSilent")
 	}
+	c.wantPredecessorRevocations(b)
 	c.wantRemovals(b)
 }
 
@@ -184,6 +185,9 @@
 	if _, ok := c.former[m.Incarnation]; ok {
 		return true
 	}
+	if _, ok := c.predecessors[m.Incarnation]; ok {
+		return true
+	}
 	entries, ok := c.log.after(m.RevokeIndex - 1)
 	return ok && len(entries) > 0 && c.isSelf(entries[0].Writer)
 }
--- a/internal/sequoiainstance/instance.go
+++ b/internal/sequoiainstance/instance.go
@@ -5,10 +5,12 @@
 import (
 	"context"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -123,7 +125,7 @@
 	opts := []sequoiacontrol.Option{
 		sequoiacontrol.WithMember(sequoiatable.Member{
 			Instance: s.Instance, Region: s.Region, FailureDomain: s.FailureDomain,
-			Control: s.Control, Forward: s.Forward, HTTP: s.HTTP,
+			Control: s.Control, Forward: s.Forward, HTTP: s.HTTP, Boot: bootID(),
 		}),
 		sequoiacontrol.WithContacts(s.Contacts),
 		sequoiacontrol.WithTuning(in.tuning),
@@ -135,6 +137,19 @@
 	return opts
 }
 
+// bootFile holds a random identifier that Linux makes at each boot.
+const bootFile = "/proc/sys/kernel/random/boot_id"
+
+// bootID returns a hash of the identifier of the present boot, zero where the system has none. A restarted process then
+// cannot speak for the one before it, and that one's keys wait for its witnesses.
+func bootID() uint64 {
+	id, err := os.ReadFile(bootFile)
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(id)
+}
+
 // maxCheckpointPart keeps each part of a checkpoint below the store's limit of 1 MB for a value.
 const maxCheckpointPart = 512 << 10
 
@@ -224,7 +239,8 @@
 	return errors.Wrap(in.Drain(ctx, "Signal"), "drain")
 }
 
-// Close ends the process at once, as a loss would.
+// Close ends the process at once, as a loss would. The control address is given up last: a later process that binds it
+// may then speak for this one (rule L8 of the design).
 func (in *Instance) Close() {
 	in.stopOnce.Do(func() {
 		in.cancel()
--- a/internal/sequoiatable/entry.go
+++ b/internal/sequoiatable/entry.go
@@ -91,6 +91,9 @@
 	FailureDomain string
 	// Service is the service of the upstream beside the process, empty until one has announced itself.
 	Service string
+	// Boot identifies the boot of the instance's operating system, zero if it is not known. Two processes with the same
+	// Boot and Control address run on the same machine one after the other.
+	Boot uint64
 	// Slots is the number of requests that the upstream runs at once.
 	Slots int
 	// Control is the QUIC address, Forward the TCP address for forwarded requests, HTTP the callers' address.
