Let a process that starts in a store outage get the table from its peers

Cause: a contact answered EntriesRequest to the address of the sender's member record, which a process that has not joined does not have, so the answer went nowhere. The test fleet hid this, since it delivered messages by incarnation where there was no address. EntriesRequest now carries ReplyTo, messages without a known address are not sent, and the test fleet delivers by address only. The process records the decision TableFromPeers with the revision that it took.

The revisions never decrease in any process of the test fleet.

Ruled out: answering on the connection that a message came from, which would need the transport's connection in the core's events.

--- /dev/null
+++ b/internal/sequoiacontrol/configuration_test.go
@@ -0,0 +1,97 @@
+package sequoiacontrol
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
+)
+
+// inForceWithin is the bound of I8.
+const inForceWithin = 12 * time.Second
+
+func (n *node) revision() uint64 {
+	return n.snapshot.Table.Configuration.Revision
+}
+
+func (n *node) configure(f *fleet, id uint64, document string) {
+	n.step(f, Command{ID: id, Configure: &sequoiatable.SetConfiguration{
+		Base: n.revision(), Document: []byte(document), Operator: document,
+	}})
+}
+
+// inForce runs until every running process has a revision and returns how long that took, at most a minute.
+func (f *fleet) inForce(revision func() uint64) time.Duration {
+	start := f.now
+	for f.now.Sub(start) < time.Minute {
+		behind := 0
+		for _, n := range f.nodes {
+			if n.snapshot == nil || revision() == 0 || n.revision() < revision() {
+				behind++
+			}
+		}
+		if behind == 0 {
+			break
+		}
+		f.run(10 * time.Millisecond)
+	}
+	return f.now.Sub(start)
+}
+
+// latest returns the revision that the log holds.
+func (f *fleet) latest() uint64 {
+	t := sequoiatable.New()
+	for _, e := range f.log {
+		t, _, _ = t.Apply(e)
+	}
+	return t.Configuration.Revision
+}
+
+var _ = ginkgo.Describe("A configuration change among 40 members", func() {
+	ginkgo.It("is in force everywhere within 12 s and never reverts, with two operators and a store outage", func() {
+		for seed := range uint64(3) {
+			f := startFleet(100+seed, 40, 4)
+			before := f.latest()
+			f.nodes[1].configure(f, 7, "one")
+			f.nodes[2].configure(f, 7, "two")
+			took := f.inForce(func() uint64 {
+				if r := f.latest(); r > before {
+					return r
+				}
+				return 0
+			})
+			Expect(took).To(BeNumerically("<", inForceWithin), "seed %d", seed)
+			f.run(time.Second)
+			results := []bool{f.nodes[1].replies[7].Err == nil, f.nodes[2].replies[7].Err == nil}
+			Expect(results).To(ConsistOf(true, false), "seed %d", seed)
+
+			behind := f.nodes[3]
+			behind.deaf, behind.cutStore = true, true
+			f.nodes[4].configure(f, 8, "three")
+			f.run(time.Second)
+			Expect(f.nodes[4].replies[8].Err).NotTo(HaveOccurred(), "seed %d", seed)
+			f.storeDown = true
+			f.nodes[5].configure(f, 9, "during the outage")
+			started := f.add("domain-0", WithContacts([]netip.AddrPort{behind.addr, f.nodes[6].addr}))
+			f.run(5 * time.Second)
+			Expect(behind.revision()).To(BeNumerically("<", f.latest()), "seed %d", seed)
+			Expect(started.revision()).To(Equal(f.latest()), "seed %d", seed)
+			Expect(started.records).To(ContainElement(And(
+				HaveField("Decision", "TableFromPeers"), HaveField("Epoch", sequoiatable.Epoch(f.latest())),
+			)), "seed %d", seed)
+			Expect(f.owners()).NotTo(HaveKey(started.name))
+			f.run(10 * time.Second)
+			Expect(f.nodes[5].replies).To(HaveKey(uint64(9)), "seed %d", seed)
+
+			behind.deaf, behind.cutStore, f.storeDown = false, false, false
+			f.nodes[7].configure(f, 10, "after the outage")
+			f.run(time.Second)
+			Expect(f.inForce(f.latest)).To(BeNumerically("<", inForceWithin-time.Second), "seed %d", seed)
+			Expect(f.violations).To(BeEmpty(), "seed %d", seed)
+			Expect(f.settled()).To(Equal(testShards), "seed %d", seed)
+		}
+	})
+})
--- a/internal/sequoiacontrol/core.go
+++ b/internal/sequoiacontrol/core.go
@@ -32,6 +32,10 @@
 	// former maps earlier incarnations of this process to the latest lease end that the data path was given.
 	former map[sequoiatable.IncarnationID]time.Time
 
+	// peerTable is set once the table came from a peer while the store did not answer, with the revision recorded then.
+	peerTable    bool
+	peerRevision uint64
+
 	published *Snapshot
 	// leaseOut is the latest lease end given to the data path, hence to grants and deadlines, by this incarnation.
 	leaseOut time.Time
@@ -182,9 +186,10 @@
 	case m.Entries != nil:
 		c.receiveEntries(from, m.Entries.Entries)
 	case m.EntriesRequest != nil:
+		c.peer(from).replyTo = m.EntriesRequest.ReplyTo
 		c.sendEntries(from, m.EntriesRequest.After)
 	case m.Checkpoint != nil:
-		c.receiveCheckpoint(m.Checkpoint)
+		c.receiveCheckpoint(from, m.Checkpoint)
 	case m.LoadReport != nil:
 		c.recordLoad(m.LoadReport.Load)
 	case m.Release != nil:
@@ -202,16 +207,27 @@
 	c.actions = append(c.actions, a)
 }
 
-// send addresses a member by the table; without an entry there the transport may still know a connection.
+// send addresses a member by the table, and others by the address that they gave.
 func (c *Core) send(to sequoiatable.IncarnationID, m Message) {
-	var addr netip.AddrPort
-	if member := c.table.Member(to); member != nil {
-		addr = member.Control
+	addr := c.addressOf(to)
+	if !addr.IsValid() {
+		return
 	}
 	m.LogIndex = c.table.Index
 	c.emit(Send{To: to, Addr: addr, Message: m})
 }
 
+// addressOf returns a process's control address, which is not valid if it is not known.
+func (c *Core) addressOf(id sequoiatable.IncarnationID) netip.AddrPort {
+	if member := c.table.Member(id); member != nil {
+		return member.Control
+	}
+	if p := c.peers[id]; p != nil {
+		return p.replyTo
+	}
+	return netip.AddrPort{}
+}
+
 func (c *Core) publish() {
 	s := Snapshot{Table: c.table, Self: c.self, LeaseEnd: c.leaseEnd(), Draining: c.drain != nil}
 	if c.published != nil && *c.published == s {
--- a/internal/sequoiacontrol/fleet_test.go
+++ b/internal/sequoiacontrol/fleet_test.go
@@ -205,16 +205,22 @@
 
 // check finds shards that one node serves while another node's requests for it may still run.
 func (f *fleet) check(elapsed time.Duration) {
-	for shard := range uint32(testShards) {
-		served := false
-		for _, n := range f.nodes {
-			if n.serves(f.now, shard) {
-				served = true
+	served := make([]bool, testShards)
+	for _, n := range f.nodes {
+		s := n.serving(f.now)
+		if s == nil {
+			continue
+		}
+		for shard := range uint32(testShards) {
+			if s.Shard(shard).Owner == n.snapshot.Self && !n.isClosed(shard) {
+				served[shard] = true
 				f.serve(n, shard)
 			}
 		}
-		if !served {
-			f.unserved[shard] += elapsed
+	}
+	for shard, ok := range served {
+		if !ok {
+			f.unserved[uint32(shard)] += elapsed
 		}
 	}
 }
@@ -288,18 +294,27 @@
 	return n.snapshot.Table.Index
 }
 
-func (n *node) serves(now time.Time, shard uint32) bool {
+// serving returns the service's assignments while the node may serve what it owns, else nil.
+func (n *node) serving(now time.Time) *sequoiatable.ServiceTable {
 	s := n.snapshot
 	if n.killed || n.paused || n.frozen || n.stopped || n.closedAll || s == nil || !s.Serves(now) {
-		return false
+		return nil
 	}
+	return s.Table.Service(testService)
+}
+
+func (n *node) isClosed(shard uint32) bool {
 	for _, keys := range n.closed {
 		if slices.Contains(keys.Shards, shard) {
-			return false
+			return true
 		}
 	}
-	st := s.Table.Service(testService)
-	return st != nil && st.Shard(shard).Owner == s.Self
+	return false
+}
+
+func (n *node) serves(now time.Time, shard uint32) bool {
+	s := n.serving(now)
+	return s != nil && s.Shard(shard).Owner == n.snapshot.Self && !n.isClosed(shard)
 }
 
 func (n *node) step(f *fleet, ev Event) {
@@ -327,6 +342,9 @@
 func (f *fleet) act(n *node, a Action) {
 	switch a := a.(type) {
 	case Publish:
+		if n.snapshot != nil && a.Snapshot.Table.Configuration.Revision < n.snapshot.Table.Configuration.Revision {
+			f.violations = append(f.violations, fmt.Sprintf("node %d: the configuration reverts", n.name))
+		}
 		n.snapshot = a.Snapshot
 	case Send:
 		f.send(n, a)
@@ -398,7 +416,7 @@
 	}
 	from := n.core.Self()
 	for _, to := range f.nodes {
-		if to.addr == a.Addr || (!a.Addr.IsValid() && to.core.Self() == a.To) {
+		if to.addr == a.Addr {
 			f.after(f.delay()+to.slow, func() {
 				if !to.cutPeers && (!to.deaf || a.Message.Entries == nil) {
 					to.step(f, Received{From: from, Message: a.Message})
--- a/internal/sequoiacontrol/log.go
+++ b/internal/sequoiacontrol/log.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"fmt"
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -294,14 +296,20 @@
 	c.store.reading = true
 	c.emit(ReadLog{After: c.table.Index})
 	if c.store.failing && !c.joined {
-		for _, addr := range c.opt.contacts {
-			c.emit(Send{Addr: addr, Message: Message{
-				LogIndex: c.table.Index, EntriesRequest: &EntriesRequest{After: c.table.Index},
-			}})
-		}
+		c.askContacts()
+	}
+}
+
+func (c *Core) askContacts() {
+	for _, addr := range c.opt.contacts {
+		c.emit(Send{Addr: addr, Message: Message{LogIndex: c.table.Index, EntriesRequest: c.entriesRequest()}})
 	}
 }
 
+func (c *Core) entriesRequest() *EntriesRequest {
+	return &EntriesRequest{After: c.table.Index, ReplyTo: c.opt.member.Control}
+}
+
 // lonely reports whether entries cannot be expected from peers.
 func (c *Core) lonely() bool {
 	if !c.joined || c.live(c.self) == nil {
@@ -387,9 +395,11 @@
 
 // peer is what is known of the log of another process.
 type peer struct {
-	index  uint64
-	heard  time.Time
-	pushed uint64
+	index uint64
+	heard time.Time
+	// replyTo is the control address that the process gave while it was no member.
+	replyTo netip.AddrPort
+	pushed  uint64
 	// pushedAt and askedAt limit repeated pushes and requests.
 	pushedAt time.Time
 	askedAt  time.Time
@@ -478,10 +488,26 @@
 	c.applyAll(entries)
 	if p.index > c.table.Index {
 		c.askEntries(from, p)
+		return
 	}
+	c.recordPeerTable(from)
 }
 
-func (c *Core) receiveCheckpoint(m *Checkpoint) {
+// recordPeerTable records that a process which could not read the store has its table from a peer. Entries of lower
+// index change nothing, so the table is the latest that any peer has sent.
+func (c *Core) recordPeerTable(from sequoiatable.IncarnationID) {
+	rev := c.table.Configuration.Revision
+	if c.store.read || !c.store.failing || (c.peerTable && rev == c.peerRevision) {
+		return
+	}
+	c.peerTable, c.peerRevision = true, rev
+	c.emit(Record{
+		Own: true, Decision: "TableFromPeers", Previous: from, Epoch: sequoiatable.Epoch(rev),
+		Reason: fmt.Sprintf("the store does not answer; log index %d, configuration revision %d", c.table.Index, rev),
+	})
+}
+
+func (c *Core) receiveCheckpoint(from sequoiatable.IncarnationID, m *Checkpoint) {
 	if c.opt.codec.Decode == nil || m.Index <= c.table.Index {
 		return
 	}
@@ -492,11 +518,16 @@
 	}
 	c.install(t)
 	c.pushEntries()
+	c.recordPeerTable(from)
 }
 
 func (c *Core) askEntries(id sequoiatable.IncarnationID, p *peer) {
 	p.askedAt = c.now
-	c.send(id, Message{EntriesRequest: &EntriesRequest{After: c.table.Index}})
+	if !c.addressOf(id).IsValid() {
+		c.askContacts()
+		return
+	}
+	c.send(id, Message{EntriesRequest: c.entriesRequest()})
 }
 
 // advancePeers asks peers for entries that they have and did not push, and forgets peers that have left.
--- a/internal/sequoiacontrol/message.go
+++ b/internal/sequoiacontrol/message.go
@@ -3,6 +3,7 @@
 package sequoiacontrol
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaplacement"
@@ -83,9 +84,11 @@
 	Entries []sequoiatable.Entry
 }
 
-// EntriesRequest asks for the entries after an index.
+// EntriesRequest asks for the entries after an index. ReplyTo is the sender's control address, since a process that has
+// not joined yet is not in the receiver's table.
 type EntriesRequest struct {
-	After uint64
+	After   uint64
+	ReplyTo netip.AddrPort
 }
 
 // Checkpoint carries an encoded table, where the entries that the receiver lacks are no longer kept.
--- a/internal/sequoiafleet/fleet.go
+++ b/internal/sequoiafleet/fleet.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -121,8 +123,20 @@
 	return f, nil
 }
 
+// addAttempts bounds the attempts to start a node. A port that was free may be taken before the process opens it.
+const addAttempts = 5
+
 // AddNode starts an instance for a service, in the failure domain with the given number modulo their count.
 func (f *Fleet) AddNode(plan ServicePlan, number int) (*Node, error) {
+	for attempt := 1; ; attempt++ {
+		n, err := f.addNode(plan, number)
+		if attempt == addAttempts || !errors.Is(err, syscall.EADDRINUSE) {
+			return n, err
+		}
+	}
+}
+
+func (f *Fleet) addNode(plan ServicePlan, number int) (*Node, error) {
 	addrs, err := freeAddresses(5)
 	if err != nil {
 		return nil, err
@@ -253,30 +267,41 @@
 	}
 }
 
-// Close ends everything that the fleet started.
+// Close ends everything that the fleet started, all nodes at once: a process takes a few hundred milliseconds.
 func (f *Fleet) Close() {
+	var closing sync.WaitGroup
 	for _, n := range f.Nodes {
-		n.Kill()
+		closing.Go(n.Kill)
 	}
+	closing.Wait()
 	f.Store.Close()
 }
 
 // freeAddresses returns loopback addresses whose TCP and UDP ports were free a moment ago.
 func freeAddresses(count int) ([]netip.AddrPort, error) {
 	var addrs []netip.AddrPort
-	var open []net.Listener
+	var open []io.Closer
 	defer func() {
 		for _, l := range open {
 			_ = l.Close()
 		}
 	}()
-	for range count {
+	for tries := 0; len(addrs) < count; tries++ {
+		if tries == 10*count {
+			return nil, errors.New("find a free port: none is free for both TCP and UDP")
+		}
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return nil, errors.Wrap(err, "find a free port")
 		}
 		open = append(open, l)
-		addrs = append(addrs, l.Addr().(*net.TCPAddr).AddrPort())
+		addr := l.Addr().(*net.TCPAddr).AddrPort()
+		p, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+		if err != nil {
+			continue
+		}
+		open = append(open, p)
+		addrs = append(addrs, addr)
 	}
 	return addrs, nil
 }
