--- a/internal/sequoiacontrol/member.go
+++ b/internal/sequoiacontrol/member.go
@@ -44,6 +44,7 @@
 
 // noticeOwnState follows what the log says of this process.
 func (c *Core) noticeOwnState() {
+	c.notePredecessors()
 	m := c.table.Member(c.self)
 	if m != nil && !m.Revoked() {
 		c.joined = true
@@ -64,6 +65,7 @@
 	c.selfRevoke = false
 	c.leaseOut = time.Time{}
 	c.joinAfter = c.now.Add(c.opt.timings.Resend)
+	clear(c.plannerSince)
 	c.authority.Reset()
 	c.publish()
 	for _, m := range c.moves {
--- a/internal/sequoiacontrol/message.go
+++ b/internal/sequoiacontrol/message.go
@@ -3,6 +3,7 @@
 package sequoiacontrol
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaplacement"
@@ -83,9 +84,11 @@
 	Entries []sequoiatable.Entry
 }
 
-// EntriesRequest asks for the entries after an index.
+// EntriesRequest asks for the entries after an index. ReplyTo is the sender's control address, since a process that has
+// not joined yet is not in the receiver's table.
 type EntriesRequest struct {
-	After uint64
+	After   uint64
+	ReplyTo netip.AddrPort
 }
 
 // Checkpoint carries an encoded table, where the entries that the receiver lacks are no longer kept.
@@ -130,9 +133,11 @@
 	Keys    []string `cbor:",omitempty"`
 }
 
-// Memory passes the remembered request identifiers of the keys to their next owner.
+// Memory passes a part of the remembered request identifiers of the keys to their next owner. Parts are numbered from
+// 0 and each is answered with MemoryReceived; the keys are listed in part 0 only.
 type Memory struct {
 	Move        uint64
+	Part        int
 	Keys        KeySet
 	Identifiers []Identifier
 }
@@ -153,4 +158,5 @@
 // MemoryReceived answers Memory.
 type MemoryReceived struct {
 	Move uint64
+	Part int
 }
--- a/internal/sequoiarouter/router_test.go
+++ b/internal/sequoiarouter/router_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
@@ -129,6 +130,24 @@
 		Expect(second.ticket).NotTo(BeNil())
 	})
 
+	ginkgo.It("stamps anew only while no attempt may have run, so that a takeover neither repeats nor blocks a request", func() {
+		stamp := func(first bool, end sequoiarouter.Outcome) Epoch {
+			req := request("a")
+			req.FirstAttempt = first
+			req.Stamp(4)
+			req.Attempted(&sequoiarouter.Response{Outcome: end})
+			req.Stamp(6)
+			return req.FirstEpoch
+		}
+		Expect(stamp(true, sequoiarouter.NotRun)).To(Equal(Epoch(6)))
+		Expect(stamp(true, sequoiarouter.Unknown)).To(Equal(Epoch(4)))
+		Expect(stamp(false, sequoiarouter.NotRun)).To(BeZero())
+		resent := request("a")
+		resent.FirstEpoch = 4
+		resent.Stamp(6)
+		Expect(resent.FirstEpoch).To(Equal(Epoch(4)))
+	})
+
 	ginkgo.It("does not run a request that an earlier owner may have run before a takeover", func() {
 		r := newRouter(1)
 		t := apply(table(), 2, Change{Revoke: &Revoke{Incarnation: 1}})
@@ -373,3 +392,35 @@
 		r.Finish(start, o.ticket, answered(""))
 	}
 }
+
+// BenchmarkRouteWithoutKey shows that the cost of a choice does not grow with the members of the service.
+func BenchmarkRouteWithoutKey(b *testing.B) {
+	for _, members := range []int{9, 95, 950, 3800} {
+		b.Run(strconv.Itoa(members), func(b *testing.B) {
+			r := routerWithMembers(members)
+			req := &sequoiarouter.Request{Service: "parts", Deadline: start.Add(time.Second)}
+			for b.Loop() {
+				if _, resp := r.Route(start, req, nil); resp != nil {
+					b.Fatal(resp.Reason)
+				}
+			}
+		})
+	}
+}
+
+func routerWithMembers(n int) *sequoiarouter.Router {
+	t := New()
+	apply := func(writer IncarnationID, c Change) {
+		t, _, _ = t.Apply(Entry{Index: t.Index + 1, Writer: writer, Changes: []Change{c}})
+	}
+	services := []ServiceConfig{{Name: "parts", Shards: 64}}
+	apply(1, Change{SetConfiguration: &SetConfiguration{Services: services}})
+	for i := range n {
+		id := IncarnationID(i + 1)
+		member := Member{Incarnation: id, Service: "parts", Slots: 6}
+		apply(id, Change{Join: &Join{Member: member}})
+	}
+	r := sequoiarouter.New()
+	r.Publish(start, &sequoiacontrol.Snapshot{Table: t, Self: IncarnationID(n + 1)})
+	return r
+}
