--- a/internal/sequoiachecker/check_test.go
+++ b/internal/sequoiachecker/check_test.go
@@ -149,3 +149,51 @@
 		Expect(r.Unverified).To(Equal(1))
 	})
 })
+
+var _ = ginkgo.Describe("Planned operations", func() {
+	at := func(ms int) time.Time { return time.UnixMilli(1_000_000).Add(time.Duration(ms) * time.Millisecond) }
+
+	ginkgo.It("report work that begins after the bound, and an interrupted request, of a departing upstream only", func() {
+		r := sequoiachecker.Check(sequoiachecker.Run{
+			Departures: []sequoiachecker.Departure{{Upstream: "a", Asked: at(0), Until: at(9000)}},
+			Executions: []sequoiachecker.Execution{
+				{Upstream: "a", Start: at(2900), End: at(2950), Committed: true},
+				{Upstream: "a", Start: at(3100), End: at(3150), Committed: true},
+				{Upstream: "a", Start: at(-100), End: at(100)},
+				{Upstream: "b", Start: at(5000), End: at(5050)},
+				{Upstream: "a", Start: at(9100), End: at(9150)},
+			},
+		})
+		Expect([]int{r.LateWork, r.Interrupted}).To(Equal([]int{1, 1}))
+		Expect(r.OK()).To(BeFalse())
+	})
+
+	ginkgo.It("count the bound of a departure from the end of a store outage", func() {
+		run := sequoiachecker.Run{
+			Departures: []sequoiachecker.Departure{{Upstream: "a", Asked: at(0), StoreBack: at(6000)}},
+			Executions: []sequoiachecker.Execution{{Upstream: "a", Start: at(8000), End: at(8050), Committed: true}},
+		}
+		r := sequoiachecker.Check(run)
+		Expect(r.LateWork).To(BeZero())
+		run.Executions[0].Start = at(9100)
+		r = sequoiachecker.Check(run)
+		Expect(r.LateWork).To(Equal(1))
+	})
+
+	ginkgo.It("report a configuration that is late, one that went back, and one made from an older one", func() {
+		r := sequoiachecker.Check(sequoiachecker.Run{
+			Configurations: []sequoiachecker.Configuration{
+				{Base: 0, Revision: 1, Accepted: at(0)}, {Base: 1, Revision: 5, Accepted: at(100)}, {Base: 1, Revision: 7, Accepted: at(200)},
+			},
+			Seen: []sequoiachecker.ConfigurationSeen{
+				{Process: "p", Revision: 7, At: at(300)},
+				{Process: "p", Revision: 5, At: at(400)},
+				{Process: "q", Revision: 5, At: at(12_100)},
+				{Process: "q", Revision: 5, At: at(12_300)},
+				{Process: "r", Revision: 0, At: at(13_000), Started: at(12_900)},
+				{Process: "r", Revision: 7, At: at(14_000)},
+			},
+		})
+		Expect([]int{r.ConfigurationReverted, r.ConfigurationLate}).To(Equal([]int{2, 1}))
+	})
+})
--- a/internal/sequoiascenario/fleet_test.go
+++ b/internal/sequoiascenario/fleet_test.go
@@ -128,6 +128,9 @@
 	stop    chan struct{}
 	watcher sync.WaitGroup
 
+	// storeBack is when the last store outage ends.
+	storeBack time.Time
+
 	mu             sync.Mutex
 	departures     []sequoiachecker.Departure
 	configurations []sequoiachecker.Configuration
