--- a/cmd/sequoiaspring/demo.go
+++ b/cmd/sequoiaspring/demo.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"os"
 	"text/tabwriter"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiafleet"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiastandin"
 )
 
 const (
@@ -20,6 +22,8 @@
 	// minDemoDuration leaves time for the loss and the drain to show.
 	minDemoDuration = 5 * time.Second
 	maxDemoDuration = 10 * time.Minute
+	// eventTime matches the times in the decision logs.
+	eventTime = "15:04:05.000"
 )
 
 // errInvariant reports that the demo saw an invariant violated.
@@ -27,9 +31,9 @@
 
 type demoCommand struct {
 	Deployment string        `arg:"--deployment" default:"howrah" help:"howrah or pinehollow"`
-	Duration   time.Duration `arg:"--duration" default:"10s" help:"duration of the load"`
+	Duration   time.Duration `arg:"--duration" default:"10s" help:"duration of the load, 5s to 10m"`
 	Seed       uint64        `arg:"--seed" default:"1" help:"seed of the callers' keys"`
-	Log        string        `arg:"--log" help:"file for the processes' logs; by default they are discarded"`
+	Log        string        `arg:"--log" help:"file for the processes' decision logs, replaced if it exists; by default they are discarded"`
 }
 
 // demoSummary is the last line of the demo.
@@ -101,24 +105,25 @@
 
 func printDemo(out io.Writer, r *sequoiafleet.Result) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "EVENT\tTOOK")
+	fmt.Fprintln(w, "EVENT\tBEGAN (UTC)\tDONE AFTER")
 	for _, f := range r.Done {
-		fmt.Fprintf(w, "%s\t%s\n", f.Name, f.Took.Round(time.Millisecond))
+		fmt.Fprintf(w, "%s\t%s\t%s\n", f.Name, f.At.UTC().Format(eventTime), f.Took.Round(time.Millisecond))
 	}
 	l := r.Load
-	fmt.Fprintln(w, "\nREQUESTS\tANSWERED\tNOT RUN\tUNKNOWN\tP50\tP99\tLONGEST UNAVAILABLE")
+	fmt.Fprintln(w, "\nREQUESTS\tANSWERED\tNOT RUN\tUNKNOWN\tMEDIAN LATENCY\tP99 LATENCY\tLONGEST UNAVAILABLE KEY")
 	fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%s\t%s\t%s\n", l.Requests(), l.Answered, l.NotRun, l.Unknown,
-		microseconds(l.Latency.ValueAtQuantile(50)), microseconds(l.Latency.ValueAtQuantile(99)),
+		latency(l, 50), latency(l, 99),
 		r.Longest().Round(time.Millisecond))
 	_ = w.Flush()
 	for _, v := range r.Report.Violations {
 		fmt.Fprintf(out, "%s: service %s key %s request %s: %s\n", v.Kind, v.Service, v.Key, v.RequestID, v.Detail)
 	}
+	fmt.Fprintf(out, "invariants violated: %d\n", len(r.Report.Violations))
 	line, err := json.Marshal(demoSummary{
 		Requests: l.Requests(), Answered: l.Answered, NotRun: l.NotRun, Unknown: l.Unknown,
 		DoubleOwned: r.Report.DoubleOwned, RanTwice: r.Report.RanTwice, WrongAnswers: r.Report.WrongAnswers,
 		FalseNotRun: r.Report.FalseNotRun, LostAssignments: r.Report.LostAssignments,
-		UnavailableMilliseconds: r.Longest().Milliseconds(), StoreCallsPerSecond: r.StoreCallsPerSecond,
+		UnavailableMilliseconds: r.Longest().Milliseconds(), StoreCallsPerSecond: math.Round(r.StoreCallsPerSecond*10) / 10,
 	})
 	if err != nil {
 		return err
@@ -130,6 +135,8 @@
 	return nil
 }
 
-func microseconds(n int64) time.Duration {
-	return time.Duration(n) * time.Microsecond
+// latency returns a percentile of the answered requests' latency, to 0.1 ms.
+func latency(l *sequoiastandin.LoadReport, percentile float64) time.Duration {
+	d := time.Duration(l.Latency.ValueAtQuantile(percentile)) * time.Microsecond
+	return d.Round(100 * time.Microsecond)
 }
--- a/cmd/sequoiaspring/main.go
+++ b/cmd/sequoiaspring/main.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
 
 	"github.com/alexflint/go-arg"
@@ -26,16 +27,16 @@
 var errInput = errors.New("invalid input")
 
 type arguments struct {
-	Run           *runCommand           `arg:"subcommand:run" help:"run the process beside an upstream"`
+	Run           *runCommand           `arg:"subcommand:run" help:"run the process beside an upstream, until SIGTERM or a drain"`
 	Check         *checkCommand         `arg:"subcommand:check" help:"check settings or a configuration without using them"`
 	Demo          *demoCommand          `arg:"subcommand:demo" help:"run a whole deployment on loopback under load, with a loss and a drain"`
-	Apply         *applyCommand         `arg:"subcommand:apply" help:"put a configuration in force everywhere"`
-	Status        *statusCommand        `arg:"subcommand:status" help:"show members, leases and services"`
+	Apply         *applyCommand         `arg:"subcommand:apply" help:"put a configuration document in force in every process"`
+	Status        *statusCommand        `arg:"subcommand:status" help:"show one process's lease, the members and the services"`
 	Explain       *explainCommand       `arg:"subcommand:explain" help:"show who owns a key, why and since when"`
 	Move          *moveCommand          `arg:"subcommand:move" help:"move shards or hot keys to an instance"`
 	Drain         *drainCommand         `arg:"subcommand:drain" help:"hand over all keys of a process and stop it"`
 	Replay        *replayCommand        `arg:"subcommand:replay" help:"replay a recorded trace against the placement policy and its baselines"`
-	Questionnaire *questionnaireCommand `arg:"subcommand:questionnaire" help:"write a configuration from answers"`
+	Questionnaire *questionnaireCommand `arg:"subcommand:questionnaire" help:"derive a configuration from answers and write it to standard output"`
 }
 
 // Description is shown by --help.
@@ -92,7 +93,7 @@
 	}
 	switch err := p.Parse(args); {
 	case errors.Is(err, arg.ErrHelp):
-		_ = p.WriteHelpForSubcommand(out, p.SubcommandNames()...)
+		writeHelp(out, p)
 		return exitOK
 	case err != nil:
 		_ = p.WriteUsageForSubcommand(faults, p.SubcommandNames()...)
@@ -114,6 +115,26 @@
 	return exitOK
 }
 
+// writeHelp writes the help of the chosen subcommand, or of the program. go-arg describes only the program, so the
+// subcommand's own description goes first.
+func writeHelp(out io.Writer, p *arg.Parser) {
+	names := p.SubcommandNames()
+	for _, name := range names {
+		fmt.Fprintf(out, "%s: %s.\n\n", name, subcommandHelp(name))
+	}
+	_ = p.WriteHelpForSubcommand(out, names...)
+}
+
+// subcommandHelp returns the text that the list of subcommands shows.
+func subcommandHelp(name string) string {
+	for f := range reflect.TypeFor[arguments]().Fields() {
+		if f.Tag.Get("arg") == "subcommand:"+name {
+			return f.Tag.Get("help")
+		}
+	}
+	return ""
+}
+
 // inputFault is a fault in what the user gave, shown without further context.
 type inputFault struct {
 	err error
--- a/cmd/sequoiaspring/operator.go
+++ b/cmd/sequoiaspring/operator.go
@@ -19,7 +19,7 @@
 // connection says which process an operator's command talks to.
 type connection struct {
 	Settings       string `arg:"--settings" help:"settings of the process, for its administration address and credential"`
-	Administration string `arg:"--administration" default:"127.0.0.1:7405" help:"administration address of the process"`
+	Administration string `arg:"--administration" default:"127.0.0.1:7405" help:"administration address of the process; --settings overrides it"`
 	Credential     string `arg:"--credential,env:SEQUOIASPRING_CREDENTIAL" help:"administration credential"`
 }
 
@@ -47,7 +47,7 @@
 	File     string        `arg:"positional,required" help:"configuration document"`
 	Base     *uint64       `arg:"--base" help:"revision that the document was made from; by default the one in force now"`
 	Operator string        `arg:"--operator" help:"name recorded with the change; by default the user's"`
-	Timeout  time.Duration `arg:"--timeout" default:"30s" help:"how long to resolve a change whose result is not known"`
+	Timeout  time.Duration `arg:"--timeout" default:"30s" help:"how long to keep asking when the result of the change is not known"`
 }
 
 func (c *applyCommand) run(ctx context.Context, out io.Writer) error {
@@ -117,10 +117,10 @@
 }
 
 func printStatus(out io.Writer, s sequoiaadmin.Status) {
-	fmt.Fprintf(out, "process %s on %s: log index %d, configuration %d, lease %d ms\n",
-		s.Incarnation, s.Instance, s.LogIndex, s.Configuration, s.LeaseMilliseconds)
+	fmt.Fprintf(out, "process %s on %s: log index %d, configuration revision %d, %s\n",
+		s.Incarnation, s.Instance, s.LogIndex, s.Configuration, leaseState(s))
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "INSTANCE\tINCARNATION\tFAILURE DOMAIN\tSERVICE\tOWNED\tSTATE")
+	fmt.Fprintln(w, "INSTANCE\tINCARNATION\tFAILURE DOMAIN\tSERVICE\tSHARDS AND HOT KEYS\tSTATE")
 	for _, m := range s.Members {
 		state := "live"
 		if m.Revoked {
@@ -128,17 +128,29 @@
 		}
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\n", m.Instance, m.Incarnation, m.FailureDomain, m.Service, m.Owned, state)
 	}
-	fmt.Fprintln(w, "\nSERVICE\tSHARDS\tUNASSIGNED\tHOT KEYS")
+	fmt.Fprintln(w, "\nSERVICE\tSHARDS\tWITHOUT OWNER\tHOT KEYS")
 	for _, v := range s.Services {
 		fmt.Fprintf(w, "%s\t%d\t%d\t%s\n", v.Name, v.Shards, v.Unassigned, strings.Join(v.HotKeys, " "))
 	}
 	_ = w.Flush()
 }
 
+// leaseState says whether the process may serve the keys it owns.
+func leaseState(s sequoiaadmin.Status) string {
+	state := "no lease"
+	if s.LeaseMilliseconds > 0 {
+		state = fmt.Sprintf("%d ms left on the lease", s.LeaseMilliseconds)
+	}
+	if s.Draining {
+		state += ", draining"
+	}
+	return state
+}
+
 type explainCommand struct {
 	connection
 	Service string `arg:"--service,required" help:"name of the service"`
-	Key     string `arg:"--key,required" help:"key"`
+	Key     string `arg:"--key,required" help:"the key"`
 }
 
 func (c *explainCommand) run(ctx context.Context, out io.Writer) error {
@@ -160,21 +172,36 @@
 		place = "its own assignment (hot key)"
 	}
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(w, "service\t%s\nkey\t%s, by %s\n", e.Service, e.Key, place)
-	if e.Owner == 0 {
-		fmt.Fprintf(w, "owner\tnone\n")
-	} else {
-		fmt.Fprintf(w, "owner\t%s on %s\nepoch\t%d\n", e.Owner, e.Instance, e.Epoch)
-	}
-	if e.Decision != "" {
-		fmt.Fprintf(w, "why\t%s: %s, from %s\nsince\t%s\n", e.Decision, e.Reason, e.Previous, e.Since.UTC().Format(time.RFC3339Nano))
-	} else {
+	fmt.Fprintf(w, "service\t%s\nkey\t%s\nassigned by\t%s\nowner\t%s\n", e.Service, e.Key, place, ownerText(e))
+	if e.Epoch != 0 {
+		fmt.Fprintf(w, "epoch\t%d\n", e.Epoch)
+	}
+	switch {
+	case e.Decision != "":
+		fmt.Fprintf(w, "why\t%s, reason %q\nsince\t%s\n", e.Decision, e.Reason, e.Since.UTC().Format(time.RFC3339Nano))
+	case e.Owner != 0:
 		fmt.Fprintf(w, "why\tassigned before this process started; see the decision logs for epoch %d\n", e.Epoch)
 	}
+	if e.Previous != 0 {
+		fmt.Fprintf(w, "previous owner\t%s\n", e.Previous)
+	}
 	fmt.Fprintf(w, "log index\t%d\n", e.LogIndex)
 	_ = w.Flush()
 }
 
+// ownerText names the owner and says if it cannot serve any more.
+func ownerText(e sequoiaadmin.Explanation) string {
+	switch {
+	case e.Owner == 0:
+		return "none"
+	case e.Instance == "":
+		return fmt.Sprintf("none; %s owned the key and has left", e.Owner)
+	case e.Revoked:
+		return fmt.Sprintf("none; %s on %s is revoked and its keys are being taken over", e.Owner, e.Instance)
+	}
+	return fmt.Sprintf("%s on %s", e.Owner, e.Instance)
+}
+
 type moveCommand struct {
 	connection
 	Service string   `arg:"--service,required" help:"name of the service"`
--- a/internal/sequoiaadmin/api.go
+++ b/internal/sequoiaadmin/api.go
@@ -68,21 +68,24 @@
 	Name    string
 	Shards  uint32
 	Divided bool
-	// Unassigned counts the shards without an owner.
+	// Unassigned counts the shards without an owner that is a live member.
 	Unassigned int
 	HotKeys    []string
 }
 
 // Explanation says who owns a key and why.
 type Explanation struct {
-	Service  string
-	Key      string
-	Shard    uint32
-	HotKey   bool
-	Owner    sequoiatable.IncarnationID
+	Service string
+	Key     string
+	Shard   uint32
+	HotKey  bool
+	Owner   sequoiatable.IncarnationID
+	// Instance is empty if the owner is no longer a member.
 	Instance string
-	Epoch    sequoiatable.Epoch
-	Floor    sequoiatable.Epoch
+	// Revoked is true if the owner is revoked, which ends its ownership.
+	Revoked bool
+	Epoch   sequoiatable.Epoch
+	Floor   sequoiatable.Epoch
 	// Decision, Reason and Previous are empty if this process applied the assignment as part of a checkpoint.
 	Decision string
 	Reason   string
--- a/internal/sequoiainstance/admin.go
+++ b/internal/sequoiainstance/admin.go
@@ -91,16 +91,24 @@
 	for _, name := range t.ServiceNames() {
 		s := t.Service(name)
 		v := sequoiaadmin.ServiceStatus{Name: name, Shards: s.Shards, Divided: s.Divided, HotKeys: s.HotKeys()}
-		for n := range s.Shards {
-			if s.Shard(n).Owner == 0 {
-				v.Unassigned++
-			}
-		}
+		v.Unassigned = unowned(t, s)
 		services = append(services, v)
 	}
 	return services
 }
 
+// unowned counts the shards whose owner is not a live member. A revoked incarnation stays in the table until its keys
+// are taken over, but serves none of them.
+func unowned(t *sequoiatable.Table, s *sequoiatable.ServiceTable) int {
+	missing := 0
+	for n := range s.Shards {
+		if m := t.Member(s.Shard(n).Owner); m == nil || m.Revoked() {
+			missing++
+		}
+	}
+	return missing
+}
+
 func (in *Instance) explain(service, key string) (sequoiaadmin.Explanation, error) {
 	t := in.snapshot.Load().Table
 	s := t.Service(service)
@@ -114,7 +122,7 @@
 		Owner: a.Owner, Epoch: a.Epoch, Floor: a.Floor, LogIndex: t.Index,
 	}
 	if m := t.Member(a.Owner); m != nil {
-		e.Instance = m.Instance
+		e.Instance, e.Revoked = m.Instance, m.Revoked()
 	}
 	if d, ok := in.history.find(service, a); ok {
 		e.Decision, e.Reason, e.Previous, e.Since = d.record.Decision, d.record.Reason, d.record.Previous, d.at
--- a/internal/sequoiaquestionnaire/ask.go
+++ b/internal/sequoiaquestionnaire/ask.go
@@ -144,7 +144,7 @@
 			if err := scanner.Err(); err != nil {
 				return errors.Wrap(err, "read answer")
 			}
-			break
+			return errors.Wrapf(ErrAnswer, "the input ends at the question for %s; allowed: %s", q.field, q.allowed)
 		}
 		if q.set(strings.TrimSpace(scanner.Text())) == nil {
 			return nil
