Add sequoiameasure, a command for measurements on loopback

Cause: the design states bounds for latency, control cost and takeovers, and nothing measured them. The command prints a table and one JSON object, each figure with its median and range.

- Latency and processor time of a request: direct, through the owner's process, through another one and through the client package.

The paths now take turns within a run.

--- /dev/null
+++ b/internal/sequoiameasure/configurations.go
@@ -0,0 +1,102 @@
+package sequoiameasure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaadmin"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiafleet"
+)
+
+const (
+	// appliedConfigurations is the number of configurations applied in one run.
+	appliedConfigurations = 20
+	// configurationLimit is the design's bound until a configuration is in force everywhere.
+	configurationLimit = 12 * time.Second
+	configurationPoll  = time.Millisecond
+)
+
+// errNotInForce reports a configuration that was not in force everywhere within the design's bound.
+var errNotInForce = errors.New("the configuration is not in force everywhere")
+
+// configurations applies configurations to a fleet of each size.
+func (m *measurement) configurations(ctx context.Context) error {
+	for _, n := range m.cfg.Sizes {
+		d, err := deploymentOf(n)
+		if err != nil {
+			return err
+		}
+		startCtx, cancel := context.WithTimeout(ctx, startTimeout)
+		f, err := sequoiafleet.Start(startCtx, d, io.Discard)
+		cancel()
+		if err != nil {
+			return err
+		}
+		err = m.configure(ctx, fmt.Sprintf("%d processes", n), f)
+		f.Close()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m *measurement) configure(ctx context.Context, subject string, f *sequoiafleet.Fleet) error {
+	if err := pause(ctx, settleTime); err != nil {
+		return err
+	}
+	calls, started := f.Store.Counts().Total(), time.Now()
+	if err := pause(ctx, idleWindow); err != nil {
+		return err
+	}
+	idle := float64(f.Store.Counts().Total()-calls) / time.Since(started).Seconds()
+	calls, started = f.Store.Counts().Total(), time.Now()
+	var took []time.Duration
+	for i := range appliedConfigurations {
+		d, err := applyOne(ctx, f, i)
+		if err != nil {
+			return err
+		}
+		took = append(took, d)
+	}
+	beyond := float64(f.Store.Counts().Total()-calls) - idle*time.Since(started).Seconds()
+	m.add(PartConfiguration, subject, "median time until in force everywhere", "ms", slices.Sorted(slices.Values(took))[len(took)/2].Seconds()*1e3)
+	m.add(PartConfiguration, subject, "longest time until in force everywhere", "ms", slices.Max(took).Seconds()*1e3)
+	m.add(PartConfiguration, subject, "store calls of an entry", "calls", beyond/appliedConfigurations)
+	return nil
+}
+
+// applyOne applies a configuration and returns the time until every process has it in force.
+func applyOne(ctx context.Context, f *sequoiafleet.Fleet, i int) (time.Duration, error) {
+	base := f.Nodes[0].Process.Snapshot().Table.Configuration.Revision
+	started := time.Now()
+	reply, err := f.Nodes[0].Admin().Apply(ctx, sequoiaadmin.ApplyRequest{
+		Base: base, Operator: "measure", Document: fmt.Sprintf("// Change %d.\n%s", i, f.Deployment.Configuration),
+	})
+	if err != nil {
+		return 0, err
+	}
+	for !inForce(f, reply.Revision) {
+		if time.Since(started) > configurationLimit {
+			return 0, errors.Wrapf(errNotInForce, "revision %d", reply.Revision)
+		}
+		if err := pause(ctx, configurationPoll); err != nil {
+			return 0, err
+		}
+	}
+	return time.Since(started), nil
+}
+
+func inForce(f *sequoiafleet.Fleet, revision uint64) bool {
+	for _, n := range f.Nodes {
+		if n.Process.Snapshot().Table.Configuration.Revision < revision {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/sequoiameasure/report.go
@@ -0,0 +1,88 @@
+// Package sequoiameasure measures latency, throughput and control cost on loopback, with the stand-ins for the store and
+// the upstreams in the same program, and the control core alone at the sizes that do not fit one machine.
+package sequoiameasure
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+)
+
+// Row is one figure with the range of its runs.
+type Row struct {
+	Part    string
+	Subject string
+	Metric  string
+	Unit    string
+	Median  float64
+	Lowest  float64
+	Highest float64
+	Runs    int
+}
+
+// Report lists the figures in the order in which they were first measured.
+type Report struct {
+	Rows []Row
+}
+
+// rowKey identifies the values of one row.
+type rowKey struct {
+	part, subject, metric, unit string
+}
+
+// recorder collects the values of all runs.
+type recorder struct {
+	order  []rowKey
+	values map[rowKey][]float64
+}
+
+func newRecorder() *recorder {
+	return &recorder{values: map[rowKey][]float64{}}
+}
+
+func (r *recorder) add(part, subject, metric, unit string, value float64) {
+	k := rowKey{part, subject, metric, unit}
+	if _, ok := r.values[k]; !ok {
+		r.order = append(r.order, k)
+	}
+	r.values[k] = append(r.values[k], value)
+}
+
+func (r *recorder) report() *Report {
+	report := &Report{}
+	for _, k := range r.order {
+		values := slices.Sorted(slices.Values(r.values[k]))
+		report.Rows = append(report.Rows, Row{
+			Part: k.part, Subject: k.subject, Metric: k.metric, Unit: k.unit,
+			Median: median(values), Lowest: values[0], Highest: values[len(values)-1], Runs: len(values),
+		})
+	}
+	return report
+}
+
+// median returns the median of sorted values, of which there is at least one.
+func median(sorted []float64) float64 {
+	middle := len(sorted) / 2
+	if len(sorted)%2 == 1 {
+		return sorted[middle]
+	}
+	return (sorted[middle-1] + sorted[middle]) / 2
+}
+
+// Print writes the report as a table, followed by one JSON object on a line of its own.
+func (r *Report) Print(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "PART\tSUBJECT\tMETRIC\tUNIT\tMEDIAN\tLOWEST\tHIGHEST\tRUNS")
+	for _, row := range r.Rows {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.4g\t%.4g\t%.4g\t%d\n",
+			row.Part, row.Subject, row.Metric, row.Unit, row.Median, row.Lowest, row.Highest, row.Runs)
+	}
+	if err := w.Flush(); err != nil {
+		return errors.Wrap(err, "print the table")
+	}
+	return errors.Wrap(json.NewEncoder(out).Encode(r), "print the JSON object")
+}
--- /dev/null
+++ b/internal/sequoiameasure/requests.go
@@ -0,0 +1,207 @@
+package sequoiameasure
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiachecker"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiafleet"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiastandin"
+	"github.com/sequoiaspring/sequoiaspring/pkg/sequoiaclient"
+)
+
+const (
+	// requestSlots exceeds the callers, so that no request waits for a slot.
+	requestSlots = 128
+	// latencyRate is the number of requests per second at which latency is measured, far below saturation.
+	latencyRate    = 500
+	latencyCallers = 32
+	// latencyRounds is how often the paths are measured in turn within one run.
+	latencyRounds = 5
+	// throughputCallers send each request after the one before.
+	throughputCallers = 32
+	requestKeys       = 1024
+	requestTimeout    = 5 * time.Second
+	startTimeout      = 60 * time.Second
+	// settleTime lets a started fleet finish its first moves and connections.
+	settleTime = 2 * time.Second
+)
+
+// path is one way from a caller to the upstream that owns a key.
+type path struct {
+	name string
+	send sequoiastandin.SendFunc
+}
+
+// requestPaths returns the ways that are compared. Each looks the owner up in the same table, so that the look-up
+// cancels out, and the direct call comes first.
+func requestPaths(f *sequoiafleet.Fleet, client *sequoiaclient.Client, direct *http.Client) []path {
+	return []path{
+		{"direct", func(ctx context.Context, call sequoiastandin.LoadCall) sequoiastandin.LoadResult {
+			owner, _ := ownerAndOther(f, call)
+			result := sequoiastandin.HTTPSend(direct, owner.Upstream.Addr())(ctx, call)
+			if result.Status == http.StatusOK {
+				result.Outcome = sequoiachecker.Answered
+			}
+			return result
+		}},
+		{"owner's process", func(ctx context.Context, call sequoiastandin.LoadCall) sequoiastandin.LoadResult {
+			owner, _ := ownerAndOther(f, call)
+			return sequoiastandin.HTTPSend(direct, owner.Settings.HTTP)(ctx, call)
+		}},
+		{"other process", func(ctx context.Context, call sequoiastandin.LoadCall) sequoiastandin.LoadResult {
+			_, other := ownerAndOther(f, call)
+			return sequoiastandin.HTTPSend(direct, other.Settings.HTTP)(ctx, call)
+		}},
+		{"client package", sequoiafleet.ClientSend(client)},
+	}
+}
+
+// ownerAndOther returns the node that owns a call's key and one that does not.
+func ownerAndOther(f *sequoiafleet.Fleet, call sequoiastandin.LoadCall) (owner, other *sequoiafleet.Node) {
+	service := f.Nodes[0].Process.Snapshot().Table.Service(call.Service)
+	id := service.Lookup(call.Key).Owner
+	owner, other = f.Nodes[0], f.Nodes[1]
+	for i, n := range f.Nodes {
+		if n.Process.Snapshot().Self == id {
+			return n, f.Nodes[(i+1)%len(f.Nodes)]
+		}
+	}
+	return owner, other
+}
+
+// requestFleet is a fleet whose upstreams answer at once, with the ways to it.
+type requestFleet struct {
+	fleet  *sequoiafleet.Fleet
+	client *sequoiaclient.Client
+	direct *http.Client
+	paths  []path
+}
+
+func startRequestFleet(ctx context.Context) (*requestFleet, error) {
+	d, err := sequoiafleet.FindDeployment("howrah")
+	if err != nil {
+		return nil, err
+	}
+	for i := range d.Services {
+		d.Services[i].Slots = requestSlots
+		d.Services[i].ServiceTime = 0
+		d.Services[i].ConnectionCost = 0
+	}
+	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	f, err := sequoiafleet.Start(startCtx, d, io.Discard, sequoiafleet.WithoutGrantChecks())
+	if err != nil {
+		return nil, err
+	}
+	client, err := sequoiaclient.New([]netip.AddrPort{f.Nodes[0].Settings.HTTP})
+	if err != nil {
+		f.Close()
+		return nil, err
+	}
+	direct := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: throughputCallers}}
+	r := &requestFleet{fleet: f, client: client, direct: direct}
+	r.paths = requestPaths(f, client, direct)
+	return r, pause(ctx, settleTime)
+}
+
+func (r *requestFleet) close() {
+	r.client.Close()
+	r.direct.CloseIdleConnections()
+	r.fleet.Close()
+}
+
+// load sends requests for a time.
+func (m *measurement) load(ctx context.Context, p path, d time.Duration, rate float64, callers int) (*sequoiastandin.LoadReport, error) {
+	return sequoiastandin.RunLoad(ctx, sequoiastandin.LoadConfig{
+		Service: "dispatch", Callers: callers, Requests: 1_000_000, Duration: d, Rate: rate,
+		Keys: requestKeys, Seed: 1, RepeatableShare: 1, Timeout: requestTimeout,
+		RunID: p.name, DiscardRecords: true,
+	}, p.send)
+}
+
+// latency measures the paths in turn several times, so that other work on the machine meets all of them.
+func (m *measurement) latency(ctx context.Context) error {
+	r, err := startRequestFleet(ctx)
+	if err != nil {
+		return err
+	}
+	defer r.close()
+	reports := make([]*sequoiastandin.LoadReport, len(r.paths))
+	for round := range latencyRounds + 1 {
+		for i, p := range r.paths {
+			report, err := m.load(ctx, p, m.cfg.Window/latencyRounds, latencyRate, latencyCallers)
+			if err != nil {
+				return err
+			}
+			// The first round opens connections and is not counted.
+			if round <= 1 {
+				reports[i] = report
+			} else {
+				reports[i].Merge(report)
+			}
+		}
+	}
+	for i, p := range r.paths {
+		for _, q := range []struct {
+			name     string
+			quantile float64
+		}{{"p50", 50}, {"p99", 99}} {
+			value := float64(reports[i].Latency.ValueAtQuantile(q.quantile))
+			m.add(PartLatency, p.name, q.name, "us", value)
+			if i > 0 {
+				m.add(PartLatency, p.name, "added "+q.name, "us", value-float64(reports[0].Latency.ValueAtQuantile(q.quantile)))
+			}
+		}
+		m.add(PartLatency, p.name, "not answered", "requests", float64(reports[i].NotRun+reports[i].Unknown))
+	}
+	return nil
+}
+
+// throughput measures the processor time of a request on each path. That of the direct call is the share of the load
+// generator and the upstream stand-in, so the difference is the processes' own.
+func (m *measurement) throughput(ctx context.Context) error {
+	r, err := startRequestFleet(ctx)
+	if err != nil {
+		return err
+	}
+	defer r.close()
+	idle, err := idleUse(ctx, m.cfg.Window)
+	if err != nil {
+		return err
+	}
+	m.add(PartThroughput, "idle fleet of 9", "processor", "% of a core", idle*100)
+	direct := 0.0
+	for _, p := range r.paths {
+		before := cpuTime()
+		report, err := m.load(ctx, p, m.cfg.Window, 0, throughputCallers)
+		if err != nil {
+			return err
+		}
+		elapsed := report.Ended.Sub(report.Started).Seconds()
+		used := (cpuTime() - before).Seconds() - idle*elapsed
+		request := used / float64(max(1, report.Requests()))
+		m.add(PartThroughput, p.name, "rate, stand-ins included", "requests/s", float64(report.Requests())/elapsed)
+		m.add(PartThroughput, p.name, "processor, stand-ins included", "us/request", request*1e6)
+		m.add(PartThroughput, p.name, "not answered", "requests", float64(report.NotRun+report.Unknown))
+		if direct == 0 {
+			direct = request
+			continue
+		}
+		m.add(PartThroughput, p.name, "processor beyond direct", "us/request", (request-direct)*1e6)
+		m.add(PartThroughput, p.name, "capacity of a core", "requests/s", 1/(request-direct))
+	}
+	return nil
+}
+
+// idleUse returns the cores that the program uses without load.
+func idleUse(ctx context.Context, window time.Duration) (float64, error) {
+	before, started := cpuTime(), time.Now()
+	if err := pause(ctx, window); err != nil {
+		return 0, err
+	}
+	return (cpuTime() - before).Seconds() / time.Since(started).Seconds(), nil
+}
