Count a frozen upstream's announcements only while it is frozen

Ruled out: an announcement during the freeze; the counter did not change between freeze and thaw in the repeated runs. Conclusion: the new check allows one announcement instead of two.

--- a/internal/sequoiastandin/upstream_test.go
+++ b/internal/sequoiastandin/upstream_test.go
@@ -91,15 +91,21 @@
 
 	ginkgo.It("does not commit what was in progress during a freeze longer than the grant, and announces nothing", func() {
 		u, url := start(nil)
-		time.AfterFunc(2*time.Millisecond, func() { u.SetFrozen(true) })
+		var frozen, thawed atomic.Int64
+		time.AfterFunc(2*time.Millisecond, func() {
+			u.SetFrozen(true)
+			frozen.Store(process.count.Load())
+		})
 		time.AfterFunc(800*time.Millisecond, func() {
+			thawed.Store(process.count.Load())
 			process.incarnation.Store(8)
 			u.SetFrozen(false)
 		})
 		began := time.Now()
 		Expect(send(url, "a", 5)).To(Equal("StaleGrant"))
 		Expect(time.Since(began)).To(BeNumerically(">", 700*time.Millisecond))
-		Expect(process.count.Load()).To(BeNumerically("<=", 2))
+		// One announcement may have been under way when the upstream froze.
+		Expect(thawed.Load() - frozen.Load()).To(BeNumerically("<=", 1))
 		list, _ := u.Executions()
 		Expect(list).To(HaveLen(1))
 		Expect(list[0].Committed).To(BeFalse())
