Spread changes of witnesses over time and let witnesses act as planners

Tests in simulated time: witnesses stay in a region that has 3 failure domains; two regions that lose each other, one of them the store too, keep what they own for a minute, nobody owns twice, and they catch up within 2 s; the loss of one of 11 failure domains in 5 regions (220 members).

Faults found by them: - Each loss of the race for the next entry was repeated at once by every writer, and a process without neighbours saw one more entry with each attempt. Changes that are not urgent now back off, and such a process reads the log to its end first.

The table keeps its members in order instead of sorting them for each call.

Ruled out: a back-off bounded by the number of members, since a process that has not joined does not know it, and a start took longer than 15 s.

Not solved: on the store's side keys of a lost owner may be assigned to members behind the partition, which serve them when it ends.

--- a/internal/sequoiacontrol/lease.go
+++ b/internal/sequoiacontrol/lease.go
@@ -338,12 +338,12 @@
 			continue
 		}
 		r.reportedAt = c.now
+		// A witness that is no planner acts last, for the case that no planner can be reached.
+		c.suspectReported(c.self, holder)
 		for _, id := range c.planners(holder) {
-			if id == c.self {
-				c.suspectReported(c.self, holder)
-				continue
+			if id != c.self {
+				c.send(id, Message{Suspect: &Suspect{Holder: holder}})
 			}
-			c.send(id, Message{Suspect: &Suspect{Holder: holder}})
 		}
 	}
 }
--- a/internal/sequoiacontrol/log.go
+++ b/internal/sequoiacontrol/log.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,11 +38,15 @@
 	read       bool
 	reading    bool
 	readAfter  time.Time
+	readAt     time.Time
 	watching   bool
 	failing    bool
 	appending  bool
 	appendSent uint64
 	notBefore  time.Time
+	// lostRaces counts the appends since the last one that won; changes that are not urgent wait until patientUntil.
+	lostRaces    int
+	patientUntil time.Time
 }
 
 // retainedLog holds the last entries without gaps.
@@ -94,6 +99,7 @@
 	}
 	c.store.read = true
 	c.store.failing = false
+	c.store.readAt = c.now
 	c.store.readAfter = c.now.Add(lonelyAfter / 2)
 	if ev.Checkpoint != nil {
 		c.install(ev.Checkpoint)
@@ -170,8 +176,10 @@
 	}
 	c.pending = nil
 	if e.Writer != p.entry.Writer || e.Nonce != p.entry.Nonce {
+		c.backOff()
 		return
 	}
+	c.store.lostRaces = 0
 	for i, o := range p.origins {
 		var err error
 		for _, r := range refused {
@@ -348,7 +356,7 @@
 		return
 	}
 	changes, origins := c.collect()
-	if len(changes) == 0 {
+	if len(changes) == 0 || !slices.ContainsFunc(changes, urgent) && !c.mayAppendPatiently() {
 		return
 	}
 	c.pending = &pendingAppend{
@@ -361,6 +369,41 @@
 	c.sendAppend()
 }
 
+const (
+	// firstBackOff and maxBackOff bound the wait after a lost race, which doubles with each one.
+	firstBackOff = 4 * time.Millisecond
+	maxBackOff   = 2 * time.Second
+	// freshFor is how long the result of a read counts as the end of the log.
+	freshFor = 25 * time.Millisecond
+)
+
+// backOff delays the next attempt to write changes that are not urgent. After the loss of a failure domain a quarter of
+// the fleet changes its witnesses; if all repeated their appends at once, each entry would cost a call of every one of
+// them and delay the takeover.
+func (c *Core) backOff() {
+	wait := min(maxBackOff, firstBackOff<<min(c.store.lostRaces, 16))
+	c.store.lostRaces++
+	c.store.patientUntil = c.now.Add(time.Duration(c.opt.random() % uint64(wait)))
+}
+
+// mayAppendPatiently reports whether changes that are not urgent may be written now. A process that gets no entries
+// from peers reads the log to its end first: each lost race would show it only one entry more.
+func (c *Core) mayAppendPatiently() bool {
+	if c.now.Before(c.store.patientUntil) || c.store.reading {
+		return false
+	}
+	if c.store.lostRaces > 0 && c.lonely() && c.now.Sub(c.store.readAt) > freshFor {
+		c.readLog()
+		return false
+	}
+	return true
+}
+
+// urgent reports whether keys may be without an owner, or an operator waits, until the change is written.
+func urgent(change sequoiatable.Change) bool {
+	return change.Join == nil && change.SetWitnesses == nil
+}
+
 func (c *Core) sendAppend() {
 	c.store.appending = true
 	c.store.appendSent = c.pending.entry.Nonce
--- a/internal/sequoiacontrol/takeover.go
+++ b/internal/sequoiacontrol/takeover.go
@@ -38,7 +38,8 @@
 	return s
 }
 
-// position returns this process's position among the planners, one after the last if it is none of them.
+// position returns this process's position among the planners, one after the last if it is none of them. Witnesses
+// that are no planners have that position too.
 func (c *Core) position(except sequoiatable.IncarnationID) int {
 	planners := c.planners(except)
 	for i, id := range planners {
--- a/internal/sequoiatable/checkpoint.go
+++ b/internal/sequoiatable/checkpoint.go
@@ -170,6 +170,7 @@
 		}
 		m.Owned = 0
 		t.members[m.Incarnation] = m
+		t.order = append(t.order, m.Incarnation)
 		ids = append(ids, m.Incarnation)
 	}
 	for i := range c.Services {
--- a/internal/sequoiatable/table.go
+++ b/internal/sequoiatable/table.go
@@ -116,6 +116,8 @@
 	Configuration Configuration
 	services      map[string]*ServiceTable
 	members       map[IncarnationID]*MemberState
+	// order lists the members in ascending order. It is replaced when a member is added or removed, not modified.
+	order []IncarnationID
 }
 
 // New returns the table of the empty log.
@@ -140,7 +142,7 @@
 
 // Members returns the members' identifiers in ascending order, revoked ones that still own keys included.
 func (t *Table) Members() []IncarnationID {
-	return slices.Sorted(maps.Keys(t.members))
+	return slices.Clone(t.order)
 }
 
 // Refusal names a change that Apply left out.
@@ -419,6 +421,9 @@
 		b.next.members = maps.Clone(b.next.members)
 		b.membersCopied = true
 	}
+	if i, found := slices.BinarySearch(b.next.order, m.Incarnation); !found {
+		b.next.order = slices.Insert(slices.Clone(b.next.order), i, m.Incarnation)
+	}
 	b.next.members[m.Incarnation] = m
 	b.ownMember[m.Incarnation] = true
 }
@@ -428,6 +433,9 @@
 		b.next.members = maps.Clone(b.next.members)
 		b.membersCopied = true
 	}
+	if i, found := slices.BinarySearch(b.next.order, id); found {
+		b.next.order = slices.Delete(slices.Clone(b.next.order), i, i+1)
+	}
 	delete(b.next.members, id)
 	delete(b.ownMember, id)
 }
