--- a/internal/sequoiacontrol/core.go
+++ b/internal/sequoiacontrol/core.go
@@ -31,6 +31,8 @@
 	joinAfter time.Time
 	// former maps earlier incarnations of this process to the latest lease end that the data path was given.
 	former map[sequoiatable.IncarnationID]time.Time
+	// predecessors maps incarnations of earlier processes at this process's address to the end of what they granted.
+	predecessors map[sequoiatable.IncarnationID]time.Time
 
 	// peerTable is set once the table came from a peer while the store did not answer, with the revision recorded then.
 	peerTable    bool
@@ -81,18 +83,19 @@
 		opt(&o)
 	}
 	c := &Core{
-		opt:       o,
-		table:     sequoiatable.New(),
-		former:    map[sequoiatable.IncarnationID]time.Time{},
-		peers:     map[sequoiatable.IncarnationID]*peer{},
-		suspects:  map[sequoiatable.IncarnationID]*suspicion{},
-		takeovers: map[sequoiatable.IncarnationID]*takeover{},
-		firstSeen: map[sequoiatable.IncarnationID]time.Time{},
-		confirmed: map[sequoiatable.IncarnationID]bool{},
-		initial:   map[string]*initialWait{},
-		merges:    map[string][]string{},
-		loads:     map[sequoiatable.IncarnationID]measuredLoad{},
-		lastMove:  map[string]time.Time{},
+		opt:          o,
+		table:        sequoiatable.New(),
+		former:       map[sequoiatable.IncarnationID]time.Time{},
+		predecessors: map[sequoiatable.IncarnationID]time.Time{},
+		peers:        map[sequoiatable.IncarnationID]*peer{},
+		suspects:     map[sequoiatable.IncarnationID]*suspicion{},
+		takeovers:    map[sequoiatable.IncarnationID]*takeover{},
+		firstSeen:    map[sequoiatable.IncarnationID]time.Time{},
+		confirmed:    map[sequoiatable.IncarnationID]bool{},
+		initial:      map[string]*initialWait{},
+		merges:       map[string][]string{},
+		loads:        map[sequoiatable.IncarnationID]measuredLoad{},
+		lastMove:     map[string]time.Time{},
 
 		plannerSince: map[string]time.Time{},
 	}
--- a/internal/sequoiafleet/fleet.go
+++ b/internal/sequoiafleet/fleet.go
@@ -204,8 +204,11 @@
 
 // Kill ends the process and the upstream of a node at once.
 func (n *Node) Kill() {
-	n.Process.Close()
-	n.Upstream.Close()
+	var closing sync.WaitGroup
+	// One after the other, the one closed last would go on serving while the first closes its listeners.
+	closing.Go(n.Process.Close)
+	closing.Go(n.Upstream.Close)
+	closing.Wait()
 	n.store.Close()
 	n.log.Close()
 }
@@ -282,8 +285,8 @@
 	var addrs []netip.AddrPort
 	var open []io.Closer
 	defer func() {
-		for _, l := range open {
-			_ = l.Close()
+		for _, c := range open {
+			_ = c.Close()
 		}
 	}()
 	for tries := 0; len(addrs) < count; tries++ {
--- a/internal/sequoiaproxy/front.go
+++ b/internal/sequoiaproxy/front.go
@@ -12,10 +12,12 @@
 	"sync"
 	"time"
 
+	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiapoller"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
 )
@@ -26,6 +28,7 @@
 	headerKey         = "Sequoia-Key"
 	headerRequestID   = "Sequoia-Request-Id"
 	headerFirstEpoch  = "Sequoia-First-Epoch"
+	headerFirst       = "Sequoia-First-Attempt"
 	headerRepeatable  = "Sequoia-Repeatable"
 	headerTimeout     = "Sequoia-Timeout-Milliseconds"
 	headerOutcome     = "Sequoia-Outcome"
@@ -114,11 +117,15 @@
 		IOMod: nbhttp.IOModNonBlocking, SupportServerOnly: true,
 		Listen: func(string, string) (net.Listener, error) { return ln, nil },
 	})
+	loops := sequoiapoller.New(e.Engine, func(c *nbio.Conn, b []byte) { c.DataHandler()(c, b) })
 	if err := e.Start(); err != nil {
 		_ = ln.Close()
 		return netip.AddrPort{}, errors.Wrapf(err, "listen on %s", addr)
 	}
 	p.fronts.add(e)
+	if err := loops.AwaitStart(); err != nil {
+		return netip.AddrPort{}, errors.Wrapf(err, "listen on %s", addr)
+	}
 	return bound, nil
 }
 
@@ -206,6 +213,9 @@
 	if r.Context().Err() != nil {
 		return
 	}
+	if req.RequestID != "" && req.FirstEpoch != 0 {
+		w.Header().Set(headerFirstEpoch, strconv.FormatUint(uint64(req.FirstEpoch), 10))
+	}
 	writeResponse(w, r, resp)
 }
 
@@ -247,12 +257,12 @@
 		}
 		req.FirstEpoch = sequoiatable.Epoch(n)
 	}
-	switch v := h.Get(headerRepeatable); v {
-	case "", "false":
-	case "true":
-		req.Repeatable = true
-	default:
-		return errors.Errorf("%s %q: want true or false", headerRepeatable, v)
+	var err error
+	if req.Repeatable, err = parseFlag(h, headerRepeatable); err != nil {
+		return err
+	}
+	if req.FirstAttempt, err = parseFlag(h, headerFirst); err != nil {
+		return err
 	}
 	limits := p.router.Limits(req.Service)
 	timeout := cmp.Or(limits.Timeout, p.timeout)
@@ -267,6 +277,18 @@
 	return nil
 }
 
+// parseFlag returns false for a header that is not set.
+func parseFlag(h http.Header, name string) (bool, error) {
+	switch v := h.Get(name); v {
+	case "", "false":
+		return false, nil
+	case "true":
+		return true, nil
+	default:
+		return false, errors.Errorf("%s %q: want true or false", name, v)
+	}
+}
+
 // writeResponse writes the end of a request to the caller.
 func writeResponse(w http.ResponseWriter, r *http.Request, resp *sequoiarouter.Response) {
 	h := w.Header()
