Stop serving within 3 s in a drain that cannot move its keys

Cause: during a store outage a draining process served its keys until the store answered; the scenario pair-drain-during-outage saw new requests begin until 6 s after the drain, while I6 allows 3 s. The design left the case open. Conclusion: after 2 s without the store the process closes all keys, finishes requests in progress and ends; its keys are taken over when the store answers.

--- a/internal/sequoiacontrol/command.go
+++ b/internal/sequoiacontrol/command.go
@@ -270,9 +270,12 @@
 }
 
 // cannotMove reports whether a draining process has to stop serving keys that it still owns: no other member can take
-// them, or the time for the moves is over. The process then gives them up by Revoke, and the planner assigns them.
+// them, the store does not answer, or the time for the moves is over. The process then gives them up by Revoke, and the planner assigns them.
 func (c *Core) cannotMove() bool {
 	d := c.drain
+	if c.store.failing && c.now.Sub(d.since) >= c.opt.timings.DrainWithoutStore {
+		return true
+	}
 	if len(c.moves) > 0 || c.store.failing || c.hasTarget() {
 		d.targetSeen = c.now
 	}
--- a/internal/sequoiacontrol/options.go
+++ b/internal/sequoiacontrol/options.go
@@ -46,6 +46,9 @@
 	// NoTargetWait is how long a draining process serves on when no other member can take its keys. A departing
 	// process has to refuse new work within 3 s.
 	NoTargetWait time.Duration
+	// DrainWithoutStore is how long a draining process serves keys that it cannot move because the store does not
+	// answer. With the ticks and a last request on its way it keeps the bound of I6, 3 s without new work.
+	DrainWithoutStore time.Duration
 	// LeaveTimeout bounds the wait for the entry that ends a drain, which cannot be written while the store is down.
 	LeaveTimeout time.Duration
 	// CheckpointRetry separates attempts to write a checkpoint, by the writer and by each planner in turn.
@@ -64,29 +67,30 @@
 // DefaultTimings returns the values of the design.
 func DefaultTimings() Timings {
 	return Timings{
-		Lease:            time.Second,
-		HolderLease:      990 * time.Millisecond,
-		RenewInterval:    250 * time.Millisecond,
-		SuspectAfter:     600 * time.Millisecond,
-		PlannerDelay:     150 * time.Millisecond,
-		SuspectBatch:     50 * time.Millisecond,
-		JoinWait:         300 * time.Millisecond,
-		InitialWait:      time.Second,
-		InitialWaitLimit: 5 * time.Second,
-		StoreRetry:       300 * time.Millisecond,
-		Resend:           100 * time.Millisecond,
-		CloseTimeout:     10 * time.Second,
-		MemoryTimeout:    2 * time.Second,
-		AssignTimeout:    2 * time.Second,
-		DrainTimeout:     65 * time.Second,
-		DrainFirstTry:    time.Second,
-		NoTargetWait:     2 * time.Second,
-		LeaveTimeout:     5 * time.Second,
-		CheckpointRetry:  10 * time.Second,
-		CommandTimeout:   10 * time.Second,
-		BalanceInterval:  5 * time.Second,
-		WithoutWitnesses: 30 * time.Second,
-		PauseAfter:       300 * time.Millisecond,
+		Lease:             time.Second,
+		HolderLease:       990 * time.Millisecond,
+		RenewInterval:     250 * time.Millisecond,
+		SuspectAfter:      600 * time.Millisecond,
+		PlannerDelay:      150 * time.Millisecond,
+		SuspectBatch:      50 * time.Millisecond,
+		JoinWait:          300 * time.Millisecond,
+		InitialWait:       time.Second,
+		InitialWaitLimit:  5 * time.Second,
+		StoreRetry:        300 * time.Millisecond,
+		Resend:            100 * time.Millisecond,
+		CloseTimeout:      10 * time.Second,
+		MemoryTimeout:     2 * time.Second,
+		AssignTimeout:     2 * time.Second,
+		DrainTimeout:      65 * time.Second,
+		DrainFirstTry:     time.Second,
+		NoTargetWait:      2 * time.Second,
+		DrainWithoutStore: 2 * time.Second,
+		LeaveTimeout:      5 * time.Second,
+		CheckpointRetry:   10 * time.Second,
+		CommandTimeout:    10 * time.Second,
+		BalanceInterval:   5 * time.Second,
+		WithoutWitnesses:  30 * time.Second,
+		PauseAfter:        300 * time.Millisecond,
 	}
 }
 
