Correct timing faults of the peer and proxy tests on a busy machine

Seen while other work kept the machine at a load average of 50 to 130 on 10 processors:

- sequoiapoller closed both ends of its probes. nbio looks a connection up by its descriptor, so an event loop that had the end of a probe in hand could take it for one of the next connection with that descriptor and close that: 1 of 12 -race runs had a first request end with "EOF: the connection was lost".
Only one end is closed now; the event loop closes the other itself.

--- a/internal/sequoiapoller/poller.go
+++ b/internal/sequoiapoller/poller.go
@@ -63,19 +63,23 @@
 
 // AwaitStart returns once each event loop of the started engine is running. It returns ErrNotStarted.
 func (l *Loops) AwaitStart() error {
-	var conns []*nbio.Conn
+	var pairs [][]*nbio.Conn
 	defer func() {
-		for _, c := range conns {
-			_ = c.Close()
+		// The event loop closes the other end. If it were closed here, the loop could take the event that reports the
+		// end for one of a new connection with the same descriptor, and close that.
+		for _, pair := range pairs {
+			_ = pair[0].Close()
 		}
 	}()
 	probed := map[int]bool{}
 	for len(probed) < l.engine.NPoller {
-		if len(conns) >= 2*maxProbes {
+		if len(pairs) >= maxProbes {
 			return errors.Wrapf(ErrNotStarted, "%d of %d loops were reached", len(probed), l.engine.NPoller)
 		}
 		pair, err := l.addPair()
-		conns = append(conns, pair...)
+		if len(pair) > 0 {
+			pairs = append(pairs, pair)
+		}
 		if err != nil {
 			return err
 		}
