Relay load reports by failure domain in large fleets

At 3,800 members every member reported to one planner every 47 s. Control connections close after 30 s idle, so each report needed a handshake: about 80/s at 3.6 ms, 29% of a core. The interval also assumed 100 B per report; a report with 16 keys and 16 shards is encoded in 1,080 to 1,314 B with keys of 1 to 16 B.

Where the direct interval exceeds 20 s (from 321 members) a member reports to the lowest-ranked live member of its failure domain, which passes on one batch per service: the 6 most and 6 least loaded members, the owners of the 6 hottest keys, and their hottest keys and shards up to 4 KB. Reports are cut to 512 B once the interval exceeds 1 s (385 to 407 B encoded); a batch of 345 members is 3,533 to 3,739 B. Calculated intervals at 3,800 members in 11 failure domains: 21.6 s to the relay, 11 s to the planner, at most 8 and 4 KB/s. At 9 members the interval stays 1 s, direct, with whole lists.

Lists are cut from the end and keep at least one key, because the balancer takes a key that a list omits for no hotter than the last one listed, and folds hot keys by an empty list. Ruled out: longer idle timeouts of connections, which keep 3,800 connections open at one planner; a report at once to a new relay, which brings 345 handshakes in a second.

Not measured: the handshakes at a relay that takes over, calculated at 6% of a core for 22 s, and a run with 3,800 processes.

--- a/internal/sequoiacontrol/assign.go
+++ b/internal/sequoiacontrol/assign.go
@@ -6,18 +6,6 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
 )
 
-// Load reports are sized so that a planner receives no more than reportBytesPerSecond.
-const (
-	reportBytes          = 100
-	reportBytesPerSecond = 8 * 1024
-	minReportInterval    = time.Second
-)
-
-type measuredLoad struct {
-	Load
-	at time.Time
-}
-
 // initialWait delays the first assignment of keys without an owner.
 type initialWait struct {
 	index    uint64
@@ -61,28 +49,6 @@
 	return w
 }
 
-func (c *Core) loadMeasured(l Load) {
-	l.Incarnation = c.self
-	c.recordLoad(l)
-	interval := max(minReportInterval, c.reportInterval())
-	if c.now.Sub(c.loadSent) < interval {
-		return
-	}
-	c.loadSent = c.now
-	if planner := c.servicePlanner(l.Service); planner != 0 && planner != c.self {
-		c.send(planner, Message{LoadReport: &LoadReport{Load: l}})
-	}
-}
-
-// reportInterval grows with the fleet so that the planner's traffic does not.
-func (c *Core) reportInterval() time.Duration {
-	return time.Duration(c.view.members) * reportBytes * time.Second / reportBytesPerSecond
-}
-
-func (c *Core) recordLoad(l Load) {
-	c.loads[l.Incarnation] = measuredLoad{Load: l, at: c.now}
-}
-
 // advanceLoad asks owners to move keys where the policy wants a better balance. Without a lease another process may
 // be the planner by now.
 func (c *Core) advanceLoad() {
--- a/internal/sequoiacontrol/core.go
+++ b/internal/sequoiacontrol/core.go
@@ -60,7 +60,9 @@
 	initial  map[string]*initialWait
 	loads    map[sequoiatable.IncarnationID]measuredLoad
 	loadSent time.Time
-	balanced time.Time
+	// batchSent is when this process last passed on the loads of its failure domain.
+	batchSent time.Time
+	balanced  time.Time
 	// lastMove is when keys of each service last moved, plannerSince when this process became the service's planner.
 	lastMove     map[string]time.Time
 	plannerSince map[string]time.Time
@@ -194,7 +196,9 @@
 	case m.Checkpoint != nil:
 		c.receiveCheckpoint(from, m.Checkpoint)
 	case m.LoadReport != nil:
-		c.recordLoad(m.LoadReport.Load)
+		c.recordLoad(m.LoadReport.Load, 0)
+	case m.LoadBatch != nil:
+		c.recordBatch(m.LoadBatch)
 	case m.Release != nil:
 		c.release(m.Release)
 	case m.Memory != nil:
--- a/internal/sequoiacontrol/message.go
+++ b/internal/sequoiacontrol/message.go
@@ -25,6 +25,7 @@
 	EntriesRequest *EntriesRequest `cbor:",omitempty"`
 	Checkpoint     *Checkpoint     `cbor:",omitempty"`
 	LoadReport     *LoadReport     `cbor:",omitempty"`
+	LoadBatch      *LoadBatch      `cbor:",omitempty"`
 	Release        *Release        `cbor:",omitempty"`
 	Memory         *Memory         `cbor:",omitempty"`
 	MemoryReceived *MemoryReceived `cbor:",omitempty"`
@@ -97,7 +98,7 @@
 	Parts [][]byte
 }
 
-// LoadReport tells a planner the load of one upstream.
+// LoadReport tells a relay or planner the load of one upstream.
 type LoadReport struct {
 	Load Load
 }
@@ -119,6 +120,17 @@
 	Shards []sequoiaplacement.ShardLoad
 }
 
+// LoadBatch tells a planner the loads that stand out among the members of a service in the sender's failure domain.
+type LoadBatch struct {
+	Loads []AgedLoad
+}
+
+// AgedLoad is a load with the time since it was measured.
+type AgedLoad struct {
+	Load Load
+	Age  time.Duration
+}
+
 // Release asks an owner to move keys to another member.
 type Release struct {
 	Keys   KeySet
--- a/internal/sequoiacontrol/options.go
+++ b/internal/sequoiacontrol/options.go
@@ -53,6 +53,9 @@
 	// CommandTimeout bounds an operator's command.
 	CommandTimeout  time.Duration
 	BalanceInterval time.Duration
+	// DirectReports is the longest interval of load reports to the planner itself; in a larger fleet relays pass them on.
+	// It is shorter than the 30 s after which an idle control connection closes.
+	DirectReports time.Duration
 	// WithoutWitnesses is how long a member may have no witnesses before planners remove it. No witness would report
 	// such a member, and it would keep its rank for good.
 	WithoutWitnesses time.Duration
@@ -85,6 +88,7 @@
 		CheckpointRetry:  10 * time.Second,
 		CommandTimeout:   10 * time.Second,
 		BalanceInterval:  5 * time.Second,
+		DirectReports:    20 * time.Second,
 		WithoutWitnesses: 30 * time.Second,
 		PauseAfter:       300 * time.Millisecond,
 	}
--- a/internal/sequoiacontrol/view.go
+++ b/internal/sequoiacontrol/view.go
@@ -9,14 +9,21 @@
 	eligible  []sequoiatable.IncarnationID
 	unwatched []sequoiatable.IncarnationID
 	revoked   []sequoiatable.IncarnationID
-	// planner is the lowest-ranked eligible member of each service, reader that of each failure domain.
+	// planner is the lowest-ranked eligible member of each service, reader that of each failure domain, which also relays
+	// load reports.
 	planner map[string]sequoiatable.IncarnationID
 	reader  map[string]sequoiatable.IncarnationID
 	members int
+	// inDomain is the number of eligible members of each failure domain.
+	inDomain map[string]int
 }
 
 func newView(t *sequoiatable.Table, eligible func(m *sequoiatable.MemberState) bool) view {
-	v := view{planner: map[string]sequoiatable.IncarnationID{}, reader: map[string]sequoiatable.IncarnationID{}}
+	v := view{
+		planner:  map[string]sequoiatable.IncarnationID{},
+		reader:   map[string]sequoiatable.IncarnationID{},
+		inDomain: map[string]int{},
+	}
 	for _, id := range t.Members() {
 		m := t.Member(id)
 		v.members++
@@ -29,6 +36,7 @@
 			continue
 		}
 		v.eligible = append(v.eligible, id)
+		v.inDomain[m.FailureDomain]++
 		if v.planner[m.Service] == 0 {
 			v.planner[m.Service] = id
 		}
--- a/internal/sequoiapeer/codec.go
+++ b/internal/sequoiapeer/codec.go
@@ -101,7 +101,7 @@
 	for _, set := range []bool{
 		m.Renew != nil, m.Renewed != nil, m.Suspect != nil, m.SuspectQuery != nil, m.SuspectReply != nil,
 		m.Promise != nil, m.Promised != nil, m.Entries != nil, m.EntriesRequest != nil, m.Checkpoint != nil,
-		m.LoadReport != nil, m.Release != nil, m.Memory != nil, m.MemoryReceived != nil,
+		m.LoadReport != nil, m.LoadBatch != nil, m.Release != nil, m.Memory != nil, m.MemoryReceived != nil,
 	} {
 		if set {
 			kinds++
--- a/internal/sequoiapeer/fuzz_test.go
+++ b/internal/sequoiapeer/fuzz_test.go
@@ -22,6 +22,7 @@
 			Index: 1, Writer: 2, Changes: []sequoiatable.Change{{Join: &sequoiatable.Join{Member: member}}},
 		}}}},
 		{Checkpoint: &sequoiacontrol.Checkpoint{Index: 1, Parts: [][]byte{{1, 2}}}},
+		{LoadBatch: &sequoiacontrol.LoadBatch{Loads: []sequoiacontrol.AgedLoad{{Load: sequoiacontrol.Load{Service: "s"}, Age: time.Second}}}},
 		{Memory: &sequoiacontrol.Memory{Identifiers: []sequoiacontrol.Identifier{{Header: map[string][]string{"a": {"b"}}}}}},
 	} {
 		b, err := encodeControl(1, m)
--- a/internal/sequoiaplacement/tuning.go
+++ b/internal/sequoiaplacement/tuning.go
@@ -15,8 +15,8 @@
 	HotKeyBusySlots float64
 	// WarmUp is the uptime from which an upstream gets its full share.
 	WarmUp time.Duration
-	// StaleAfter is the age from which a measured load counts for nothing. It exceeds the 47 s between load reports
-	// at 3,800 members.
+	// StaleAfter is the age from which a measured load counts for nothing. It exceeds the 33 s that a load report and a
+	// relay's batch take at 3,800 members.
 	StaleAfter time.Duration
 	// KeysPerShard is the expected number of keys that move with a shard.
 	KeysPerShard float64
--- a/internal/sequoiarouter/load.go
+++ b/internal/sequoiarouter/load.go
@@ -9,7 +9,7 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaplacement"
 )
 
-// Sizes of the load measurement. A reported list must stay far below 100 bytes times the members of a service.
+// Sizes of the load measurement. sequoiacontrol shortens the reported lists where there are many members.
 const (
 	countedKeys    = 256
 	countedShards  = 256
