Ping forwarding connections only while they are in use

Every pooled connection was pinged each second. A ping and its pong are 24 B each way without TCP's headers; 3,800 idle connections would send 91 KB/s, and 21 KB/s are allowed.

A connection is pinged while a request is in progress or was sent within the last 3 s, and silence counts only then; the accepting side counts it while it serves a request. A connection on which nothing has arrived for 3 s gets no request before it has answered a ping with the ping's number. Without an answer within 300 ms a new connection takes its place, and nothing was sent. This holds for repeatable requests too, which would wait for the 3 s. Unused connections close after 30 s at the client and 40 s at the server. The time since the last data is read from the clock, so that a pause of the process counts as well.

A new connection is used after the answer to a first ping, one round trip later than before. nbio may take an event of an earlier connection with the same descriptor for one of the new connection, and close it in the turn of the event loop in which it reads the challenge; a request that was sent by then ended as unknown.

--- a/internal/sequoiapeer/challenge.go
+++ b/internal/sequoiapeer/challenge.go
@@ -17,7 +17,7 @@
 )
 
 // challenge is the mutual authentication that opens a forwarding connection. The client sends Hello with its nonce; the
-// server answers Challenge with its own nonce and its proof; the client sends Proof, and requests may follow it.
+// server answers Challenge with its own nonce and its proof; the client sends Proof and a Ping, and after the Pong requests.
 type challenge struct {
 	key         []byte
 	clientNonce [nonceSize]byte
--- a/internal/sequoiapeer/forward.go
+++ b/internal/sequoiapeer/forward.go
@@ -303,15 +303,40 @@
 // Unwrap returns the result and the cause, for errors.Is.
 func (e *failure) Unwrap() []error { return []error{e.result, e.cause} }
 
-// connection returns the least loaded connection to addr, or waits for a new one.
+// connection returns the least loaded connection to addr, or waits for a new one. A connection that has been idle for
+// longer than the silence bound may have gone silent, so it has to answer a ping first; a request on it could neither
+// be repeated nor answered. This holds for repeatable requests too, which would wait for the whole silence bound.
 func (f *Forwarder) connection(ctx context.Context, addr netip.AddrPort) (*forwardConn, error) {
+	for {
+		conn, attempt, err := f.choose(ctx, addr)
+		switch {
+		case err != nil:
+			return nil, err
+		case conn == nil:
+			return attempt.wait(ctx)
+		case conn.trusted():
+			return conn, nil
+		}
+		// All are asked at once, since those of a peer that is lost are silent together. A connection that does not
+		// answer leaves the pool, so the loop ends.
+		for _, c := range f.pooled(addr) {
+			c.startVerifying()
+		}
+		if conn.verify(ctx) == nil {
+			return conn, nil
+		}
+	}
+}
+
+// choose returns a connection, or else the attempt to open one. It starts an attempt if the connections are busy.
+func (f *Forwarder) choose(ctx context.Context, addr netip.AddrPort) (*forwardConn, *dialAttempt, error) {
 	if err := ctx.Err(); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	if f.closed {
-		f.mu.Unlock()
-		return nil, errors.WithStack(ErrClosed)
+		return nil, nil, errors.WithStack(ErrClosed)
 	}
 	p := f.pools[addr]
 	if p == nil {
@@ -324,26 +349,41 @@
 		attempt := p.dialing
 		f.opening.Go(func() { f.dial(addr, p, attempt) })
 	}
-	attempt := p.dialing
-	f.mu.Unlock()
-	if conn != nil {
-		return conn, nil
+	if conn == nil && p.dialing == nil {
+		return nil, nil, errors.WithStack(ErrBusy)
 	}
-	if attempt == nil {
-		return nil, errors.WithStack(ErrBusy)
+	return conn, p.dialing, nil
+}
+
+func (f *Forwarder) pooled(addr netip.AddrPort) []*forwardConn {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p := f.pools[addr]; p != nil {
+		return slices.Clone(p.conns)
 	}
+	return nil
+}
+
+func (a *dialAttempt) wait(ctx context.Context) (*forwardConn, error) {
 	select {
-	case <-attempt.done:
-		return attempt.conn, attempt.err
+	case <-a.done:
+		return a.conn, a.err
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
 }
 
+// leastLoaded prefers connections that need no ping first.
 func (p *pool) leastLoaded() (best *forwardConn, load int) {
+	trusted := false
 	for _, c := range p.conns {
-		if n, ok := c.load(); ok && (best == nil || n < load) {
-			best, load = c, n
+		n, ok := c.load()
+		if !ok {
+			continue
+		}
+		t := c.trusted()
+		if best == nil || t && !trusted || t == trusted && n < load {
+			best, load, trusted = c, n, t
 		}
 	}
 	return best, load
@@ -466,6 +506,17 @@
 	}
 }
 
+// retire takes a connection out of its pool, which leaves the requests on it to their end.
+func (f *Forwarder) retire(c *forwardConn) {
+	f.mu.Lock()
+	if p := f.pools[c.addr]; p != nil {
+		p.conns = slices.DeleteFunc(p.conns, func(other *forwardConn) bool { return other == c })
+		f.dropEmptyPool(c.addr)
+	}
+	f.mu.Unlock()
+	close(c.retired)
+}
+
 // report tells why a connection has ended if the peer is to blame.
 func (f *Forwarder) report(c *forwardConn, reason error) {
 	if errors.Is(reason, ErrUnauthenticated) || isWrongFrame(reason) {
--- a/internal/sequoiapeer/forwardconn.go
+++ b/internal/sequoiapeer/forwardconn.go
@@ -18,12 +18,23 @@
 	// checkInterval is the interval of the checks below. They count ticks rather than read the clock, so that a pause
 	// of this process is not taken for the peer's silence.
 	checkInterval = 500 * time.Millisecond
-	// pingTicks is the number of checks between pings: 1 s.
+	// pingTicks is the number of checks between pings of a connection in use: 1 s.
 	pingTicks = 2
-	// silentTicks is the number of checks without data after which a connection is closed: 3 s.
+	// recentTicks is the number of checks after a request for which a connection counts as in use: 3 s. Pings on every
+	// idle connection would exceed the 21 KB/s of a process that has thousands of peers.
+	recentTicks = 6
+	// silentTicks is the number of checks without data after which a connection in use is closed: 3 s.
 	silentTicks = 6
 	// idleTicks is the number of checks without a request after which a connection is closed: 30 s.
 	idleTicks = 60
+	// acceptedIdleTicks is the number of checks without data after which the accepting side closes a connection: 40 s.
+	// It is longer than idleTicks, so that the side that sends requests closes first and none is on its way.
+	acceptedIdleTicks = 80
+	// trustTime is the time since the peer's last data up to which a connection gets a request without a ping first.
+	trustTime = 3 * time.Second
+	// verifyTimeout bounds the wait for the pong without which an idle connection gets no request. A new connection
+	// takes its place then.
+	verifyTimeout = 300 * time.Millisecond
 	// handshakeTicks is the number of checks after which a connection that is not authenticated is closed: 1 s.
 	handshakeTicks = 2
 	// maxInFlight bounds the requests in progress on one connection, abandoned ones included.
@@ -39,6 +50,7 @@
 	stateHello connState = iota
 	stateChallenge
 	stateProof
+	stateConfirm
 	stateReady
 )
 
@@ -63,6 +75,8 @@
 	dialed    bool
 	ready     chan struct{}
 	done      chan struct{}
+	// retired is closed when the connection takes no more requests although some are in progress.
+	retired chan struct{}
 
 	// The following are used only by the poller's goroutine.
 	buf         []byte
@@ -70,7 +84,11 @@
 	challenge   *challenge
 	lastRequest uint64
 
+	// silent is the number of checks since data was received.
 	silent atomic.Int32
+	// heard is when data was received last, as the time since epoch. Unlike the checks it counts a pause of this process,
+	// after which nothing is known of the connection.
+	heard atomic.Int64
 	// partial is true while a frame is incomplete.
 	partial atomic.Bool
 
@@ -86,13 +104,20 @@
 	serving     map[uint64]context.CancelFunc
 	unusedTicks int
 	ticks       int
+	// verifying is closed when the pong with number verifyNumber arrives, nil if none is awaited.
+	verifying    chan struct{}
+	verifyNumber uint64
 }
 
+// epoch is the origin of forwardConn.heard.
+var epoch = time.Now()
+
 func newForwardConn(f *Forwarder, nb *nbio.Conn, addr netip.AddrPort, dialed bool) *forwardConn {
 	c := &forwardConn{
 		forwarder: f, nb: nb, addr: addr, dialed: dialed,
 		ready:     make(chan struct{}),
 		done:      make(chan struct{}),
+		retired:   make(chan struct{}),
 		challenge: newChallenge(f.key),
 		calls:     map[uint64]*call{},
 		serving:   map[uint64]context.CancelFunc{},
@@ -144,6 +169,10 @@
 	if c.full || len(c.calls) >= maxInFlight {
 		return 0, nil, errors.WithStack(ErrBusy)
 	}
+	if c.unusedTicks > recentTicks {
+		// Nothing was expected of the peer while the connection was idle.
+		c.silent.Store(0)
+	}
 	c.nextNumber++
 	c.unusedTicks = 0
 	p := &call{done: make(chan callResult, 1)}
@@ -183,6 +212,71 @@
 	}
 }
 
+// trusted reports whether a request may be sent without a ping first.
+func (c *forwardConn) trusted() bool {
+	return time.Since(epoch)-time.Duration(c.heard.Load()) <= trustTime
+}
+
+// startVerifying sends a ping, unless one is awaited, and returns a channel that is closed when its pong arrives. A
+// connection without a pong in time gets no further request.
+func (c *forwardConn) startVerifying() <-chan struct{} {
+	c.mu.Lock()
+	if c.verifying != nil {
+		defer c.mu.Unlock()
+		return c.verifying
+	}
+	verified := make(chan struct{})
+	c.verifying = verified
+	c.verifyNumber++
+	number := c.verifyNumber
+	c.mu.Unlock()
+	_ = c.write(encodeFrame(framePing, number, nil))
+	time.AfterFunc(verifyTimeout, func() { c.notVerified(verified) })
+	return verified
+}
+
+func (c *forwardConn) notVerified(verified chan struct{}) {
+	c.mu.Lock()
+	if c.verifying != verified {
+		c.mu.Unlock()
+		return
+	}
+	c.full = true
+	unused := len(c.calls) == 0
+	c.mu.Unlock()
+	if unused {
+		c.close(errors.WithStack(ErrSilent))
+		return
+	}
+	// Requests sent before end by their responses or by the check for silence.
+	c.forwarder.retire(c)
+}
+
+// verify waits until the connection has answered a ping. After an error the connection takes no requests.
+func (c *forwardConn) verify(ctx context.Context) error {
+	verified := c.startVerifying()
+	select {
+	case <-verified:
+		return nil
+	case <-c.done:
+		return c.reason()
+	case <-c.retired:
+		return errors.WithStack(ErrSilent)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// ponged handles a pong. Only one with the number of the ping proves that the peer is there now.
+func (c *forwardConn) ponged(number uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.verifying != nil && number == c.verifyNumber && !c.full {
+		close(c.verifying)
+		c.verifying = nil
+	}
+}
+
 // load returns the number of requests in progress, and false if the connection cannot take one.
 func (c *forwardConn) load() (int, bool) {
 	c.mu.Lock()
@@ -239,6 +333,7 @@
 // receive handles bytes from the socket. Only the poller's goroutine calls it; b is valid until it returns.
 func (c *forwardConn) receive(b []byte) {
 	c.silent.Store(0)
+	c.heard.Store(int64(time.Since(epoch)))
 	buffered := len(c.buf) > 0
 	if buffered {
 		c.buf = append(c.buf, b...)
@@ -300,6 +395,7 @@
 	case fr.kind == framePing && !c.dialed:
 		return c.write(encodeFrame(framePong, fr.number, nil))
 	case fr.kind == framePong && c.dialed:
+		c.ponged(fr.number)
 		return nil
 	}
 	return errors.Wrapf(ErrFrame, "kind %d", fr.kind)
@@ -321,9 +417,12 @@
 			_ = c.write(encodeFrame(frameProof, 0, nil))
 			return err
 		}
-		if err := c.write(encodeFrame(frameProof, 0, answer)); err != nil {
-			return err
-		}
+		c.state = stateConfirm
+		return c.write(append(encodeFrame(frameProof, 0, answer), encodeFrame(framePing, 0, nil)...))
+	case c.state == stateConfirm && fr.kind == framePong:
+		// The pong is read in a later turn of the event loop than the challenge. nbio may take an event that was
+		// reported for an earlier connection with the same descriptor for one of this connection, and close it in the
+		// turn in which it reads its first data; a request sent by then would be lost.
 		c.setReady()
 		return nil
 	case c.state == stateProof && fr.kind == frameProof:
@@ -450,7 +549,8 @@
 }
 
 // check is called at each tick. It closes the connection if the peer is silent or the connection is unused, and
-// otherwise pings the peer when due.
+// otherwise pings the peer when due. Silence counts only while the connection is in use, because an idle one is not
+// pinged.
 func (c *forwardConn) check() {
 	silent := c.silent.Add(1)
 	c.mu.Lock()
@@ -459,10 +559,11 @@
 	if len(c.calls) > 0 {
 		c.unusedTicks = 0
 	}
-	idle := c.ended == nil && c.dialed && c.unusedTicks > idleTicks
+	inUse := c.dialed && c.unusedTicks <= recentTicks || !c.dialed && (len(c.serving) > 0 || c.partial.Load())
+	idle := c.dialed && c.unusedTicks > idleTicks || !c.dialed && silent > acceptedIdleTicks
 	late := !c.authenticated && c.ticks > handshakeTicks
-	due := c.authenticated && c.ticks%pingTicks == 0
-	if idle {
+	due := c.authenticated && inUse && c.ticks%pingTicks == 0
+	if idle && c.dialed {
 		// Set here, so that no request is registered before close.
 		c.full = true
 	}
@@ -470,7 +571,7 @@
 	switch {
 	case late:
 		c.close(errors.Wrap(ErrUnauthenticated, "handshake not finished in time"))
-	case silent > silentTicks:
+	case inUse && silent > silentTicks:
 		c.close(errors.WithStack(ErrSilent))
 	case idle:
 		c.close(errors.WithStack(errIdle))
