Drop idle upstream connections when one has gone silent

HTTP/1.1 cannot ask whether a connection is alive, so a request on one that has gone silent without a reset ends at its deadline as one that may have run. Keep-alive probes do not help: the peer's host answers them, and they are not sent while data is unacknowledged; the comment said otherwise. After such an end without any byte for 500 ms or more, the connections to that address that were idle before are closed too, so that not each of them loses a request. A shorter deadline drops nothing, because it says more about the deadline than about the connection.

Through the proxy: Unknown, a copy with the same identifier is Unknown too, and the next request is answered on a new connection.

--- a/internal/sequoiahttp/exchange.go
+++ b/internal/sequoiahttp/exchange.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +30,9 @@
 	// maxIdleTime is shorter than the idle timeouts that servers commonly have (5 s and more), so that a server
 	// rarely closes a connection while a request is on its way.
 	maxIdleTime = 4 * time.Second
+	// silentAfter is the wait without any byte of a response after which a connection whose request has reached its
+	// deadline counts as silent. A shorter one says more about the deadline than about the connection.
+	silentAfter = 500 * time.Millisecond
 	// readBuffer holds the head of a usual response, in bytes.
 	readBuffer = 4096
 )
@@ -117,7 +121,8 @@
 		maxIdle: defaultMaxIdle, maxResponse: defaultMaxResponse, dialTimeout: defaultDialTimeout,
 		idle: map[netip.AddrPort][]*conn{},
 	}
-	// Keep-alive probes find a connection that has gone silent within about 3 s.
+	// Keep-alive probes find a lost host within about 3 s while a response is awaited. They do not find a silent
+	// connection to a host that is alive, nor one that has not acknowledged the request; the deadline ends those.
 	c.dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 	for _, o := range opts {
 		o(c)
@@ -139,6 +144,7 @@
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
+	started := time.Now()
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	resp, reusable, err := cn.exchange(hr, c.maxResponse)
 	if !stop() {
@@ -153,6 +159,9 @@
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
+		if errors.Is(err, context.DeadlineExceeded) && !cn.answered && time.Since(started) >= silentAfter {
+			c.dropIdle(addr, started)
+		}
 		return nil, &Error{Sent: cn.written, Err: err}
 	}
 	return resp, nil
@@ -185,7 +194,7 @@
 			break
 		}
 		if time.Since(cn.idleSince) < maxIdleTime && quiet(cn.Conn) {
-			cn.written = false
+			cn.written, cn.answered = false, false
 			return cn, nil
 		}
 		_ = cn.Close()
@@ -197,7 +206,7 @@
 		return nil, err
 	}
 	cn := &conn{Conn: nc}
-	cn.r = bufio.NewReaderSize(nc, readBuffer)
+	cn.r = bufio.NewReaderSize(cn, readBuffer)
 	return cn, nil
 }
 
@@ -225,6 +234,23 @@
 	c.sweep(cn.idleSince)
 }
 
+// dropIdle closes the connections to addr that have been idle since before the given moment. What made another
+// connection silent since then may have made these silent too, and HTTP/1.1 has no way to ask.
+func (c *Client) dropIdle(addr netip.AddrPort, before time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle[addr] = slices.DeleteFunc(c.idle[addr], func(cn *conn) bool {
+		drop := cn.idleSince.Before(before)
+		if drop {
+			_ = cn.Close()
+		}
+		return drop
+	})
+	if len(c.idle[addr]) == 0 {
+		delete(c.idle, addr)
+	}
+}
+
 // sweep closes connections that are too old for use, among them those to addresses that are no longer called.
 func (c *Client) sweep(now time.Time) {
 	if now.Sub(c.swept) < maxIdleTime {
@@ -249,8 +275,18 @@
 	net.Conn
 	r         *bufio.Reader
 	idleSince time.Time
-	// written is true once a write of the current request may have sent a byte.
-	written bool
+	// written is true once a write of the current request may have sent a byte, answered once a byte has arrived since.
+	written  bool
+	answered bool
+}
+
+// Read records whether any byte arrived.
+func (cn *conn) Read(p []byte) (int, error) {
+	n, err := cn.Conn.Read(p)
+	if n > 0 {
+		cn.answered = true
+	}
+	return n, err
 }
 
 // Write records whether any byte was sent.
--- a/internal/sequoiaproxy/proxy_test.go
+++ b/internal/sequoiaproxy/proxy_test.go
@@ -311,6 +311,29 @@
 		}
 	})
 
+	ginkgo.It("tells Unknown for a request on an upstream connection that has gone silent, and replaces it", func() {
+		p := newProcess(ginkgo.GinkgoTB(), 1)
+		var conns atomic.Int32
+		serve(ginkgo.GinkgoTB(), p, func(c net.Conn, r *bufio.Reader) {
+			first := conns.Add(1) == 1
+			for n := 1; ; n++ {
+				if _, err := http.ReadRequest(r); err != nil {
+					return
+				}
+				if first && n > 1 {
+					continue
+				}
+				reply(c, 200, "ok")
+			}
+		})
+		expectOutcome(p.get("/s/dispatch/", nil), 200, "Answered", "")
+		header := map[string]string{"Sequoia-Timeout-Milliseconds": "200", "Sequoia-Request-Id": "a"}
+		expectOutcome(p.get("/s/dispatch/", header), 504, "Unknown", sequoiarouter.ReasonDeadlinePassed)
+		expectOutcome(p.get("/s/dispatch/", header), 504, "Unknown", sequoiarouter.ReasonEarlierUnknown)
+		expectOutcome(p.get("/s/dispatch/", nil), 200, "Answered", "")
+		Expect(conns.Load()).To(Equal(int32(2)))
+	})
+
 	ginkgo.It("answers NotRun only where the upstream did not run the request", func() {
 		p := newProcess(ginkgo.GinkgoTB(), 1)
 		expectOutcome(p.get("/s/dispatch/", nil), 503, "NotRun", sequoiarouter.ReasonNoUpstream)
