Add the operator's confirm-loss and refuse it for a live member

Cause: the core had ConfirmLoss, but no operator could reach it, and it revoked a live member as readily as a lost one. It is now offered as POST /v1/confirm-loss (incarnation, or an instance with one member) and as the subcommand confirm-loss, whose help states the danger. The process that gets it asks the member and its witnesses for 500 ms and answers MemberAlive if one says that the lease is renewed. An answer counts only from the member itself or from an incarnation that is its witness, since any other process has no record of its renewals.

Ruled out: refusing by the asking process's own knowledge alone, as it is rarely a witness of the member.

--- a/cmd/sequoiaspring/main.go
+++ b/cmd/sequoiaspring/main.go
@@ -34,6 +34,7 @@
 	Explain       *explainCommand       `arg:"subcommand:explain" help:"show who owns a key, why and since when"`
 	Move          *moveCommand          `arg:"subcommand:move" help:"move shards or hot keys to an instance"`
 	Drain         *drainCommand         `arg:"subcommand:drain" help:"hand over all keys of a process and stop it"`
+	ConfirmLoss   *confirmLossCommand   `arg:"subcommand:confirm-loss" help:"DANGEROUS: give away the keys of a lost process whose witnesses are lost too"`
 	Replay        *replayCommand        `arg:"subcommand:replay" help:"replay a recorded trace against the placement policy and its baselines"`
 	Questionnaire *questionnaireCommand `arg:"subcommand:questionnaire" help:"write a configuration from answers"`
 }
@@ -67,6 +68,8 @@
 		return a.Move
 	case a.Drain != nil:
 		return a.Drain
+	case a.ConfirmLoss != nil:
+		return a.ConfirmLoss
 	case a.Replay != nil:
 		return a.Replay
 	case a.Questionnaire != nil:
--- a/internal/sequoiaadmin/api.go
+++ b/internal/sequoiaadmin/api.go
@@ -21,6 +21,8 @@
 	ErrConflict = errors.New("another change won")
 	// ErrNotFound means that the service, key owner or member does not exist.
 	ErrNotFound = errors.New("not found")
+	// ErrMemberAlive means that the loss of a member was not confirmed, since the member still renews its lease.
+	ErrMemberAlive = errors.New("the member is alive")
 	// ErrUnknownResult means that the change may or may not have been made: the store or the process did not answer in
 	// time. Asking again is safe.
 	ErrUnknownResult = errors.New("the result is not known")
@@ -122,6 +124,17 @@
 	Reason string
 }
 
+// ConfirmLossRequest says that the process of a member is gone for good. Exactly one of the fields names the member. The
+// request fails with MemberAlive if the member still renews its lease.
+//
+// The keys of the member get another owner without the consent of its witnesses. If the process is alive and cut off,
+// both may serve the same keys.
+type ConfirmLossRequest struct {
+	Incarnation sequoiatable.IncarnationID `json:",omitzero"`
+	// Instance is the name of an instance with one member.
+	Instance string `json:",omitempty"`
+}
+
 // Done is the answer to a change that was made.
 type Done struct {
 	// Revision is the log index at which the change took effect.
--- a/internal/sequoiaadmin/client.go
+++ b/internal/sequoiaadmin/client.go
@@ -75,6 +75,12 @@
 	return call[Done](ctx, c, http.MethodPost, "/v1/drain", req)
 }
 
+// ConfirmLoss lets the keys of a lost member be taken over without its witnesses. It returns ErrMemberAlive if the
+// member still renews its lease and ErrNotFound if there is no such member.
+func (c *Client) ConfirmLoss(ctx context.Context, req ConfirmLossRequest) (Done, error) {
+	return call[Done](ctx, c, http.MethodPost, "/v1/confirm-loss", req)
+}
+
 // Apply replaces the configuration. If a reply is lost, it asks again from the same base until ctx ends: either the
 // first attempt had not taken effect and this one does, or the conflict names a revision whose document is ours.
 // It returns ErrConflict if another operator's document won and ErrUnknownResult if ctx ends first.
--- a/internal/sequoiaadmin/server.go
+++ b/internal/sequoiaadmin/server.go
@@ -31,6 +31,8 @@
 	Apply      func(ctx context.Context, req ApplyRequest) (Done, error)
 	Move       func(ctx context.Context, req MoveRequest) (Done, error)
 	Drain      func(ctx context.Context, req DrainRequest) (Done, error)
+	// ConfirmLoss is not repeated by the client.
+	ConfirmLoss func(ctx context.Context, req ConfirmLossRequest) (Done, error)
 	// Metrics serves the process's metrics in Prometheus form.
 	Metrics http.Handler
 	// Refused is called for each request with a wrong credential.
@@ -46,6 +48,7 @@
 	mux.HandleFunc("POST /v1/configuration", change(s, s.Apply))
 	mux.HandleFunc("POST /v1/move", change(s, s.Move))
 	mux.HandleFunc("POST /v1/drain", change(s, s.Drain))
+	mux.HandleFunc("POST /v1/confirm-loss", change(s, s.ConfirmLoss))
 	mux.Handle("GET /metrics", s.Metrics)
 	return s.authenticate(mux)
 }
@@ -129,6 +132,7 @@
 	{ErrBadRequest, "BadRequest", http.StatusBadRequest},
 	{sequoiatable.ErrShardCount, "BadRequest", http.StatusBadRequest},
 	{sequoiatable.ErrMalformed, "BadRequest", http.StatusBadRequest},
+	{ErrMemberAlive, "MemberAlive", http.StatusConflict},
 	{ErrUnknownResult, "UnknownResult", http.StatusGatewayTimeout},
 	{context.DeadlineExceeded, "UnknownResult", http.StatusGatewayTimeout},
 	{context.Canceled, "UnknownResult", http.StatusGatewayTimeout},
--- a/internal/sequoiacontrol/authority.go
+++ b/internal/sequoiacontrol/authority.go
@@ -30,6 +30,8 @@
 	Want func(b *batch)
 	// Confirm reports whether a suspect has to be revoked. It may ask others and be called again.
 	Confirm func(s *suspicion) bool
+	// Renews reports whether this process has renewed the lease of a holder lately.
+	Renews func(holder sequoiatable.IncarnationID) bool
 	// Fence reports whether the lease of a revoked holder has ended. It may ask others and be called again.
 	Fence func(t *takeover) bool
 }
@@ -47,6 +49,7 @@
 		Neighbours:   s.neighbours,
 		Want:         func(*batch) {},
 		Confirm:      func(*suspicion) bool { return true },
+		Renews:       func(sequoiatable.IncarnationID) bool { return false },
 		// A suspect's lease has ended already: the store counts it from a later moment than the holder.
 		Fence: s.fence,
 	}
--- a/internal/sequoiacontrol/command.go
+++ b/internal/sequoiacontrol/command.go
@@ -18,6 +18,8 @@
 	since    time.Time
 	sentAt   time.Time
 	answered bool
+	// alive is set when a member whose loss is to be confirmed turns out to be alive.
+	alive bool
 }
 
 // drainState is a planned stop of this process.
@@ -54,7 +56,6 @@
 			c.reply(cmd, sequoiatable.ErrNotMember)
 			return
 		}
-		c.confirmed[ev.ConfirmLoss.Incarnation] = true
 		c.commands = append(c.commands, cmd)
 	case ev.Drain != nil:
 		if c.drain != nil {
@@ -162,20 +163,58 @@
 	}
 }
 
-// advanceConfirmLoss ends when the log no longer names the member, which is when it owns nothing any more.
+// lossQueryWait is how long the member and its witnesses are asked whether it still renews its lease.
+const lossQueryWait = 500 * time.Millisecond
+
+// advanceConfirmLoss refuses the loss of a member that still renews its lease, as far as it and its witnesses answer. It
+// ends when the log no longer names the member, which is when it owns nothing any more.
 func (c *Core) advanceConfirmLoss(cmd *command) {
 	id := cmd.ConfirmLoss.Incarnation
+	m := c.table.Member(id)
 	switch {
-	case c.table.Member(id) == nil:
+	case m == nil:
 		c.reply(cmd, nil)
-	case c.now.Sub(cmd.since) >= c.opt.timings.CommandTimeout:
+	case c.confirmed[id] && c.now.Sub(cmd.since) >= c.opt.timings.CommandTimeout:
 		c.reply(cmd, ErrTimeout)
+	case c.confirmed[id]:
+		return
+	case cmd.alive || c.authority.Renews(id):
+		c.reply(cmd, ErrStillRenews)
+	case m.Revoked(), c.now.Sub(cmd.since) >= lossQueryWait:
+		c.confirmed[id] = true
+		return
 	default:
+		c.askLoss(cmd, m)
 		return
 	}
 	delete(c.confirmed, id)
 }
 
+func (c *Core) askLoss(cmd *command, m *sequoiatable.MemberState) {
+	if c.now.Sub(cmd.sentAt) < c.opt.timings.Resend {
+		return
+	}
+	cmd.sentAt = c.now
+	for _, id := range append(slices.Clone(m.Witnesses), m.Incarnation) {
+		if id != c.self {
+			c.send(id, Message{SuspectQuery: &SuspectQuery{Holder: m.Incarnation}})
+		}
+	}
+}
+
+// lossReply notes an answer of the member itself, or of a witness that renews its lease.
+func (c *Core) lossReply(from sequoiatable.IncarnationID, r *SuspectReply) {
+	m := c.table.Member(r.Holder)
+	if m == nil || r.Silent || (from != r.Holder && !slices.Contains(m.Witnesses, from)) {
+		return
+	}
+	for _, cmd := range c.commands {
+		if cmd.ConfirmLoss != nil && cmd.ConfirmLoss.Incarnation == r.Holder {
+			cmd.alive = true
+		}
+	}
+}
+
 // advanceDrain moves all keys away, waits until nothing is in progress, and leaves. An upstream that drains alone only
 // has its keys moved.
 func (c *Core) advanceDrain() {
--- a/internal/sequoiacontrol/core_test.go
+++ b/internal/sequoiacontrol/core_test.go
@@ -398,6 +398,27 @@
 	})
 })
 
+var _ = ginkgo.Describe("An operator's confirmation of a loss", func() {
+	ginkgo.It("is refused for a member that still renews its lease, which would get a second owner", func() {
+		f := startFleet(14, 6, 3)
+		id := f.nodes[1].core.Self()
+		for _, n := range f.nodes {
+			if n != f.nodes[1] {
+				n.step(f, Command{ID: 7, ConfirmLoss: &ConfirmLoss{Incarnation: id}})
+			}
+		}
+		f.run(3 * time.Second)
+		for _, n := range f.nodes {
+			if n != f.nodes[1] {
+				Expect(n.replies[7].Err).To(MatchError(ErrStillRenews))
+			}
+		}
+		Expect(f.nodes[1].core.Self()).To(Equal(id))
+		Expect(f.longestUnserved()).To(BeZero())
+		Expect(f.violations).To(BeEmpty())
+	})
+})
+
 var _ = ginkgo.Describe("An operator's configuration", func() {
 	ginkgo.It("is refused with the winning revision if another one was written first", func() {
 		f := startFleet(10, 5, 3)
--- a/internal/sequoiacontrol/event.go
+++ b/internal/sequoiacontrol/event.go
@@ -94,7 +94,8 @@
 	// Move asks for a move of keys; the process that owns them carries it out.
 	Move *Release
 	// ConfirmLoss names a member whose process is gone for good, for the case that too few of its witnesses are left to
-	// end its lease. If the process is alive after all, two owners may result.
+	// end its lease. It is refused with ErrStillRenews if the member or one of its witnesses answers. If the process is
+	// alive without an answer, two owners may result.
 	ConfirmLoss *ConfirmLoss
 	// Drain makes this process move all keys away and leave.
 	Drain *Drain
--- a/internal/sequoiacontrol/lease.go
+++ b/internal/sequoiacontrol/lease.go
@@ -38,6 +38,7 @@
 		Neighbours:   w.neighbours,
 		Want:         w.want,
 		Confirm:      w.confirm,
+		Renews:       w.renews,
 		Fence:        w.fence,
 	}
 }
@@ -330,6 +331,10 @@
 	return w.c.now.Sub(latest(r.heard, r.namedAt, w.c.resumedAt)) >= w.c.opt.timings.SuspectAfter
 }
 
+func (w *witnessing) renews(holder sequoiatable.IncarnationID) bool {
+	return slices.Contains(w.holders, holder) && !w.silent(holder)
+}
+
 func (w *witnessing) reportSilent() {
 	c := w.c
 	for _, holder := range w.holders {
--- a/internal/sequoiacontrol/log.go
+++ b/internal/sequoiacontrol/log.go
@@ -31,6 +31,7 @@
 	ErrTimeout       = errors.New("the change was not made in time")
 	ErrTarget        = errors.New("the target is not a live member of the service")
 	ErrNoOwner       = errors.New("the keys have no live owner")
+	ErrStillRenews   = errors.New("the member is alive: it or one of its witnesses has answered that its lease is renewed")
 )
 
 // storeState is what the process knows of its connection to the store.
--- a/internal/sequoiainstance/admin.go
+++ b/internal/sequoiainstance/admin.go
@@ -38,14 +38,15 @@
 func (in *Instance) listenAdministration() error {
 	in.registerState()
 	api := &sequoiaadmin.Server{
-		Credential: string(in.settings.AdministrationCredential),
-		Status:     in.status,
-		Explain:    in.explain,
-		Document:   in.document,
-		Apply:      in.apply,
-		Move:       in.move,
-		Drain:      in.startDrain,
-		Metrics:    promhttp.HandlerFor(in.metrics, promhttp.HandlerOpts{}),
+		Credential:  string(in.settings.AdministrationCredential),
+		Status:      in.status,
+		Explain:     in.explain,
+		Document:    in.document,
+		Apply:       in.apply,
+		Move:        in.move,
+		Drain:       in.startDrain,
+		ConfirmLoss: in.confirmLoss,
+		Metrics:     promhttp.HandlerFor(in.metrics, promhttp.HandlerOpts{}),
 		Refused: func(remote string) {
 			in.counters.refusedCalls.Inc()
 			in.logFault("AdministrationRefused", errors.Wrap(sequoiaadmin.ErrCredential, remote))
@@ -179,10 +180,46 @@
 	return sequoiaadmin.Done{Revision: in.snapshot.Load().Table.Index}, nil
 }
 
+func (in *Instance) confirmLoss(ctx context.Context, req sequoiaadmin.ConfirmLossRequest) (sequoiaadmin.Done, error) {
+	id, err := lostMember(in.snapshot.Load().Table, req)
+	if err != nil {
+		return sequoiaadmin.Done{}, err
+	}
+	index, err := in.command(ctx, sequoiacontrol.Command{ConfirmLoss: &sequoiacontrol.ConfirmLoss{Incarnation: id}})
+	return sequoiaadmin.Done{Revision: index}, resultError(err)
+}
+
+// lostMember returns the member that a request names. An instance with several members, for example a lost and a
+// restarted one, has to be named by incarnation.
+func lostMember(t *sequoiatable.Table, req sequoiaadmin.ConfirmLossRequest) (sequoiatable.IncarnationID, error) {
+	if (req.Incarnation == 0) == (req.Instance == "") {
+		return 0, errors.Wrap(sequoiaadmin.ErrBadRequest, "give either an incarnation or an instance")
+	}
+	var found []sequoiatable.IncarnationID
+	for _, id := range t.Members() {
+		if id == req.Incarnation || req.Instance != "" && t.Member(id).Instance == req.Instance {
+			found = append(found, id)
+		}
+	}
+	switch len(found) {
+	case 0:
+		return 0, errors.Wrap(sequoiaadmin.ErrNotFound, "no such member; it owns no keys")
+	case 1:
+		return found[0], nil
+	}
+	return 0, errors.Wrapf(sequoiaadmin.ErrBadRequest, "instance %q has the members %v; give an incarnation", req.Instance, found)
+}
+
 // resultError names the core's errors in the terms of the administration API.
 func resultError(err error) error {
 	if errors.Is(err, sequoiacontrol.ErrResultUnknown) || errors.Is(err, sequoiacontrol.ErrTimeout) {
 		return errors.Wrap(sequoiaadmin.ErrUnknownResult, err.Error())
 	}
+	if errors.Is(err, sequoiacontrol.ErrStillRenews) {
+		return errors.Wrap(sequoiaadmin.ErrMemberAlive, err.Error())
+	}
+	if errors.Is(err, sequoiatable.ErrNotMember) {
+		return errors.Wrap(sequoiaadmin.ErrNotFound, err.Error())
+	}
 	return err
 }
--- a/internal/sequoiainstance/configuration_test.go
+++ b/internal/sequoiainstance/configuration_test.go
@@ -68,6 +68,19 @@
 		Expect(after).To(Equal(before))
 	})
 
+	It("refuses to confirm the loss of a member that is alive, which would give its keys a second owner", func() {
+		admin := fleet.Nodes[0].Admin()
+		alive := fleet.Nodes[1]
+		_, err := admin.ConfirmLoss(ctx, sequoiaadmin.ConfirmLossRequest{Instance: alive.Settings.Instance})
+		Expect(err).To(MatchError(sequoiaadmin.ErrMemberAlive))
+		_, err = admin.ConfirmLoss(ctx, sequoiaadmin.ConfirmLossRequest{Incarnation: alive.Process.Snapshot().Self})
+		Expect(err).To(MatchError(sequoiaadmin.ErrMemberAlive))
+		_, err = admin.ConfirmLoss(ctx, sequoiaadmin.ConfirmLossRequest{Incarnation: 1})
+		Expect(err).To(MatchError(sequoiaadmin.ErrNotFound))
+		_, err = admin.ConfirmLoss(ctx, sequoiaadmin.ConfirmLossRequest{})
+		Expect(err).To(MatchError(sequoiaadmin.ErrBadRequest))
+	})
+
 	It("moves a hot key on an operator's command and explains the new owner", func() {
 		admin := fleet.Nodes[0].Admin()
 		old, err := admin.Explain(ctx, "dispatch", "hot")
