Test the removal of members without witnesses and load report intervals

Guards against a lost member that keeps its rank for good because no witness reports it (removed after 30 s, not before 29 s), and against load reports that exceed the planner's 8 KB/s (47 s apart at 3,800 members, one a second at 5, none to itself).

--- /dev/null
+++ b/internal/sequoiacontrol/member_test.go
@@ -0,0 +1,68 @@
+package sequoiacontrol
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = ginkgo.Describe("A member that was lost before it named witnesses", func() {
+	ginkgo.It("is removed after 30 s, since no witness would report it and it would keep its rank for good", func() {
+		f := startFleet(40, 5, 3)
+		n := f.add("domain-1")
+		id := n.core.Self()
+		before := len(f.log)
+		for len(f.log) == before {
+			f.run(100 * time.Microsecond)
+		}
+		n.killed = true
+		f.run(29 * time.Second)
+		Expect(f.nodes[0].snapshot.Table.Member(id)).NotTo(BeNil())
+		Expect(f.nodes[0].snapshot.Table.Member(id).Witnesses).To(BeEmpty())
+		f.run(2 * time.Second)
+		Expect(f.nodes[0].snapshot.Table.Member(id)).To(BeNil())
+		Expect(f.settled()).To(Equal(testShards))
+		Expect(f.violations).To(BeEmpty())
+	})
+})
+
+var _ = ginkgo.Describe("Load reports", func() {
+	// reports counts the reports that a process sends if it measures every 100 ms.
+	reports := func(f *fleet, n *node, d time.Duration) int {
+		count := 0
+		for range d / (100 * time.Millisecond) {
+			for _, a := range n.core.Step(f.now, LoadMeasured{Load: Load{Service: testService}}) {
+				if s, ok := a.(Send); ok && s.Message.LoadReport != nil {
+					Expect(s.To).To(Equal(f.planner().core.Self()))
+					count++
+				}
+				f.act(n, a)
+			}
+			f.run(100 * time.Millisecond)
+		}
+		return count
+	}
+	other := func(f *fleet) *node {
+		for _, n := range f.nodes {
+			if n != f.planner() {
+				return n
+			}
+		}
+		return nil
+	}
+
+	ginkgo.It("go to the planner once a second in a small fleet, and never from the planner", func() {
+		f := startFleet(41, 5, 3)
+		Expect(reports(f, other(f), 20*time.Second)).To(BeNumerically("~", 20, 1))
+		Expect(reports(f, f.planner(), 5*time.Second)).To(BeZero())
+	})
+
+	ginkgo.It("are 47 s apart at 3,800 members, so that the planner receives at most 8 KB/s", func() {
+		f := startFleet(42, 5, 3)
+		n := other(f)
+		n.core.view.members = 3800
+		Expect(n.core.reportInterval()).To(BeNumerically("~", 46500*time.Millisecond, time.Second))
+		Expect(reports(f, n, 3*time.Minute)).To(BeNumerically("~", 4, 1))
+	})
+})
