--- a/internal/sequoiarouter/router.go
+++ b/internal/sequoiarouter/router.go
@@ -60,6 +60,7 @@
 	retryBurst     float64
 	slowStart      time.Duration
 	rand           *rand.Rand
+	removed        safeguards
 }
 
 // Option changes a setting of a Router.
@@ -127,8 +128,10 @@
 	moves    map[uint64]*closedMove
 	memory   memory
 	peers    map[sequoiatable.IncarnationID]*peerState
-	budgets  map[string]*RetryBudget
-	limits   map[string]Limits
+	// members lists, by service, the members that may serve requests without a key.
+	members map[string][]*sequoiatable.MemberState
+	budgets map[string]*RetryBudget
+	limits  map[string]Limits
 	// localService is the service that the local upstream last announced.
 	localService string
 	indexes      []indexSeen
