--- a/internal/sequoiacontrol/lease.go
+++ b/internal/sequoiacontrol/lease.go
@@ -38,6 +38,7 @@
 		Neighbours:   w.neighbours,
 		Want:         w.want,
 		Confirm:      w.confirm,
+		Renews:       w.renews,
 		Fence:        w.fence,
 	}
 }
@@ -330,6 +331,10 @@
 	return w.c.now.Sub(latest(r.heard, r.namedAt, w.c.resumedAt)) >= w.c.opt.timings.SuspectAfter
 }
 
+func (w *witnessing) renews(holder sequoiatable.IncarnationID) bool {
+	return slices.Contains(w.holders, holder) && !w.silent(holder)
+}
+
 func (w *witnessing) reportSilent() {
 	c := w.c
 	for _, holder := range w.holders {
@@ -338,12 +343,12 @@
 			continue
 		}
 		r.reportedAt = c.now
+		// A witness that is no planner acts last, for the case that no planner can be reached.
+		c.suspectReported(c.self, holder)
 		for _, id := range c.planners(holder) {
-			if id == c.self {
-				c.suspectReported(c.self, holder)
-				continue
+			if id != c.self {
+				c.send(id, Message{Suspect: &Suspect{Holder: holder}})
 			}
-			c.send(id, Message{Suspect: &Suspect{Holder: holder}})
 		}
 	}
 }
--- a/internal/sequoiainstance/admin.go
+++ b/internal/sequoiainstance/admin.go
@@ -38,14 +38,15 @@
 func (in *Instance) listenAdministration() error {
 	in.registerState()
 	api := &sequoiaadmin.Server{
-		Credential: string(in.settings.AdministrationCredential),
-		Status:     in.status,
-		Explain:    in.explain,
-		Document:   in.document,
-		Apply:      in.apply,
-		Move:       in.move,
-		Drain:      in.startDrain,
-		Metrics:    promhttp.HandlerFor(in.metrics, promhttp.HandlerOpts{}),
+		Credential:  string(in.settings.AdministrationCredential),
+		Status:      in.status,
+		Explain:     in.explain,
+		Document:    in.document,
+		Apply:       in.apply,
+		Move:        in.move,
+		Drain:       in.startDrain,
+		ConfirmLoss: in.confirmLoss,
+		Metrics:     promhttp.HandlerFor(in.metrics, promhttp.HandlerOpts{}),
 		Refused: func(remote string) {
 			in.counters.refusedCalls.Inc()
 			in.logFault("AdministrationRefused", errors.Wrap(sequoiaadmin.ErrCredential, remote))
@@ -91,16 +92,24 @@
 	for _, name := range t.ServiceNames() {
 		s := t.Service(name)
 		v := sequoiaadmin.ServiceStatus{Name: name, Shards: s.Shards, Divided: s.Divided, HotKeys: s.HotKeys()}
-		for n := range s.Shards {
-			if s.Shard(n).Owner == 0 {
-				v.Unassigned++
-			}
-		}
+		v.Unassigned = unowned(t, s)
 		services = append(services, v)
 	}
 	return services
 }
 
+// unowned counts the shards whose owner is not a live member. A revoked incarnation stays in the table until its keys
+// are taken over, but serves none of them.
+func unowned(t *sequoiatable.Table, s *sequoiatable.ServiceTable) int {
+	missing := 0
+	for n := range s.Shards {
+		if m := t.Member(s.Shard(n).Owner); m == nil || m.Revoked() {
+			missing++
+		}
+	}
+	return missing
+}
+
 func (in *Instance) explain(service, key string) (sequoiaadmin.Explanation, error) {
 	t := in.snapshot.Load().Table
 	s := t.Service(service)
@@ -114,7 +123,7 @@
 		Owner: a.Owner, Epoch: a.Epoch, Floor: a.Floor, LogIndex: t.Index,
 	}
 	if m := t.Member(a.Owner); m != nil {
-		e.Instance = m.Instance
+		e.Instance, e.Revoked = m.Instance, m.Revoked()
 	}
 	if d, ok := in.history.find(service, a); ok {
 		e.Decision, e.Reason, e.Previous, e.Since = d.record.Decision, d.record.Reason, d.record.Previous, d.at
@@ -179,10 +188,46 @@
 	return sequoiaadmin.Done{Revision: in.snapshot.Load().Table.Index}, nil
 }
 
+func (in *Instance) confirmLoss(ctx context.Context, req sequoiaadmin.ConfirmLossRequest) (sequoiaadmin.Done, error) {
+	id, err := lostMember(in.snapshot.Load().Table, req)
+	if err != nil {
+		return sequoiaadmin.Done{}, err
+	}
+	index, err := in.command(ctx, sequoiacontrol.Command{ConfirmLoss: &sequoiacontrol.ConfirmLoss{Incarnation: id}})
+	return sequoiaadmin.Done{Revision: index}, resultError(err)
+}
+
+// lostMember returns the member that a request names. An instance with several members, for example a lost and a
+// restarted one, has to be named by incarnation.
+func lostMember(t *sequoiatable.Table, req sequoiaadmin.ConfirmLossRequest) (sequoiatable.IncarnationID, error) {
+	if (req.Incarnation == 0) == (req.Instance == "") {
+		return 0, errors.Wrap(sequoiaadmin.ErrBadRequest, "give either an incarnation or an instance")
+	}
+	var found []sequoiatable.IncarnationID
+	for _, id := range t.Members() {
+		if id == req.Incarnation || req.Instance != "" && t.Member(id).Instance == req.Instance {
+			found = append(found, id)
+		}
+	}
+	switch len(found) {
+	case 0:
+		return 0, errors.Wrap(sequoiaadmin.ErrNotFound, "no such member; it owns no keys")
+	case 1:
+		return found[0], nil
+	}
+	return 0, errors.Wrapf(sequoiaadmin.ErrBadRequest, "instance %q has the members %v; give an incarnation", req.Instance, found)
+}
+
 // resultError names the core's errors in the terms of the administration API.
 func resultError(err error) error {
 	if errors.Is(err, sequoiacontrol.ErrResultUnknown) || errors.Is(err, sequoiacontrol.ErrTimeout) {
 		return errors.Wrap(sequoiaadmin.ErrUnknownResult, err.Error())
 	}
+	if errors.Is(err, sequoiacontrol.ErrStillRenews) {
+		return errors.Wrap(sequoiaadmin.ErrMemberAlive, err.Error())
+	}
+	if errors.Is(err, sequoiatable.ErrNotMember) {
+		return errors.Wrap(sequoiaadmin.ErrNotFound, err.Error())
+	}
 	return err
 }
