Count the intervals of joins and witness changes from their entry

Cause: a member's change of its description was allowed once a second, counted from the moment it was first wanted. The interval now counts from the entry that proposes the change; the same holds for changes of witnesses.

--- a/internal/sequoiacontrol/lease.go
+++ b/internal/sequoiacontrol/lease.go
@@ -255,8 +255,9 @@
 	if !covered && !c.opt.removed.witnessSetAtOnce {
 		return
 	}
-	w.changedAt = c.now
-	b.add(sequoiatable.Change{SetWitnesses: &sequoiatable.SetWitnesses{Holder: c.self, Witnesses: w.next}}, origin{witnesses: true})
+	proposed := func() { w.changedAt = c.now }
+	change := sequoiatable.Change{SetWitnesses: &sequoiatable.SetWitnesses{Holder: c.self, Witnesses: w.next}}
+	b.add(change, origin{witnesses: true, proposed: proposed})
 }
 
 func (w *witnessing) tableChanged() {
--- a/internal/sequoiacontrol/log.go
+++ b/internal/sequoiacontrol/log.go
@@ -89,6 +89,8 @@
 	// merge is the service of a Merge change.
 	merge     string
 	configure *command
+	// proposed is called when the change becomes part of an entry, which may be later than it is first wanted.
+	proposed func()
 }
 
 func (c *Core) logRead(ev LogRead) {
@@ -366,6 +368,11 @@
 		},
 		origins: origins,
 	}
+	for _, o := range origins {
+		if o.proposed != nil {
+			o.proposed()
+		}
+	}
 	c.publish()
 	c.sendAppend()
 }
--- a/internal/sequoiacontrol/member.go
+++ b/internal/sequoiacontrol/member.go
@@ -38,8 +38,8 @@
 	if waiting && (m != nil || c.upstream == nil) && c.drain == nil {
 		return
 	}
-	c.joinAfter = c.now.Add(descriptionInterval)
-	b.add(sequoiatable.Change{Join: &sequoiatable.Join{Member: c.description()}}, origin{})
+	proposed := func() { c.joinAfter = c.now.Add(descriptionInterval) }
+	b.add(sequoiatable.Change{Join: &sequoiatable.Join{Member: c.description()}}, origin{proposed: proposed})
 }
 
 // noticeOwnState follows what the log says of this process.
