--- a/internal/sequoiacontrol/member_test.go
+++ b/internal/sequoiacontrol/member_test.go
@@ -72,4 +72,11 @@
 		Expect(n.core.relayedInterval()).To(BeNumerically("~", 21600*time.Millisecond, time.Second))
 		Expect(reports(f, n, n.core.view.reader[n.domain], 3*time.Minute)).To(BeNumerically("~", 8, 1))
 	})
+
+	ginkgo.It("sent directly are so far apart at 3,800 members that the planner receives at most 8 KB/s", func() {
+		f := startFleet(42, 5, 3)
+		c := other(f).core
+		c.view.members = 3800
+		Expect(3800 * reportBytes / c.directInterval().Seconds()).To(BeNumerically("<=", 8*1024))
+	})
 })
--- a/internal/sequoiastandin/upstream_test.go
+++ b/internal/sequoiastandin/upstream_test.go
@@ -90,9 +90,9 @@
 	})
 
 	ginkgo.It("does not commit what was in progress during a freeze longer than the grant, and announces nothing", func() {
-		u, url := start(nil)
+		u, url := start(func(c *sequoiastandin.UpstreamConfig) { c.ServiceTime = 150 * time.Millisecond })
 		var frozen, thawed atomic.Int64
-		time.AfterFunc(2*time.Millisecond, func() {
+		time.AfterFunc(50*time.Millisecond, func() {
 			u.SetFrozen(true)
 			frozen.Store(process.count.Load())
 		})
