--- a/internal/sequoiacontrol/member_test.go
+++ b/internal/sequoiacontrol/member_test.go
@@ -1,10 +1,13 @@
 package sequoiacontrol
 
 import (
+	"slices"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
 )
 
 var _ = ginkgo.Describe("A member that was lost before it named witnesses", func() {
@@ -28,13 +31,13 @@
 })
 
 var _ = ginkgo.Describe("Load reports", func() {
-	// reports counts the reports that a process sends if it measures every 100 ms.
-	reports := func(f *fleet, n *node, d time.Duration) int {
+	// reports counts the reports that a process sends, all to one receiver, if it measures every 100 ms.
+	reports := func(f *fleet, n *node, to sequoiatable.IncarnationID, d time.Duration) int {
 		count := 0
 		for range d / (100 * time.Millisecond) {
 			for _, a := range n.core.Step(f.now, LoadMeasured{Load: Load{Service: testService}}) {
 				if s, ok := a.(Send); ok && s.Message.LoadReport != nil {
-					Expect(s.To).To(Equal(f.planner().core.Self()))
+					Expect(s.To).To(Equal(to))
 					count++
 				}
 				f.act(n, a)
@@ -54,14 +57,19 @@
 
 	ginkgo.It("go to the planner once a second in a small fleet, and never from the planner", func() {
 		f := startFleet(41, 5, 3)
-		Expect(reports(f, other(f), 20*time.Second)).To(BeNumerically("~", 20, 1))
-		Expect(reports(f, f.planner(), 5*time.Second)).To(BeZero())
+		planner := f.planner().core.Self()
+		Expect(reports(f, other(f), planner, 20*time.Second)).To(BeNumerically("~", 20, 1))
+		Expect(reports(f, f.planner(), planner, 5*time.Second)).To(BeZero())
 	})
 
-	ginkgo.It("sent directly are so far apart at 3,800 members that the planner receives at most 8 KB/s", func() {
+	ginkgo.It("are 22 s apart at 3,800 members and go to the relay of the failure domain, which receives at most 8 KB/s", func() {
 		f := startFleet(42, 5, 3)
-		c := other(f).core
-		c.view.members = 3800
-		Expect(3800 * reportBytes / c.directInterval().Seconds()).To(BeNumerically("<=", 8*1024))
+		n := f.nodes[slices.IndexFunc(f.nodes, func(n *node) bool {
+			return n != f.planner() && n.core.view.reader[n.domain] != n.core.Self()
+		})]
+		n.core.view.members = 3800
+		n.core.view.inDomain[n.domain] = 346
+		Expect(n.core.relayedInterval()).To(BeNumerically("~", 21600*time.Millisecond, time.Second))
+		Expect(reports(f, n, n.core.view.reader[n.domain], 3*time.Minute)).To(BeNumerically("~", 8, 1))
 	})
 })
