Read a store that is down at the retry interval only

Cause: a process without neighbours that has lost a race reads the log before its next append. While the store refused calls at once, each failed read could be followed by the next one immediately. Found by reading; an attempt at a test did not reproduce the loop, so there is none.

--- a/internal/sequoiacontrol/log.go
+++ b/internal/sequoiacontrol/log.go
@@ -397,7 +397,7 @@
 // mayAppendPatiently reports whether changes that are not urgent may be written now. A process that gets no entries
 // from peers reads the log to its end first: each lost race would show it only one entry more.
 func (c *Core) mayAppendPatiently() bool {
-	if c.now.Before(c.store.patientUntil) || c.store.reading {
+	if c.now.Before(c.store.patientUntil) || c.store.reading || c.store.failing && c.now.Before(c.store.readAfter) {
 		return false
 	}
 	if c.store.lostRaces > 0 && c.lonely() && c.now.Sub(c.store.readAt) > freshFor {
