Keep ownership through short disturbances in a store outage

Cause: in a store outage an owner could lose its keys until the store answered, although the disturbance was over: (1) its upstream was silent for 600 ms and the process appended its own revocation, whose result stayed unknown; (2) two of its witnesses were silent and it proposed others, which did not answer before the entry could be read back, while the lease needs both sets. Ruled out: counting the new set alone; the entry may not be in the log.

--- a/internal/sequoiacontrol/core.go
+++ b/internal/sequoiacontrol/core.go
@@ -49,6 +49,8 @@
 
 	upstream   *Upstream
 	selfRevoke bool
+	// lostSince is when the upstream of an owner fell silent, zero while it announces itself.
+	lostSince time.Time
 
 	suspects  map[sequoiatable.IncarnationID]*suspicion
 	takeovers map[sequoiatable.IncarnationID]*takeover
--- a/internal/sequoiacontrol/lease.go
+++ b/internal/sequoiacontrol/lease.go
@@ -310,10 +310,16 @@
 
 func (w *witnessing) renew(from sequoiatable.IncarnationID, m *Renew) {
 	c := w.c
-	if m.Witness != c.self || !slices.Contains(w.holders, m.Holder) {
+	if m.Witness != c.self || c.live(m.Holder) == nil {
 		return
 	}
-	r := w.records[recordKey{c.self, m.Holder}]
+	// A holder that has proposed this witness but cannot read the result back, as in a store outage, is answered too: it
+	// counts the answer only together with its earlier set (L3).
+	key := recordKey{c.self, m.Holder}
+	if w.records[key] == nil {
+		w.records[key] = &record{namedAt: c.now}
+	}
+	r := w.records[key]
 	if r.promised != 0 {
 		return
 	}
--- a/internal/sequoiacontrol/log.go
+++ b/internal/sequoiacontrol/log.go
@@ -46,7 +46,9 @@
 	appendSent uint64
 	notBefore  time.Time
 	// lostRaces counts the appends since the last one that won; changes that are not urgent wait until patientUntil.
-	lostRaces    int
+	lostRaces int
+	// answeredAt is when the store last answered a call.
+	answeredAt   time.Time
 	patientUntil time.Time
 }
 
@@ -101,7 +103,7 @@
 		return
 	}
 	c.store.read = true
-	c.store.failing = false
+	c.storeAnswered()
 	c.store.readAt = c.now
 	c.store.readAfter = c.now.Add(lonelyAfter / 2)
 	if ev.Checkpoint != nil {
@@ -110,6 +112,24 @@
 	c.applyAll(ev.Entries)
 }
 
+func (c *Core) storeAnswered() {
+	c.store.failing = false
+	c.store.answeredAt = c.now
+}
+
+// storeAnswersSince reports whether the store has answered after a moment, and asks it if not. A change that ends this
+// process's own ownership is written only then: while the result of its append is unknown it cannot be withdrawn, so
+// in a store outage a short disturbance would keep the keys without an owner until the store answers.
+func (c *Core) storeAnswersSince(t time.Time) bool {
+	if c.store.answeredAt.After(t) {
+		return true
+	}
+	if !c.store.failing || !c.now.Before(c.store.readAfter) {
+		c.readLog()
+	}
+	return false
+}
+
 func (c *Core) appended(ev Appended) {
 	if c.store.appendSent == ev.Nonce {
 		c.store.appending = false
@@ -120,10 +140,10 @@
 	}
 	switch ev.Result {
 	case AppendWon:
-		c.store.failing = false
+		c.storeAnswered()
 		c.applyAll([]sequoiatable.Entry{p.entry})
 	case AppendLost:
-		c.store.failing = false
+		c.storeAnswered()
 		p.retryAt = c.now.Add(c.opt.timings.StoreRetry)
 		if ev.Winner != nil {
 			c.applyAll([]sequoiatable.Entry{*ev.Winner})
--- a/internal/sequoiacontrol/member.go
+++ b/internal/sequoiacontrol/member.go
@@ -94,7 +94,15 @@
 		return
 	}
 	lost := c.upstream == nil || (m.Service != "" && c.upstream.Service != m.Service)
-	c.selfRevoke = m.Owned > 0 && lost
+	if !lost || m.Owned == 0 {
+		c.lostSince = time.Time{}
+		c.selfRevoke = false
+		return
+	}
+	if c.lostSince.IsZero() {
+		c.lostSince = c.now
+	}
+	c.selfRevoke = c.selfRevoke || c.storeAnswersSince(c.lostSince)
 }
 
 func (c *Core) revokePending() bool {
--- /dev/null
+++ b/internal/sequoiacontrol/outage_test.go
@@ -0,0 +1,52 @@
+package sequoiacontrol
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = ginkgo.Describe("A disturbance during a store outage", func() {
+	ginkgo.It("of the upstream ends with it, instead of leaving the keys without an owner until the store answers", func() {
+		f := startFleet(51, 5, 3)
+		n := f.nodes[2]
+		f.storeDown = true
+		f.run(time.Second)
+		n.step(f, Upstream{Gone: true})
+		n.frozen = true
+		f.run(2 * time.Second)
+		n.frozen = false
+		n.step(f, Upstream{Service: testService, Slots: 6})
+		f.run(2 * time.Second)
+		Expect(f.served()).To(Equal(testShards))
+		f.storeDown = false
+		f.run(3 * time.Second)
+		Expect(f.settled()).To(Equal(testShards))
+		Expect(f.violations).To(BeEmpty())
+	})
+
+	ginkgo.It("of two witnesses ends with it, though the holder has proposed others", func() {
+		for seed := range uint64(10) {
+			f := startFleet(seed, 7, 3)
+			n := f.nodes[2]
+			f.storeDown = true
+			witnesses := f.nodes[0].snapshot.Table.Member(n.core.Self()).Witnesses
+			var cut []*node
+			for _, other := range f.nodes {
+				if other.core.Self() == witnesses[0] || other.core.Self() == witnesses[1] {
+					cut = append(cut, other)
+					other.cutPeers = true
+				}
+			}
+			Expect(cut).To(HaveLen(2))
+			f.run(3 * time.Second)
+			for _, other := range cut {
+				other.cutPeers = false
+			}
+			f.run(3 * time.Second)
+			Expect(f.served()).To(Equal(testShards), "seed %d", seed)
+			Expect(f.violations).To(BeEmpty(), "seed %d", seed)
+		}
+	})
+})
