Make the log's sampling effective, remove its level, bound a blocked output

Log.SampleOneIn and Log.Level were checked but not used. SampleOneIn now samples answered requests only, so that failures are not hidden. Level is removed: placement lines settle ownership and may not be left out, and routing lines are bounded by the sample and the rate, so a level left nothing to choose.

Placement waited when 16,384 lines were queued, which stopped the control loop and with it the lease renewal. It no longer waits: lines beyond the buffer are counted by Lost and told of by a line when the output takes lines again. Close gives up after 2 s.

Decisions carry the instances' names; faults have their own message and level.

--- a/cmd/sequoiaspring/run.go
+++ b/cmd/sequoiaspring/run.go
@@ -20,7 +20,10 @@
 	if err != nil {
 		return err
 	}
-	log := sequoialog.New(os.Stderr, sequoialog.WithRate(settings.Log.LinesPerSecond), sequoialog.WithInstance(settings.Instance))
+	log := sequoialog.New(
+		os.Stderr, sequoialog.WithInstance(settings.Instance),
+		sequoialog.WithRate(settings.Log.LinesPerSecond), sequoialog.WithSample(settings.Log.SampleOneIn),
+	)
 	defer log.Close()
 	client := sequoiastore.New(settings.Store[0])
 	defer client.Close()
--- a/internal/sequoialog/logger.go
+++ b/internal/sequoialog/logger.go
@@ -18,10 +18,15 @@
 )
 
 const (
+	// The messages of the lines.
+	placementLine = "placement"
+	routingLine   = "routing"
+	faultLine     = "fault"
 	// timeFormat shows microseconds. Times are in UTC.
 	timeFormat = "2006-01-02T15:04:05.000000Z07:00"
-	// placementBuffer is the number of placement lines that may wait. Beyond it the deciding goroutine waits, since
-	// none may be dropped.
+	// placementBuffer is the number of placement lines that may wait. The loss of a failure domain writes about 700. If
+	// the output is blocked for longer than the buffer lasts, later lines are lost and counted: the deciding goroutine
+	// also renews the lease, which ends after 1 s, so it may not wait for an output.
 	placementBuffer = 16384
 	// routingBuffer is the number of routing lines that may wait. Beyond it they are summarized.
 	routingBuffer = 4096
@@ -29,9 +34,13 @@
 	defaultRate = 100
 	// summaryInterval is the interval of the summary line, and the period of the rate.
 	summaryInterval = time.Second
+	// closeTimeout bounds Close when the output is blocked.
+	closeTimeout = 2 * time.Second
 	// maxReasons bounds the reasons counted in one summary; the rest are counted as otherReasons.
 	maxReasons   = 64
 	otherReasons = "Other"
+	// answeredOutcome is the outcome of the requests that are sampled.
+	answeredOutcome = "Answered"
 )
 
 // Decision is the content of one line.
@@ -46,9 +55,13 @@
 	Shards   []uint32
 	Owner    sequoiatable.IncarnationID
 	Previous sequoiatable.IncarnationID
-	Epoch    sequoiatable.Epoch
-	Outcome  string
-	Reason   string
+	// OwnerInstance and PreviousInstance name the instances of Owner and Previous, empty if they are not known.
+	OwnerInstance    string
+	PreviousInstance string
+	Epoch            sequoiatable.Epoch
+	Outcome          string
+	Reason           string
+	fault            bool
 }
 
 // Logger writes lines from a goroutine of its own.
@@ -66,8 +79,13 @@
 	closing   sync.Once
 	writer    sync.WaitGroup
 	failures  atomic.Uint64
+	lost      atomic.Uint64
+	answered  atomic.Uint64
+	sample    uint64
 	// lineTime is the time of the line being written. Only the writer's goroutine uses it.
 	lineTime time.Time
+	// reported is how many of the lost lines a line has told of. Only the writer's goroutine uses it.
+	reported uint64
 
 	mu         sync.Mutex
 	admitted   int
@@ -89,6 +107,11 @@
 	return func(l *Logger) { l.rate = linesPerSecond }
 }
 
+// WithSample writes one in n routing lines of answered requests; by default each.
+func WithSample(n int) Option {
+	return func(l *Logger) { l.sample = uint64(max(1, n)) }
+}
+
 // WithInstance adds the instance's name to each line.
 func WithInstance(name string) Option {
 	return func(l *Logger) { l.instance = name }
@@ -103,6 +126,7 @@
 func New(w io.Writer, opts ...Option) *Logger {
 	l := &Logger{
 		rate:       defaultRate,
+		sample:     1,
 		timers:     sequoiatimer.New(),
 		placement:  make(chan Decision, placementBuffer),
 		routing:    make(chan Decision, routingBuffer),
@@ -129,17 +153,28 @@
 	return l
 }
 
-// Placement logs a placement decision. It never drops one; it waits while the buffer is full.
+// Placement logs a placement decision or a fault. It never waits: a line that finds the buffer full, because the output
+// is blocked, is counted by Lost and told of by a line once the output takes lines again.
 func (l *Logger) Placement(d Decision) {
 	l.stamp(&d)
 	select {
 	case l.placement <- d:
-	case <-l.done:
+	default:
+		l.lost.Add(1)
 	}
 }
 
-// Routing logs a routing decision, or counts it for the next summary if the rate or the buffer is exceeded.
+// Fault logs a fault of the process's surroundings, under the same bound as Placement.
+func (l *Logger) Fault(name string, err error) {
+	l.Placement(Decision{Name: name, Reason: err.Error(), fault: true})
+}
+
+// Routing logs a routing decision, or counts it for the next summary if the rate or the buffer is exceeded. Of answered
+// requests it considers one in as many as WithSample says.
 func (l *Logger) Routing(d Decision) {
+	if d.Outcome == answeredOutcome && l.sample > 1 && l.answered.Add(1)%l.sample != 1 {
+		return
+	}
 	l.stamp(&d)
 	if !l.admit(reasonOf(d)) {
 		return
@@ -169,13 +204,27 @@
 	return l.failures.Load()
 }
 
-// Close writes what waits and a last summary. Decisions made after it are not logged.
+// Lost returns the number of placement lines that were lost because the output was blocked.
+func (l *Logger) Lost() uint64 {
+	return l.lost.Load()
+}
+
+// Close writes what waits and a last summary. Decisions made after it are not logged. It gives up after closeTimeout if
+// the output is blocked.
 func (l *Logger) Close() {
 	l.closing.Do(func() {
 		l.summary.Cancel()
 		close(l.done)
 	})
-	l.writer.Wait()
+	written := make(chan struct{})
+	go func() {
+		l.writer.Wait()
+		close(written)
+	}()
+	select {
+	case <-written:
+	case <-time.After(closeTimeout):
+	}
 }
 
 func (l *Logger) stamp(d *Decision) {
@@ -228,15 +277,15 @@
 	for {
 		select {
 		case d := <-l.placement:
-			l.writeDecision("placement", d)
+			l.writeDecision(placementKind(d), d)
 			continue
 		default:
 		}
 		select {
 		case d := <-l.placement:
-			l.writeDecision("placement", d)
+			l.writeDecision(placementKind(d), d)
 		case d := <-l.routing:
-			l.writeDecision("routing", d)
+			l.writeDecision(routingLine, d)
 		case r := <-l.rejected:
 			l.writeRejection(r)
 		case <-l.flush:
@@ -253,9 +302,9 @@
 	for {
 		select {
 		case d := <-l.placement:
-			l.writeDecision("placement", d)
+			l.writeDecision(placementKind(d), d)
 		case d := <-l.routing:
-			l.writeDecision("routing", d)
+			l.writeDecision(routingLine, d)
 		case r := <-l.rejected:
 			l.writeRejection(r)
 		default:
@@ -265,18 +314,35 @@
 	}
 }
 
+func placementKind(d Decision) string {
+	if d.fault {
+		return faultLine
+	}
+	return placementLine
+}
+
 func (l *Logger) writeDecision(kind string, d Decision) {
 	l.lineTime = d.Time
-	fields := make([]any, 0, 18)
-	fields = append(
-		fields, "Decision", d.Name, "Service", d.Service, "Key", d.Key, "Owner", d.Owner.String(),
-		"Epoch", uint64(d.Epoch), "Outcome", d.Outcome, "Reason", d.Reason,
-	)
-	if len(d.Shards) > 0 {
-		fields = append(fields, "Shards", ranges(d.Shards))
+	fields := make([]any, 0, 22)
+	add := func(name string, value any, known bool) {
+		if known {
+			fields = append(fields, name, value)
+		}
 	}
-	if d.Previous != 0 {
-		fields = append(fields, "Previous", d.Previous.String())
+	add("Decision", d.Name, true)
+	add("Service", d.Service, d.Service != "")
+	add("Key", d.Key, d.Key != "")
+	add("Shards", ranges(d.Shards), len(d.Shards) > 0)
+	add("Owner", d.Owner.String(), d.Owner != 0)
+	add("OwnerInstance", d.OwnerInstance, d.OwnerInstance != "")
+	add("Previous", d.Previous.String(), d.Previous != 0)
+	add("PreviousInstance", d.PreviousInstance, d.PreviousInstance != "")
+	add("Epoch", uint64(d.Epoch), d.Epoch != 0)
+	add("Outcome", d.Outcome, d.Outcome != "")
+	add("Reason", d.Reason, d.Reason != "")
+	if kind == faultLine {
+		l.out.Warn(kind, fields...)
+		return
 	}
 	l.out.Info(kind, fields...)
 }
@@ -288,6 +354,7 @@
 
 // writeSummary starts a new period of the rate. It writes nothing if all lines of the last one were written.
 func (l *Logger) writeSummary() {
+	l.writeLost()
 	l.mu.Lock()
 	counts := l.suppressed
 	l.suppressed = map[string]uint64{}
@@ -304,6 +371,18 @@
 	l.out.Info("routing summary", "Lines", total, "Reasons", counts)
 }
 
+// writeLost tells of placement lines lost since the last such line. Whoever reads the log for ownership then knows that
+// it has a gap.
+func (l *Logger) writeLost() {
+	lost := l.lost.Load()
+	if lost == l.reported {
+		return
+	}
+	l.lineTime = l.timers.Now()
+	l.out.Error("placement lines lost", "Lines", lost-l.reported, "Reason", "OutputBlocked")
+	l.reported = lost
+}
+
 // ranges formats shard numbers, for example "0-3,7".
 func ranges(shards []uint32) string {
 	sorted := slices.Compact(slices.Sorted(slices.Values(shards)))
--- a/internal/sequoiasettings/settings.go
+++ b/internal/sequoiasettings/settings.go
@@ -43,11 +43,11 @@
 
 // LogLimits bound the decision log.
 type LogLimits struct {
-	// Level is Debug, Info, Warn or Error.
-	Level string
-	// LinesPerSecond is the most lines that a process writes.
+	// LinesPerSecond is the most routing lines that a process writes; the rest are counted in a summary. Placement
+	// decisions and faults are always logged.
 	LinesPerSecond int
-	// SampleOneIn logs one in this many routing decisions; placement decisions and faults are always logged.
+	// SampleOneIn considers one in this many answered requests for a routing line. Each request that was not answered is
+	// considered.
 	SampleOneIn int
 }
 
@@ -82,7 +82,7 @@
 	return Settings{
 		Announce:       netip.MustParseAddrPort("127.0.0.1:7404"),
 		Administration: netip.MustParseAddrPort("127.0.0.1:7405"),
-		Log:            LogLimits{Level: "Info", LinesPerSecond: 200, SampleOneIn: 1000},
+		Log:            LogLimits{LinesPerSecond: 200, SampleOneIn: 1000},
 		Authority:      AuthorityWitnesses,
 	}
 }
@@ -110,8 +110,6 @@
 	}
 	s.checkAddresses(d)
 	s.checkSecrets(d)
-	d.Check(contains(s.Log.Level, "Debug", "Info", "Warn", "Error"), "Log.Level",
-		strconv.Quote(s.Log.Level), "Debug, Info, Warn, Error")
 	checkRange(d, "Log.LinesPerSecond", s.Log.LinesPerSecond, 1, 10_000)
 	checkRange(d, "Log.SampleOneIn", s.Log.SampleOneIn, 1, 1_000_000)
 	d.Check(contains(s.Authority, AuthorityWitnesses, AuthorityStoreLease), "Authority",
