State guarantees exactly, complete the metrics and the ownership log

All metrics begin with sequoiaspring_ (the data path's began with sequoia_). Labels are services of the configuration and fixed names.

Only the writer of an entry logged an assignment, so a writer killed before its line was written left a gap; the new owner logs it too. Joined, Left and Stopped lines tie an incarnation to an instance and a period.

--- a/internal/sequoiainstance/instance.go
+++ b/internal/sequoiainstance/instance.go
@@ -51,6 +51,7 @@
 	counters *counters
 	history  *history
 	commands *commands
+	names    names
 
 	configuration atomic.Pointer[sequoiasettings.Configuration]
 	snapshot      atomic.Pointer[sequoiacontrol.Snapshot]
@@ -97,12 +98,13 @@
 		opt(&o)
 	}
 	in := &Instance{
-		settings: settings, store: store, log: log,
+		settings: settings, log: log,
 		metrics: prometheus.NewRegistry(), history: newHistory(), commands: newCommands(),
 		events: newQueue[sequoiacontrol.Event](), stopped: make(chan struct{}),
 	}
 	in.ctx, in.cancel = context.WithCancel(context.Background())
 	in.counters = newCounters(in.metrics)
+	in.store = in.counters.measureStore(store)
 	in.timers = sequoiatimer.New()
 	in.core = sequoiacontrol.New(append(in.coreOptions(), o.control...)...)
 	in.router = sequoiarouter.New(o.router...)
--- a/internal/sequoiainstance/loop.go
+++ b/internal/sequoiainstance/loop.go
@@ -6,6 +6,7 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiacontrol"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoialog"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
 )
 
 // loop feeds the core from one goroutine and carries out its actions in order.
@@ -55,6 +56,7 @@
 	case sequoiacontrol.Record:
 		in.record(a)
 	case sequoiacontrol.Stopped:
+		in.log.Placement(sequoialog.Decision{Name: "Stopped", Reason: "Drained"})
 		close(in.stopped)
 	}
 }
@@ -64,12 +66,31 @@
 	if previous.Self != s.Self {
 		in.control.SetIncarnation(s.Self)
 	}
+	in.logMembership(previous, s)
 	in.router.Publish(time.Now(), s)
 	if c := s.Table.Configuration; c.Revision != previous.Table.Configuration.Revision {
 		in.configure(c)
 	}
 }
 
+// logMembership logs when the process joins and leaves. With these lines each incarnation in the log of a fleet has an
+// instance and a period. An incarnation that is replaced is logged by the core as NewIncarnation.
+func (in *Instance) logMembership(previous, s *sequoiacontrol.Snapshot) {
+	in.names.learn(s.Table)
+	if m := s.Table.Member(s.Self); m != nil && previous.Table.Member(s.Self) == nil {
+		in.logMember("Joined", s.Self, m.Service, s.Table.Index)
+	}
+	if m := previous.Table.Member(previous.Self); m != nil && s.Table.Member(previous.Self) == nil {
+		in.logMember("Left", previous.Self, m.Service, s.Table.Index)
+	}
+}
+
+func (in *Instance) logMember(name string, id sequoiatable.IncarnationID, service string, index uint64) {
+	in.log.Placement(sequoialog.Decision{
+		Name: name, Service: service, Owner: id, OwnerInstance: in.settings.Instance, Epoch: sequoiatable.Epoch(index),
+	})
+}
+
 func (in *Instance) closeKeys(a sequoiacontrol.CloseKeys) {
 	if a.All {
 		in.router.CloseAll(time.Now(), a.Move, func() {
@@ -102,16 +123,20 @@
 	in.post(sequoiacontrol.MemoryInstalled{From: a.From, Move: a.Move})
 }
 
-// record logs a placement decision that this process made and keeps every one to explain assignments.
+// record logs a placement decision that this process made or that makes it an owner, and keeps every one to explain
+// assignments. The new owner logs too because the process that decided may be lost before its line is written.
 func (in *Instance) record(r sequoiacontrol.Record) {
 	in.history.add(r, time.Now())
-	if !r.Own {
+	if !r.Own && r.Owner != in.core.Self() {
 		return
 	}
-	in.counters.decisions.WithLabelValues(r.Decision).Inc()
+	if r.Own {
+		in.counters.decisions.WithLabelValues(r.Decision).Inc()
+	}
 	d := sequoialog.Decision{
-		Name: r.Decision, Service: r.Service, Shards: r.Keys.Shards,
-		Owner: r.Owner, Previous: r.Previous, Epoch: r.Epoch, Reason: r.Reason,
+		Name: r.Decision, Service: r.Service, Shards: r.Keys.Shards, Owner: r.Owner, Previous: r.Previous,
+		OwnerInstance: in.names.instance(r.Owner), PreviousInstance: in.names.instance(r.Previous),
+		Epoch: r.Epoch, Reason: r.Reason,
 	}
 	if len(r.Keys.Shards) > 0 || len(r.Keys.Keys) == 0 {
 		in.log.Placement(d)
@@ -132,5 +157,6 @@
 
 // logFault logs a fault of the process's surroundings that needs no other reaction.
 func (in *Instance) logFault(name string, err error) {
-	in.log.Placement(sequoialog.Decision{Name: name, Reason: err.Error()})
+	in.counters.faults.WithLabelValues(name).Inc()
+	in.log.Fault(name, err)
 }
--- a/internal/sequoiaproxy/announce.go
+++ b/internal/sequoiaproxy/announce.go
@@ -15,12 +15,15 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
 )
 
-// Guarantee texts of the announce response.
+// Guarantee texts of the announce response. They state what holds if the upstream does what it declared, and what does not.
 const (
-	guaranteeChecked = "Requests are fenced: the upstream rejects a request whose grant, epoch or deadline has passed, " +
-		"so a key has one owner even if the upstream freezes."
-	guaranteeUnchecked = "Requests are protected by deadlines only: an upstream that freezes during a request and " +
-		"commits it after Sequoia-Deadline, or a wall clock that is set back, can violate single ownership."
+	guaranteeChecked = "Guaranteed: a key has one owner even if this upstream freezes, provided that it rejects, before " +
+		"running and again before committing, a request whose Sequoia-Incarnation is not the granted one, whose grant has " +
+		"expired, or whose Sequoia-Epoch is lower than the highest seen for its key."
+	guaranteeUnchecked = "Guaranteed: no request is started here after the lease has ended, Sequoia-Deadline is no later " +
+		"than the end of the lease, and a successor starts after it. Not guaranteed: that a key has one owner if this " +
+		"upstream commits a request after Sequoia-Deadline, as it may after a freeze, or if this instance's wall clock is " +
+		"set back, which lengthens deadlines by as much. Only an upstream that checks grants is protected when it freezes."
 )
 
 // Announcement is the body of POST /v1/announce.
@@ -97,9 +100,13 @@
 		ChecksGrants: a.ChecksGrants, Draining: a.Draining,
 	}
 	changed, err := p.announce.update(now, u, p.router.Snapshot(), p.silence)
-	if err != nil || !changed {
+	if err != nil {
 		return err
 	}
+	p.metrics.announced(a)
+	if !changed {
+		return nil
+	}
 	p.upstream.SetMaxIdle(u.Connections)
 	p.router.SetUpstream(now, u)
 	if p.OnUpstream != nil {
--- a/internal/sequoiaproxy/metrics.go
+++ b/internal/sequoiaproxy/metrics.go
@@ -16,41 +16,46 @@
 	retries     *prometheus.CounterVec
 	badRequests prometheus.Counter
 	inFlight    prometheus.Gauge
+	reported    *prometheus.GaugeVec
 }
 
 func newMetrics(reg prometheus.Registerer, router *sequoiarouter.Router) *metrics {
 	m := &metrics{
 		router: router,
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "sequoia_requests_total", Help: "Requests of callers by service, outcome and reason.",
+			Name: "sequoiaspring_requests_total", Help: "Requests of callers that have ended, by service, outcome and reason.",
 		}, []string{"service", "outcome", "reason"}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "sequoia_request_seconds", Help: "Time from the receipt of a request to its end.",
+			Name: "sequoiaspring_request_seconds", Help: "Time from the receipt of a caller's request to its end, by service and outcome.",
 			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 15),
 		}, []string{"service", "outcome"}),
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "sequoia_retries_total", Help: "Further attempts by service and the reason of the failed attempt.",
+			Name: "sequoiaspring_retries_total", Help: "Further attempts, by service and reason of the failed attempt.",
 		}, []string{"service", "reason"}),
 		badRequests: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "sequoia_bad_requests_total", Help: "Requests of callers that could not be read.",
+			Name: "sequoiaspring_bad_requests_total", Help: "Requests of callers refused as malformed.",
 		}),
 		inFlight: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "sequoia_requests_in_flight", Help: "Requests of callers in progress.",
+			Name: "sequoiaspring_requests_in_flight", Help: "Requests of callers in progress.",
 		}),
 	}
+	m.reported = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "sequoiaspring_upstream_reported",
+		Help: "What the upstream last announced, by field; Load and Healthy may be wrong and decide nothing.",
+	}, []string{"field"})
 	if reg == nil {
 		return m
 	}
-	reg.MustRegister(m.requests, m.latency, m.retries, m.badRequests, m.inFlight)
+	reg.MustRegister(m.requests, m.latency, m.retries, m.badRequests, m.inFlight, m.reported)
 	for _, g := range []struct {
 		name, help string
 		value      func(sequoiarouter.Stats) int
 	}{
-		{"sequoia_upstream_in_flight", "Requests at the local upstream.", func(s sequoiarouter.Stats) int { return s.InFlight }},
-		{"sequoia_waiting_requests", "Requests waiting at the owner.", func(s sequoiarouter.Stats) int { return s.Waiting }},
-		{"sequoia_closed_keys", "Shards and hot keys closed by moves.", func(s sequoiarouter.Stats) int { return s.ClosedKeys }},
-		{"sequoia_identifiers", "Retained request identifiers.", func(s sequoiarouter.Stats) int { return s.Identifiers }},
-		{"sequoia_retained_bytes", "Bytes of retained responses.", func(s sequoiarouter.Stats) int { return s.RetainedBytes }},
+		{"sequoiaspring_upstream_requests_in_flight", "Requests in progress at the upstream beside this process.", func(s sequoiarouter.Stats) int { return s.InFlight }},
+		{"sequoiaspring_requests_waiting", "Requests that wait in this process for a slot or for the end of a move.", func(s sequoiarouter.Stats) int { return s.Waiting }},
+		{"sequoiaspring_closed_assignments", "Shards and hot keys that this process has closed for a move.", func(s sequoiarouter.Stats) int { return s.ClosedKeys }},
+		{"sequoiaspring_retained_identifiers", "Request identifiers retained by this process.", func(s sequoiarouter.Stats) int { return s.Identifiers }},
+		{"sequoiaspring_retained_response_bytes", "Bytes of responses retained by this process.", func(s sequoiarouter.Stats) int { return s.RetainedBytes }},
 	} {
 		reg.MustRegister(prometheus.NewGaugeFunc(
 			prometheus.GaugeOpts{Name: g.name, Help: g.help},
@@ -69,6 +74,22 @@
 	return name
 }
 
+// announced shows the last announcement of the upstream.
+func (m *metrics) announced(a Announcement) {
+	for _, f := range []struct {
+		name string
+		on   bool
+	}{{"Healthy", a.Healthy}, {"ChecksGrants", a.ChecksGrants}, {"Draining", a.Draining}} {
+		value := 0.0
+		if f.on {
+			value = 1
+		}
+		m.reported.WithLabelValues(f.name).Set(value)
+	}
+	m.reported.WithLabelValues("Load").Set(a.Load)
+	m.reported.WithLabelValues("Slots").Set(float64(a.Slots))
+}
+
 func (m *metrics) begin() (done func()) {
 	m.inFlight.Inc()
 	return m.inFlight.Dec
--- a/internal/sequoiaproxy/proxy_test.go
+++ b/internal/sequoiaproxy/proxy_test.go
@@ -361,13 +361,13 @@
 		families, err := p.metrics.Gather()
 		Expect(err).NotTo(HaveOccurred())
 		for _, f := range families {
-			if f.GetName() == "sequoia_requests_total" {
+			if f.GetName() == "sequoiaspring_requests_total" {
 				Expect(f.GetMetric()).To(HaveLen(1))
 				Expect(f.GetMetric()[0].GetCounter().GetValue()).To(Equal(5.0))
 				return
 			}
 		}
-		ginkgo.Fail("sequoia_requests_total is not registered")
+		ginkgo.Fail("sequoiaspring_requests_total is not registered")
 	})
 
 	ginkgo.It("answers an unchanged table with 304 and stamps with the key's epoch", func() {
