--- a/internal/sequoiacontrol/command.go
+++ b/internal/sequoiacontrol/command.go
@@ -18,6 +18,8 @@
 	since    time.Time
 	sentAt   time.Time
 	answered bool
+	// alive is set when a member whose loss is to be confirmed turns out to be alive.
+	alive bool
 }
 
 // drainState is a planned stop of this process.
@@ -27,8 +29,11 @@
 	since    time.Time
 	closeAll uint64
 	closedAt time.Time
+	// targetSeen is when another member could last take keys.
+	targetSeen time.Time
 	// leave is set when nothing is in progress any more.
 	leave   bool
+	leaveAt time.Time
 	stopped bool
 }
 
@@ -43,6 +48,9 @@
 
 func (c *Core) command(ev Command) {
 	cmd := &command{Command: ev, since: c.now}
+	if ev.Configure != nil && c.opt.removed.anyConfigurationBase {
+		ev.Configure.Base = c.table.Configuration.Revision
+	}
 	switch {
 	case ev.Configure != nil, ev.Move != nil:
 		c.commands = append(c.commands, cmd)
@@ -51,14 +59,13 @@
 			c.reply(cmd, sequoiatable.ErrNotMember)
 			return
 		}
-		c.confirmed[ev.ConfirmLoss.Incarnation] = true
 		c.commands = append(c.commands, cmd)
 	case ev.Drain != nil:
 		if c.drain != nil {
 			c.reply(cmd, errors.New("the process is already draining"))
 			return
 		}
-		c.drain = &drainState{command: cmd, reason: ev.Drain.Reason, since: c.now}
+		c.drain = &drainState{command: cmd, reason: ev.Drain.Reason, since: c.now, targetSeen: c.now}
 		c.joinAfter = c.now
 	default:
 		c.reply(cmd, errors.New("the command is empty"))
@@ -159,31 +166,71 @@
 	}
 }
 
-// advanceConfirmLoss ends when the log no longer names the member, which is when it owns nothing any more.
+// lossQueryWait is how long the member and its witnesses are asked whether it still renews its lease.
+const lossQueryWait = 500 * time.Millisecond
+
+// advanceConfirmLoss refuses the loss of a member that still renews its lease, as far as it and its witnesses answer. It
+// ends when the log no longer names the member, which is when it owns nothing any more.
 func (c *Core) advanceConfirmLoss(cmd *command) {
 	id := cmd.ConfirmLoss.Incarnation
+	m := c.table.Member(id)
 	switch {
-	case c.table.Member(id) == nil:
+	case m == nil:
 		c.reply(cmd, nil)
-	case c.now.Sub(cmd.since) >= c.opt.timings.CommandTimeout:
+	case c.confirmed[id] && c.now.Sub(cmd.since) >= c.opt.timings.CommandTimeout:
 		c.reply(cmd, ErrTimeout)
+	case c.confirmed[id]:
+		return
+	case cmd.alive || c.authority.Renews(id):
+		c.reply(cmd, ErrStillRenews)
+	case m.Revoked(), c.now.Sub(cmd.since) >= lossQueryWait:
+		c.confirmed[id] = true
+		return
 	default:
+		c.askLoss(cmd, m)
 		return
 	}
 	delete(c.confirmed, id)
 }
 
+func (c *Core) askLoss(cmd *command, m *sequoiatable.MemberState) {
+	if c.now.Sub(cmd.sentAt) < c.opt.timings.Resend {
+		return
+	}
+	cmd.sentAt = c.now
+	for _, id := range append(slices.Clone(m.Witnesses), m.Incarnation) {
+		if id != c.self {
+			c.send(id, Message{SuspectQuery: &SuspectQuery{Holder: m.Incarnation}})
+		}
+	}
+}
+
+// lossReply notes an answer of the member itself, or of a witness that renews its lease.
+func (c *Core) lossReply(from sequoiatable.IncarnationID, r *SuspectReply) {
+	m := c.table.Member(r.Holder)
+	if m == nil || r.Silent || (from != r.Holder && !slices.Contains(m.Witnesses, from)) {
+		return
+	}
+	for _, cmd := range c.commands {
+		if cmd.ConfirmLoss != nil && cmd.ConfirmLoss.Incarnation == r.Holder {
+			cmd.alive = true
+		}
+	}
+}
+
 // advanceDrain moves all keys away, waits until nothing is in progress, and leaves. An upstream that drains alone only
 // has its keys moved.
 func (c *Core) advanceDrain() {
 	if c.drain == nil {
 		if c.upstream != nil && c.upstream.Draining {
 			c.moveAllAway("UpstreamDraining")
+		} else {
+			c.singly = false
 		}
 		return
 	}
 	d := c.drain
-	if d.stopped {
+	if d.stopped || c.opt.removed.drainIgnored {
 		return
 	}
 	m := c.table.Member(c.self)
@@ -191,25 +238,68 @@
 		c.stop()
 		return
 	}
-	if m == nil || m.Revoked() || d.leave {
+	if d.leave {
+		c.awaitLeave()
+		return
+	}
+	if m == nil || m.Revoked() {
 		return
 	}
 	if m.Owned > 0 || len(c.moves) > 0 {
 		c.moveAllAway(d.reason)
 	}
-	// Without another member of the service the keys cannot be moved; the process then gives them up by Revoke.
-	noTarget := len(c.moves) == 0 && c.now.Sub(d.since) >= c.opt.timings.DrainTimeout
-	if m.Owned == 0 && len(c.moves) == 0 || noTarget {
+	empty := m.Owned == 0 && len(c.moves) == 0 && m.Service == ""
+	if empty || c.cannotMove() {
 		c.closeAll()
 	}
 }
 
+// awaitLeave stops without an entry of its own if the store does not take it. Nothing is in progress then, and the
+// witnesses report the member as silent.
+func (c *Core) awaitLeave() {
+	d := c.drain
+	if d.leaveAt.IsZero() {
+		d.leaveAt = c.now
+	}
+	if c.now.Sub(d.leaveAt) >= c.opt.timings.LeaveTimeout {
+		c.emit(Record{Own: true, Decision: "LeftWithoutEntry", Owner: c.self, Reason: "the store did not answer"})
+		// The table still names this process as an owner, so its keys have to stay closed.
+		d.closeAll = 0
+		c.stop()
+	}
+}
+
+// cannotMove reports whether a draining process has to stop serving keys that it still owns: no other member can take
+// them, the store does not answer, or the time for the moves is over. The process then gives them up by Revoke, and the planner assigns them.
+func (c *Core) cannotMove() bool {
+	d := c.drain
+	if c.store.failing && c.now.Sub(d.since) >= c.opt.timings.DrainWithoutStore {
+		return true
+	}
+	if len(c.moves) > 0 || c.store.failing || c.hasTarget() {
+		d.targetSeen = c.now
+	}
+	return c.now.Sub(d.targetSeen) >= c.opt.timings.NoTargetWait || c.now.Sub(d.since) >= c.opt.timings.DrainTimeout
+}
+
+// hasTarget reports whether another member can take keys of one of the services that this process owns keys of.
+func (c *Core) hasTarget() bool {
+	for _, name := range c.table.ServiceNames() {
+		if ownedKeys(c.table.Service(name), c.self).empty() {
+			continue
+		}
+		for _, u := range c.input(name).Upstreams {
+			if u.Incarnation != c.self {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // closeAll waits for the last requests, those without a key included.
 func (c *Core) closeAll() {
 	d := c.drain
-	if m := c.live(c.self); m.Service != "" {
-		return
-	}
 	if d.closeAll == 0 {
 		d.closeAll = c.nextID()
 		d.closedAt = c.now
@@ -243,7 +333,13 @@
 		}
 		for _, m := range c.opt.policy.Place(c.input(name), c.self, set.Shards, set.Keys) {
 			keys := KeySet{Service: name, Shards: m.Shards, Keys: m.Keys}
-			c.release(&Release{Keys: keys, To: m.To, Reason: reason})
+			if !c.singly {
+				c.startMove(&Release{Keys: keys, To: m.To, Reason: reason}, c.opt.timings.DrainFirstTry)
+				continue
+			}
+			for _, one := range keys.each() {
+				c.startMove(&Release{Keys: one, To: m.To, Reason: reason}, c.opt.timings.DrainTimeout)
+			}
 		}
 	}
 }
--- a/internal/sequoiacontrol/event.go
+++ b/internal/sequoiacontrol/event.go
@@ -72,6 +72,13 @@
 type MemoryInstalled struct {
 	From sequoiatable.IncarnationID
 	Move uint64
+	Part int
+}
+
+// CheckpointWritten answers WriteCheckpoint. Err is nil too if the store holds that checkpoint or a later one already.
+type CheckpointWritten struct {
+	Index uint64
+	Err   error
 }
 
 // LoadMeasured is the process's own load over the last interval.
@@ -87,7 +94,8 @@
 	// Move asks for a move of keys; the process that owns them carries it out.
 	Move *Release
 	// ConfirmLoss names a member whose process is gone for good, for the case that too few of its witnesses are left to
-	// end its lease. If the process is alive after all, two owners may result.
+	// end its lease. It is refused with ErrStillRenews if the member or one of its witnesses answers. If the process is
+	// alive without an answer, two owners may result.
 	ConfirmLoss *ConfirmLoss
 	// Drain makes this process move all keys away and leave.
 	Drain *Drain
@@ -115,17 +123,18 @@
 	Incarnation sequoiatable.IncarnationID
 }
 
-func (LeaseRenewed) event()    {}
-func (LeaseExpired) event()    {}
-func (Tick) event()            {}
-func (Received) event()        {}
-func (LogRead) event()         {}
-func (Appended) event()        {}
-func (Upstream) event()        {}
-func (KeysDrained) event()     {}
-func (MemoryInstalled) event() {}
-func (LoadMeasured) event()    {}
-func (Command) event()         {}
+func (LeaseRenewed) event()      {}
+func (LeaseExpired) event()      {}
+func (Tick) event()              {}
+func (Received) event()          {}
+func (LogRead) event()           {}
+func (Appended) event()          {}
+func (Upstream) event()          {}
+func (KeysDrained) event()       {}
+func (MemoryInstalled) event()   {}
+func (CheckpointWritten) event() {}
+func (LoadMeasured) event()      {}
+func (Command) event()           {}
 
 // Action is an output of Core.Step, carried out in order.
 type Action interface{ action() }
@@ -179,6 +188,7 @@
 type InstallMemory struct {
 	From        sequoiatable.IncarnationID
 	Move        uint64
+	Part        int
 	Keys        KeySet
 	Identifiers []Identifier
 }
--- a/internal/sequoiacontrol/fleet_test.go
+++ b/internal/sequoiacontrol/fleet_test.go
@@ -40,6 +40,21 @@
 	// reach is the latest moment to which each node may still act on a shard: the lease end under which it last served.
 	reach      map[uint32]map[*node]time.Time
 	violations []string
+	// checkpoints lists the indexes of the written ones. killWriter ends the next process that is to write one.
+	checkpoints []uint64
+	killWriter  bool
+	// regions maps failure domains to regions; those it does not list are in one region.
+	regions map[string]string
+	// lowRank is the region whose processes come first in the order of identifiers, so that all planners are there.
+	lowRank string
+	// cut reports whether two nodes cannot reach each other.
+	cut    func(a, b *node) bool
+	shards uint32
+	// sampleEvery is the interval between checks of ownership, zero for a check after each event.
+	sampleEvery time.Duration
+	unchecked   time.Duration
+	// calls counts the calls of the store.
+	calls int
 	// unserved is the time during which each shard had no owner that serves, since resetUnserved.
 	unserved map[uint32]time.Duration
 }
@@ -66,9 +81,16 @@
 	mute      bool
 	slow      time.Duration
 	drainTime time.Duration
-	replies   map[uint64]Reply
-	stopped   bool
-	records   []Record
+	// busyTime is how long requests for busyShard take, zero for drainTime.
+	busyShard uint32
+	busyTime  time.Duration
+	closedAll bool
+	// identifiers is what KeysDrained carries, installed what InstallMemory brought.
+	identifiers []Identifier
+	installed   []Identifier
+	replies     map[uint64]Reply
+	stopped     bool
+	records     []Record
 }
 
 type scheduled struct {
@@ -103,23 +125,30 @@
 		unserved: map[uint32]time.Duration{},
 		leases:   map[sequoiatable.IncarnationID]time.Time{},
 		tables:   map[uint64]*sequoiatable.Table{},
+		shards:   testShards,
+		cut:      func(*node, *node) bool { return false },
 	}
 }
 
 // start returns a fleet of n processes in the given number of failure domains, with a configured service.
 func startFleet(seed uint64, n, domains int, opts ...Option) *fleet {
 	f := newFleet(seed)
+	f.populate(n, domains, 6*time.Second, opts...)
+	return f
+}
+
+// populate starts n processes, configures the service and waits.
+func (f *fleet) populate(n, domains int, wait time.Duration, opts ...Option) {
 	for i := range n {
 		f.add(fmt.Sprintf("domain-%d", i%domains), opts...)
 	}
 	f.run(time.Second)
 	f.nodes[0].step(f, Command{ID: 1, Configure: &sequoiatable.SetConfiguration{
 		Document: []byte("{}"),
-		Services: []sequoiatable.ServiceConfig{{Name: testService, Shards: testShards, Divided: true}},
+		Services: []sequoiatable.ServiceConfig{{Name: testService, Shards: f.shards, Divided: true}},
 	}})
-	f.run(6 * time.Second)
+	f.run(wait)
 	f.resetUnserved()
-	return f
 }
 
 func (f *fleet) add(domain string, opts ...Option) *node {
@@ -128,9 +157,13 @@
 		addr:   netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(9000+len(f.nodes))),
 		closed: map[uint64]KeySet{}, replies: map[uint64]Reply{},
 	}
+	random := f.random.Uint64
+	if f.lowRank != "" && f.regions[domain] == f.lowRank {
+		random = func() uint64 { return f.random.Uint64() >> 16 }
+	}
 	all := append([]Option{
-		WithRandom(f.random.Uint64),
-		WithMember(sequoiatable.Member{FailureDomain: domain, Region: "region", Control: n.addr}),
+		WithRandom(random),
+		WithMember(sequoiatable.Member{FailureDomain: domain, Region: f.regions[domain], Control: n.addr}),
 		WithTableCodec(TableCodec{Encode: f.encode, Decode: f.decode}),
 	}, opts...)
 	n.core = New(all...)
@@ -195,16 +228,28 @@
 
 // check finds shards that one node serves while another node's requests for it may still run.
 func (f *fleet) check(elapsed time.Duration) {
-	for shard := range uint32(testShards) {
-		served := false
-		for _, n := range f.nodes {
-			if n.serves(f.now, shard) {
-				served = true
+	f.unchecked += elapsed
+	if f.unchecked < f.sampleEvery {
+		return
+	}
+	elapsed = f.unchecked
+	f.unchecked = 0
+	served := make([]bool, f.shards)
+	for _, n := range f.nodes {
+		s := n.serving(f.now)
+		if s == nil {
+			continue
+		}
+		for shard := range f.shards {
+			if s.Shard(shard).Owner == n.snapshot.Self && !n.isClosed(shard) {
+				served[shard] = true
 				f.serve(n, shard)
 			}
 		}
-		if !served {
-			f.unserved[shard] += elapsed
+	}
+	for shard, ok := range served {
+		if !ok {
+			f.unserved[uint32(shard)] += elapsed
 		}
 	}
 }
@@ -243,7 +288,7 @@
 func (f *fleet) owners() map[int]int {
 	counts := map[int]int{}
 	for _, n := range f.nodes {
-		for shard := range uint32(testShards) {
+		for shard := range f.shards {
 			if n.serves(f.now, shard) {
 				counts[n.name]++
 			}
@@ -278,18 +323,27 @@
 	return n.snapshot.Table.Index
 }
 
-func (n *node) serves(now time.Time, shard uint32) bool {
+// serving returns the service's assignments while the node may serve what it owns, else nil.
+func (n *node) serving(now time.Time) *sequoiatable.ServiceTable {
 	s := n.snapshot
-	if n.killed || n.paused || n.frozen || s == nil || !s.Serves(now) {
-		return false
+	if n.killed || n.paused || n.frozen || n.stopped || n.closedAll || s == nil || !s.Serves(now) {
+		return nil
 	}
+	return s.Table.Service(testService)
+}
+
+func (n *node) isClosed(shard uint32) bool {
 	for _, keys := range n.closed {
 		if slices.Contains(keys.Shards, shard) {
-			return false
+			return true
 		}
 	}
-	st := s.Table.Service(testService)
-	return st != nil && st.Shard(shard).Owner == s.Self
+	return false
+}
+
+func (n *node) serves(now time.Time, shard uint32) bool {
+	s := n.serving(now)
+	return s != nil && s.Shard(shard).Owner == n.snapshot.Self && !n.isClosed(shard)
 }
 
 func (n *node) step(f *fleet, ev Event) {
@@ -317,6 +371,9 @@
 func (f *fleet) act(n *node, a Action) {
 	switch a := a.(type) {
 	case Publish:
+		if n.snapshot != nil && a.Snapshot.Table.Configuration.Revision < n.snapshot.Table.Configuration.Revision {
+			f.violations = append(f.violations, fmt.Sprintf("node %d: the configuration reverts", n.name))
+		}
 		n.snapshot = a.Snapshot
 	case Send:
 		f.send(n, a)
@@ -330,11 +387,19 @@
 		n.watching = a.On
 	case CloseKeys:
 		n.closed[a.Move] = a.Keys
-		f.after(n.drainTime, func() { f.drained(n, a) })
+		n.closedAll = n.closedAll || a.All
+		d := n.drainTime
+		if n.busyTime > 0 && slices.Contains(a.Keys.Shards, n.busyShard) {
+			d = n.busyTime
+		}
+		f.after(d, func() { f.drained(n, a) })
 	case OpenKeys:
 		delete(n.closed, a.Move)
 	case InstallMemory:
-		f.after(time.Millisecond, func() { n.step(f, MemoryInstalled{From: a.From, Move: a.Move}) })
+		n.installed = append(n.installed, a.Identifiers...)
+		f.after(time.Millisecond, func() { n.step(f, MemoryInstalled{From: a.From, Move: a.Move, Part: a.Part}) })
+	case WriteCheckpoint:
+		f.writeCheckpoint(n, a.Table.Index)
 	case Reply:
 		n.replies[a.ID] = a
 	case Record:
@@ -348,10 +413,30 @@
 	if _, ok := n.closed[a.Move]; !ok || n.killed || n.paused {
 		return
 	}
-	for _, shard := range a.Keys.Shards {
-		delete(f.reach[shard], n)
+	for shard := range f.shards {
+		if a.All || slices.Contains(a.Keys.Shards, shard) {
+			delete(f.reach[shard], n)
+		}
 	}
-	n.step(f, KeysDrained{Move: a.Move})
+	n.step(f, KeysDrained{Move: a.Move, Identifiers: n.identifiers})
+}
+
+func (f *fleet) writeCheckpoint(n *node, index uint64) {
+	if f.killWriter {
+		f.killWriter = false
+		n.killed = true
+		return
+	}
+	f.after(f.delay(), func() {
+		if !f.storeAnswers(n) {
+			n.step(f, CheckpointWritten{Index: index, Err: errStoreDown})
+			return
+		}
+		if !slices.Contains(f.checkpoints, index) {
+			f.checkpoints = append(f.checkpoints, index)
+		}
+		n.step(f, CheckpointWritten{Index: index})
+	})
 }
 
 func (f *fleet) send(n *node, a Send) {
@@ -360,9 +445,9 @@
 	}
 	from := n.core.Self()
 	for _, to := range f.nodes {
-		if to.addr == a.Addr || (!a.Addr.IsValid() && to.core.Self() == a.To) {
+		if to.addr == a.Addr {
 			f.after(f.delay()+to.slow, func() {
-				if !to.cutPeers && (!to.deaf || a.Message.Entries == nil) {
+				if !to.cutPeers && !f.cut(n, to) && (!to.deaf || a.Message.Entries == nil) {
 					to.step(f, Received{From: from, Message: a.Message})
 				}
 			})
@@ -375,6 +460,7 @@
 }
 
 func (f *fleet) read(n *node, after uint64) {
+	f.calls++
 	f.after(f.delay(), func() {
 		if !f.storeAnswers(n) || f.random.Float64() < f.storeLoss {
 			f.after(storeWait, func() { n.step(f, LogRead{Err: errStoreDown}) })
@@ -387,6 +473,7 @@
 
 // append writes an entry if there is none at its index. The call or its reply may be lost.
 func (f *fleet) append(n *node, e sequoiatable.Entry) {
+	f.calls++
 	unknown := Appended{Index: e.Index, Nonce: e.Nonce, Result: AppendUnknown, Err: errStoreDown}
 	f.after(f.delay(), func() {
 		if !f.storeAnswers(n) || f.random.Float64() < f.storeLoss {
--- a/internal/sequoiacontrol/lease.go
+++ b/internal/sequoiacontrol/lease.go
@@ -38,6 +38,7 @@
 		Neighbours:   w.neighbours,
 		Want:         w.want,
 		Confirm:      w.confirm,
+		Renews:       w.renews,
 		Fence:        w.fence,
 	}
 }
@@ -254,8 +255,9 @@
 	if !covered && !c.opt.removed.witnessSetAtOnce {
 		return
 	}
-	w.changedAt = c.now
-	b.add(sequoiatable.Change{SetWitnesses: &sequoiatable.SetWitnesses{Holder: c.self, Witnesses: w.next}}, origin{witnesses: true})
+	proposed := func() { w.changedAt = c.now }
+	change := sequoiatable.Change{SetWitnesses: &sequoiatable.SetWitnesses{Holder: c.self, Witnesses: w.next}}
+	b.add(change, origin{witnesses: true, proposed: proposed})
 }
 
 func (w *witnessing) tableChanged() {
@@ -330,6 +332,10 @@
 	return w.c.now.Sub(latest(r.heard, r.namedAt, w.c.resumedAt)) >= w.c.opt.timings.SuspectAfter
 }
 
+func (w *witnessing) renews(holder sequoiatable.IncarnationID) bool {
+	return slices.Contains(w.holders, holder) && !w.silent(holder)
+}
+
 func (w *witnessing) reportSilent() {
 	c := w.c
 	for _, holder := range w.holders {
@@ -338,12 +344,12 @@
 			continue
 		}
 		r.reportedAt = c.now
+		// A witness that is no planner acts last, for the case that no planner can be reached.
+		c.suspectReported(c.self, holder)
 		for _, id := range c.planners(holder) {
-			if id == c.self {
-				c.suspectReported(c.self, holder)
-				continue
+			if id != c.self {
+				c.send(id, Message{Suspect: &Suspect{Holder: holder}})
 			}
-			c.send(id, Message{Suspect: &Suspect{Holder: holder}})
 		}
 	}
 }
@@ -370,9 +376,13 @@
 	return silent >= quorum(len(m.Witnesses))
 }
 
-// promise gives the promise of L4. It returns nil if this process has never been the incarnation that is asked.
+// promise gives the promise of L4. It returns nil if this process neither has been the incarnation that is asked nor
+// succeeds it.
 func (w *witnessing) promise(m *Promise) *Promised {
 	c := w.c
+	if reply := c.promiseFor(m); reply != nil {
+		return reply
+	}
 	if !c.isSelf(m.Witness) {
 		return nil
 	}
@@ -439,7 +449,7 @@
 			continue
 		}
 		p := &Promise{Holder: t.holder, Witness: id, RevokeIndex: t.revokeIndex}
-		if !c.isSelf(id) {
+		if _, ok := c.predecessors[id]; !ok && !c.isSelf(id) {
 			c.send(id, Message{Promise: p})
 			continue
 		}
--- a/internal/sequoiacontrol/log.go
+++ b/internal/sequoiacontrol/log.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"fmt"
+	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,6 +31,7 @@
 	ErrTimeout       = errors.New("the change was not made in time")
 	ErrTarget        = errors.New("the target is not a live member of the service")
 	ErrNoOwner       = errors.New("the keys have no live owner")
+	ErrStillRenews   = errors.New("the member is alive: it or one of its witnesses has answered that its lease is renewed")
 )
 
 // storeState is what the process knows of its connection to the store.
@@ -35,11 +39,15 @@
 	read       bool
 	reading    bool
 	readAfter  time.Time
+	readAt     time.Time
 	watching   bool
 	failing    bool
 	appending  bool
 	appendSent uint64
 	notBefore  time.Time
+	// lostRaces counts the appends since the last one that won; changes that are not urgent wait until patientUntil.
+	lostRaces    int
+	patientUntil time.Time
 }
 
 // retainedLog holds the last entries without gaps.
@@ -81,6 +89,8 @@
 	// merge is the service of a Merge change.
 	merge     string
 	configure *command
+	// proposed is called when the change becomes part of an entry, which may be later than it is first wanted.
+	proposed func()
 }
 
 func (c *Core) logRead(ev LogRead) {
@@ -92,6 +102,7 @@
 	}
 	c.store.read = true
 	c.store.failing = false
+	c.store.readAt = c.now
 	c.store.readAfter = c.now.Add(lonelyAfter / 2)
 	if ev.Checkpoint != nil {
 		c.install(ev.Checkpoint)
@@ -154,8 +165,8 @@
 	c.log.add(e)
 	c.recordEntry(e, refused)
 	c.resolve(e, refused)
-	if e.Index%checkpointInterval == 0 && c.isSelf(e.Writer) {
-		c.emit(WriteCheckpoint{Table: next})
+	if e.Index%c.opt.checkpointInterval == 0 {
+		c.startCheckpoint(next, c.isSelf(e.Writer))
 	}
 	return true
 }
@@ -168,8 +179,10 @@
 	}
 	c.pending = nil
 	if e.Writer != p.entry.Writer || e.Nonce != p.entry.Nonce {
+		c.backOff()
 		return
 	}
+	c.store.lostRaces = 0
 	for i, o := range p.origins {
 		var err error
 		for _, r := range refused {
@@ -230,11 +243,23 @@
 			delete(c.loads, id)
 		}
 	}
+	c.noticePlanner()
 	c.noticeOwnState()
 	c.authority.TableChanged()
 	c.publish()
 }
 
+// noticePlanner notes since when this process has planned each service.
+func (c *Core) noticePlanner() {
+	for _, name := range c.table.ServiceNames() {
+		if !c.plans(name) {
+			delete(c.plannerSince, name)
+		} else if _, ok := c.plannerSince[name]; !ok {
+			c.plannerSince[name] = c.now
+		}
+	}
+}
+
 func (c *Core) recordEntry(e sequoiatable.Entry, refused []sequoiatable.Refusal) {
 	isRefused := map[int]bool{}
 	for _, r := range refused {
@@ -282,14 +307,20 @@
 	c.store.reading = true
 	c.emit(ReadLog{After: c.table.Index})
 	if c.store.failing && !c.joined {
-		for _, addr := range c.opt.contacts {
-			c.emit(Send{Addr: addr, Message: Message{
-				LogIndex: c.table.Index, EntriesRequest: &EntriesRequest{After: c.table.Index},
-			}})
-		}
+		c.askContacts()
 	}
 }
 
+func (c *Core) askContacts() {
+	for _, addr := range c.opt.contacts {
+		c.emit(Send{Addr: addr, Message: Message{LogIndex: c.table.Index, EntriesRequest: c.entriesRequest()}})
+	}
+}
+
+func (c *Core) entriesRequest() *EntriesRequest {
+	return &EntriesRequest{After: c.table.Index, ReplyTo: c.opt.member.Control}
+}
+
 // lonely reports whether entries cannot be expected from peers.
 func (c *Core) lonely() bool {
 	if !c.joined || c.live(c.self) == nil {
@@ -328,7 +359,7 @@
 		return
 	}
 	changes, origins := c.collect()
-	if len(changes) == 0 {
+	if len(changes) == 0 || !slices.ContainsFunc(changes, urgent) && !c.mayAppendPatiently() {
 		return
 	}
 	c.pending = &pendingAppend{
@@ -337,10 +368,50 @@
 		},
 		origins: origins,
 	}
+	for _, o := range origins {
+		if o.proposed != nil {
+			o.proposed()
+		}
+	}
 	c.publish()
 	c.sendAppend()
 }
 
+const (
+	// firstBackOff and maxBackOff bound the wait after a lost race, which doubles with each one.
+	firstBackOff = 4 * time.Millisecond
+	maxBackOff   = 2 * time.Second
+	// freshFor is how long the result of a read counts as the end of the log.
+	freshFor = 25 * time.Millisecond
+)
+
+// backOff delays the next attempt to write changes that are not urgent. After the loss of a failure domain a quarter of
+// the fleet changes its witnesses; if all repeated their appends at once, each entry would cost a call of every one of
+// them and delay the takeover.
+func (c *Core) backOff() {
+	wait := min(maxBackOff, firstBackOff<<min(c.store.lostRaces, 16))
+	c.store.lostRaces++
+	c.store.patientUntil = c.now.Add(time.Duration(c.opt.random() % uint64(wait)))
+}
+
+// mayAppendPatiently reports whether changes that are not urgent may be written now. A process that gets no entries
+// from peers reads the log to its end first: each lost race would show it only one entry more.
+func (c *Core) mayAppendPatiently() bool {
+	if c.now.Before(c.store.patientUntil) || c.store.reading || c.store.failing && c.now.Before(c.store.readAfter) {
+		return false
+	}
+	if c.store.lostRaces > 0 && c.lonely() && c.now.Sub(c.store.readAt) > freshFor {
+		c.readLog()
+		return false
+	}
+	return true
+}
+
+// urgent reports whether keys may be without an owner, or an operator waits, until the change is written.
+func urgent(change sequoiatable.Change) bool {
+	return change.Join == nil && change.SetWitnesses == nil
+}
+
 func (c *Core) sendAppend() {
 	c.store.appending = true
 	c.store.appendSent = c.pending.entry.Nonce
@@ -375,9 +446,11 @@
 
 // peer is what is known of the log of another process.
 type peer struct {
-	index  uint64
-	heard  time.Time
-	pushed uint64
+	index uint64
+	heard time.Time
+	// replyTo is the control address that the process gave while it was no member.
+	replyTo netip.AddrPort
+	pushed  uint64
 	// pushedAt and askedAt limit repeated pushes and requests.
 	pushedAt time.Time
 	askedAt  time.Time
@@ -466,10 +539,26 @@
 	c.applyAll(entries)
 	if p.index > c.table.Index {
 		c.askEntries(from, p)
+		return
+	}
+	c.recordPeerTable(from)
+}
+
+// recordPeerTable records that a process which could not read the store has its table from a peer. Entries of lower
+// index change nothing, so the table is the latest that any peer has sent.
+func (c *Core) recordPeerTable(from sequoiatable.IncarnationID) {
+	rev := c.table.Configuration.Revision
+	if c.store.read || !c.store.failing || (c.peerTable && rev == c.peerRevision) {
+		return
 	}
+	c.peerTable, c.peerRevision = true, rev
+	c.emit(Record{
+		Own: true, Decision: "TableFromPeers", Previous: from, Epoch: sequoiatable.Epoch(rev),
+		Reason: fmt.Sprintf("the store does not answer; log index %d, configuration revision %d", c.table.Index, rev),
+	})
 }
 
-func (c *Core) receiveCheckpoint(m *Checkpoint) {
+func (c *Core) receiveCheckpoint(from sequoiatable.IncarnationID, m *Checkpoint) {
 	if c.opt.codec.Decode == nil || m.Index <= c.table.Index {
 		return
 	}
@@ -480,11 +569,16 @@
 	}
 	c.install(t)
 	c.pushEntries()
+	c.recordPeerTable(from)
 }
 
 func (c *Core) askEntries(id sequoiatable.IncarnationID, p *peer) {
 	p.askedAt = c.now
-	c.send(id, Message{EntriesRequest: &EntriesRequest{After: c.table.Index}})
+	if !c.addressOf(id).IsValid() {
+		c.askContacts()
+		return
+	}
+	c.send(id, Message{EntriesRequest: c.entriesRequest()})
 }
 
 // advancePeers asks peers for entries that they have and did not push, and forgets peers that have left.
--- a/internal/sequoiacontrol/message.go
+++ b/internal/sequoiacontrol/message.go
@@ -3,6 +3,7 @@
 package sequoiacontrol
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaplacement"
@@ -24,6 +25,7 @@
 	EntriesRequest *EntriesRequest `cbor:",omitempty"`
 	Checkpoint     *Checkpoint     `cbor:",omitempty"`
 	LoadReport     *LoadReport     `cbor:",omitempty"`
+	LoadBatch      *LoadBatch      `cbor:",omitempty"`
 	Release        *Release        `cbor:",omitempty"`
 	Memory         *Memory         `cbor:",omitempty"`
 	MemoryReceived *MemoryReceived `cbor:",omitempty"`
@@ -83,9 +85,11 @@
 	Entries []sequoiatable.Entry
 }
 
-// EntriesRequest asks for the entries after an index.
+// EntriesRequest asks for the entries after an index. ReplyTo is the sender's control address, since a process that has
+// not joined yet is not in the receiver's table.
 type EntriesRequest struct {
-	After uint64
+	After   uint64
+	ReplyTo netip.AddrPort
 }
 
 // Checkpoint carries an encoded table, where the entries that the receiver lacks are no longer kept.
@@ -94,7 +98,7 @@
 	Parts [][]byte
 }
 
-// LoadReport tells a planner the load of one upstream.
+// LoadReport tells a relay or planner the load of one upstream.
 type LoadReport struct {
 	Load Load
 }
@@ -116,6 +120,17 @@
 	Shards []sequoiaplacement.ShardLoad
 }
 
+// LoadBatch tells a planner the loads that stand out among the members of a service in the sender's failure domain.
+type LoadBatch struct {
+	Loads []AgedLoad
+}
+
+// AgedLoad is a load with the time since it was measured.
+type AgedLoad struct {
+	Load Load
+	Age  time.Duration
+}
+
 // Release asks an owner to move keys to another member.
 type Release struct {
 	Keys   KeySet
@@ -130,9 +145,11 @@
 	Keys    []string `cbor:",omitempty"`
 }
 
-// Memory passes the remembered request identifiers of the keys to their next owner.
+// Memory passes a part of the remembered request identifiers of the keys to their next owner. Parts are numbered from
+// 0 and each is answered with MemoryReceived; the keys are listed in part 0 only.
 type Memory struct {
 	Move        uint64
+	Part        int
 	Keys        KeySet
 	Identifiers []Identifier
 }
@@ -153,4 +170,5 @@
 // MemoryReceived answers Memory.
 type MemoryReceived struct {
 	Move uint64
+	Part int
 }
--- a/internal/sequoiacontrol/options.go
+++ b/internal/sequoiacontrol/options.go
@@ -32,13 +32,33 @@
 	StoreRetry time.Duration
 	// Resend is the interval at which unanswered messages between processes are repeated.
 	Resend time.Duration
-	// DrainTimeout, MemoryTimeout and AssignTimeout bound the phases of a planned move.
-	DrainTimeout  time.Duration
+	// CloseTimeout, MemoryTimeout and AssignTimeout bound the phases of a planned move. MemoryTimeout counts from the
+	// last acknowledged part.
+	CloseTimeout  time.Duration
 	MemoryTimeout time.Duration
 	AssignTimeout time.Duration
+	// DrainTimeout bounds each of the waits for requests in progress in a drain: while keys move, and before the
+	// process leaves. It is longer than the longest request that a process accepts, 60 s, so that none is interrupted.
+	DrainTimeout time.Duration
+	// DrainFirstTry is how long the first attempt to move a drain's keys keeps them closed. Later attempts move each
+	// shard and hot key alone, so that a long request keeps no other key closed.
+	DrainFirstTry time.Duration
+	// NoTargetWait is how long a draining process serves on when no other member can take its keys. A departing
+	// process has to refuse new work within 3 s.
+	NoTargetWait time.Duration
+	// DrainWithoutStore is how long a draining process serves keys that it cannot move because the store does not
+	// answer. With the ticks and a last request on its way it keeps the bound of I6, 3 s without new work.
+	DrainWithoutStore time.Duration
+	// LeaveTimeout bounds the wait for the entry that ends a drain, which cannot be written while the store is down.
+	LeaveTimeout time.Duration
+	// CheckpointRetry separates attempts to write a checkpoint, by the writer and by each planner in turn.
+	CheckpointRetry time.Duration
 	// CommandTimeout bounds an operator's command.
 	CommandTimeout  time.Duration
 	BalanceInterval time.Duration
+	// DirectReports is the longest interval of load reports to the planner itself; in a larger fleet relays pass them on.
+	// It is shorter than the 30 s after which an idle control connection closes.
+	DirectReports time.Duration
 	// WithoutWitnesses is how long a member may have no witnesses before planners remove it. No witness would report
 	// such a member, and it would keep its rank for good.
 	WithoutWitnesses time.Duration
@@ -50,24 +70,31 @@
 // DefaultTimings returns the values of the design.
 func DefaultTimings() Timings {
 	return Timings{
-		Lease:            time.Second,
-		HolderLease:      990 * time.Millisecond,
-		RenewInterval:    250 * time.Millisecond,
-		SuspectAfter:     600 * time.Millisecond,
-		PlannerDelay:     150 * time.Millisecond,
-		SuspectBatch:     50 * time.Millisecond,
-		JoinWait:         300 * time.Millisecond,
-		InitialWait:      time.Second,
-		InitialWaitLimit: 5 * time.Second,
-		StoreRetry:       300 * time.Millisecond,
-		Resend:           100 * time.Millisecond,
-		DrainTimeout:     10 * time.Second,
-		MemoryTimeout:    2 * time.Second,
-		AssignTimeout:    2 * time.Second,
-		CommandTimeout:   10 * time.Second,
-		BalanceInterval:  5 * time.Second,
-		WithoutWitnesses: 30 * time.Second,
-		PauseAfter:       300 * time.Millisecond,
+		Lease:             time.Second,
+		HolderLease:       990 * time.Millisecond,
+		RenewInterval:     250 * time.Millisecond,
+		SuspectAfter:      600 * time.Millisecond,
+		PlannerDelay:      150 * time.Millisecond,
+		SuspectBatch:      50 * time.Millisecond,
+		JoinWait:          300 * time.Millisecond,
+		InitialWait:       time.Second,
+		InitialWaitLimit:  5 * time.Second,
+		StoreRetry:        300 * time.Millisecond,
+		Resend:            100 * time.Millisecond,
+		CloseTimeout:      10 * time.Second,
+		MemoryTimeout:     2 * time.Second,
+		AssignTimeout:     2 * time.Second,
+		DrainTimeout:      65 * time.Second,
+		DrainFirstTry:     time.Second,
+		NoTargetWait:      2 * time.Second,
+		DrainWithoutStore: 2 * time.Second,
+		LeaveTimeout:      5 * time.Second,
+		CheckpointRetry:   10 * time.Second,
+		CommandTimeout:    10 * time.Second,
+		BalanceInterval:   5 * time.Second,
+		DirectReports:     20 * time.Second,
+		WithoutWitnesses:  30 * time.Second,
+		PauseAfter:        300 * time.Millisecond,
 	}
 }
 
@@ -83,14 +110,6 @@
 	Decode func(parts [][]byte) (*sequoiatable.Table, error)
 }
 
-// safeguards lets a test remove a rule to show that it detects the fault which the rule prevents.
-type safeguards struct {
-	takeoverWithoutPromises bool
-	leaseFromAnswer         bool
-	witnessSetAtOnce        bool
-	reopenUnknown           bool
-}
-
 type options struct {
 	member    sequoiatable.Member
 	contacts  []netip.AddrPort
@@ -101,6 +120,8 @@
 	random    func() uint64
 	authority func(c *Core) Authority
 	removed   safeguards
+	// checkpointInterval is the number of entries between checkpoints.
+	checkpointInterval uint64
 }
 
 // Option sets one option of New.
@@ -153,5 +174,7 @@
 		tuning:    func(string) sequoiaplacement.Tuning { return sequoiaplacement.Tuning{} },
 		random:    rand.Uint64,
 		authority: Witnesses,
+
+		checkpointInterval: checkpointInterval,
 	}
 }
