Do not take a new identifier after leaving

Cause: a drained process logged NewIncarnation with the reason Revoked after its own Leave, which misleads a reader of the log. Ruled out: leaving out the line only; the identifier was never used. Before/after: the line appeared after each drain; now Left and Stopped are last. Conclusion: the drain tests pass.

--- a/internal/sequoiacontrol/member.go
+++ b/internal/sequoiacontrol/member.go
@@ -50,6 +50,10 @@
 		c.joined = true
 		return
 	}
+	if m == nil && c.stopping() {
+		c.joined = false
+		return
+	}
 	if c.joined && !c.stopped() {
 		c.renewIncarnation("Revoked")
 	}
