--- a/internal/sequoiacontrol/log.go
+++ b/internal/sequoiacontrol/log.go
@@ -443,13 +443,46 @@
 type batch struct {
 	changes []sequoiatable.Change
 	origins []origin
+	// size is an upper estimate of the encoded size in bytes.
+	size int
 }
 
+// maxBatchBytes leaves room below the 1 MB that a value of the store holds. The takeover of a lost failure domain at
+// 3,800 members has 1.85 MB of changes.
+const maxBatchBytes = 768 << 10
+
+// add adds a change if it fits. One that does not fit is wanted again for the next entry, since wanted changes are
+// derived from the table each time.
 func (b *batch) add(change sequoiatable.Change, o origin) {
+	size := changeSize(change)
+	if len(b.changes) > 0 && b.size+size > maxBatchBytes {
+		return
+	}
+	b.size += size
 	b.changes = append(b.changes, change)
 	b.origins = append(b.origins, o)
 }
 
+// changeSize is an upper estimate of a change's encoded size in bytes.
+func changeSize(change sequoiatable.Change) int {
+	const (
+		fixed    = 256
+		perShard = 5
+		perKey   = 5
+	)
+	size := fixed
+	if a := change.Assign; a != nil {
+		size += perShard*len(a.Shards) + len(a.Service) + len(a.Reason)
+		for _, k := range a.Keys {
+			size += perKey + len(k)
+		}
+	}
+	if s := change.SetConfiguration; s != nil {
+		size += len(s.Document)
+	}
+	return size
+}
+
 // collect returns the changes that the process wants by the table and its state.
 func (c *Core) collect() ([]sequoiatable.Change, []origin) {
 	b := &batch{}
@@ -605,7 +638,8 @@
 func (c *Core) advancePeers() {
 	for _, id := range sortedKeys(c.peers) {
 		p := c.peers[id]
-		gone := c.table.Member(id) == nil && c.now.Sub(p.heard) > 10*lonelyAfter
+		// A planner hears of every member now and then; only those that speak regularly are worth a look at each event.
+		gone := c.now.Sub(p.heard) > 10*lonelyAfter
 		if gone {
 			delete(c.peers, id)
 			continue
--- a/internal/sequoiainstance/admin.go
+++ b/internal/sequoiainstance/admin.go
@@ -136,7 +136,14 @@
 	return sequoiaadmin.Document{Revision: c.Revision, Operator: c.Operator, Document: string(c.Document)}
 }
 
+// maxDocumentBytes keeps a configuration's log entry below the 1 MB that a value of the store holds. An entry that is
+// too large could never be written, and would keep every later change of this process waiting.
+const maxDocumentBytes = 512 << 10
+
 func (in *Instance) apply(ctx context.Context, req sequoiaadmin.ApplyRequest) (sequoiaadmin.Done, error) {
+	if n := len(req.Document); n > maxDocumentBytes {
+		return sequoiaadmin.Done{}, errors.Wrapf(sequoiaadmin.ErrBadRequest, "%d bytes; allowed: %d", n, maxDocumentBytes)
+	}
 	cfg, err := sequoiasettings.ParseConfiguration("configuration", []byte(req.Document))
 	if err != nil {
 		return sequoiaadmin.Done{}, errors.Wrap(sequoiaadmin.ErrBadRequest, err.Error())
--- a/internal/sequoiainstance/configuration_test.go
+++ b/internal/sequoiainstance/configuration_test.go
@@ -81,6 +81,15 @@
 		Expect(err).To(MatchError(sequoiaadmin.ErrBadRequest))
 	})
 
+	It("refuses a document that no log entry can hold, which would block all later changes", func() {
+		client := fleet.Nodes[0].Admin()
+		before, err := client.Document(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		large := before.Document + strings.Repeat(" ", 600<<10)
+		_, err = client.Apply(ctx, sequoiaadmin.ApplyRequest{Base: before.Revision, Document: large})
+		Expect(err).To(MatchError(sequoiaadmin.ErrBadRequest))
+	})
+
 	It("moves a hot key on an operator's command and explains the new owner", func() {
 		admin := fleet.Nodes[0].Admin()
 		old, err := admin.Explain(ctx, "dispatch", "hot")
