Begin a planned move only after the store has answered

Conclusion: a move asks the store with its keys open, and again before the append if the last answer is older than 250 ms. An outage that begins between that answer and the append still closes the keys of the moves in progress.

--- a/internal/sequoiacontrol/move.go
+++ b/internal/sequoiacontrol/move.go
@@ -11,8 +11,11 @@
 type movePhase uint8
 
 const (
+	// moveAsking waits for an answer of the store, with the keys open: a move that begins in a store outage would keep
+	// them closed until the store answers.
+	moveAsking movePhase = iota
 	// moveClosing waits for requests in progress to finish.
-	moveClosing movePhase = iota
+	moveClosing
 	// moveMemory waits for the next owner to have the request identifiers.
 	moveMemory
 	// moveAssigning waits for the entry that assigns the keys.
@@ -62,7 +65,7 @@
 	}
 	m := &move{id: c.nextID(), keys: keys, to: r.To, reason: r.Reason, phaseSince: c.now, closeLimit: closeLimit}
 	c.moves = append(c.moves, m)
-	c.emit(CloseKeys{Move: m.id, Keys: keys})
+	c.storeAnswersSince(c.now)
 }
 
 // conflicts reports whether a move in progress concerns some of the keys, directly or through a hot key's shard.
@@ -159,7 +162,11 @@
 		c.endMove(m, ErrTarget)
 		return
 	}
-	if m.phase == moveMemory {
+	switch {
+	case m.phase == moveAsking && c.storeAnswersSince(m.phaseSince):
+		c.enterPhase(m, moveClosing)
+		c.emit(CloseKeys{Move: m.id, Keys: m.keys})
+	case m.phase == moveMemory:
 		c.sendMemory(m)
 	}
 }
@@ -178,6 +185,8 @@
 
 func (c *Core) phaseTimeout(m *move) time.Duration {
 	switch m.phase {
+	case moveAsking:
+		return c.opt.timings.AssignTimeout
 	case moveClosing:
 		return m.closeLimit
 	case moveMemory:
@@ -201,12 +210,20 @@
 	}
 }
 
-// wantMoves assigns the keys of moves whose next owner has the request identifiers.
+// answerFresh is how recent the store's last answer has to be for the append that ends a move.
+const answerFresh = 250 * time.Millisecond
+
+// wantMoves assigns the keys of moves whose next owner has the request identifiers. A move that waited long for
+// requests in progress asks the store once more, since an append without a result keeps the keys closed.
 func (c *Core) wantMoves(b *batch) {
 	for _, m := range c.moves {
 		if m.phase != moveAssigning || m.ended || !c.ownsAll(m) {
 			continue
 		}
+		if c.now.Sub(c.store.answeredAt) > answerFresh {
+			c.storeAnswersSince(c.now)
+			continue
+		}
 		b.add(sequoiatable.Change{Assign: &sequoiatable.Assign{
 			Service: m.keys.Service, Kind: sequoiatable.AssignPlanned, From: c.self, To: m.to,
 			Shards: m.keys.Shards, Keys: m.keys.Keys, Reason: m.reason,
--- a/internal/sequoiacontrol/outage_test.go
+++ b/internal/sequoiacontrol/outage_test.go
@@ -26,6 +26,24 @@
 		Expect(f.violations).To(BeEmpty())
 	})
 
+	ginkgo.It("leaves keys open that a planner or an operator wants moved", func() {
+		for seed := range uint64(5) {
+			f := startFleet(seed, 5, 3)
+			f.storeDown = true
+			for _, n := range f.nodes {
+				to := f.nodes[(n.name+1)%len(f.nodes)].core.Self()
+				set := ownedKeys(n.snapshot.Table.Service(testService), n.core.Self())
+				n.step(f, Command{ID: 9, Move: &Release{Keys: set, To: to}})
+			}
+			f.run(3 * time.Second)
+			Expect(f.served()).To(Equal(testShards), "seed %d", seed)
+			f.storeDown = false
+			f.run(3 * time.Second)
+			Expect(f.settled()).To(Equal(testShards), "seed %d", seed)
+			Expect(f.violations).To(BeEmpty(), "seed %d", seed)
+		}
+	})
+
 	ginkgo.It("of two witnesses ends with it, though the holder has proposed others", func() {
 		for seed := range uint64(10) {
 			f := startFleet(seed, 7, 3)
