--- a/internal/sequoiascenario/script_test.go
+++ b/internal/sequoiascenario/script_test.go
@@ -310,8 +310,9 @@
 // queuedLimit is the part of the example configurations that operators change.
 var queuedLimit = regexp.MustCompile(`"Queued": \d+`)
 
-// cmdApply: apply start NODE... [timeout=D] starts an operator at each node, apply wait waits for all. Each operator has
-// a document of its own, and all documents are made from the revision in force at the first node.
+// cmdApply: apply start NODE... [timeout=D] [late=D] starts an operator at each node, apply wait waits for all. Each
+// operator has a document of its own, and all documents are made from the revision in force at the first node. With late
+// one more operator follows at the last node after that time, when another document is in force.
 func (s *scenario) cmdApply(_ *testscript.TestScript, args []string) error {
 	words, o := parseOptions(args)
 	if words[0] == "wait" {
@@ -334,7 +335,16 @@
 			return err
 		}
 	}
-	return nil
+	late := o.duration("late", 0)
+	if late == 0 {
+		return nil
+	}
+	time.Sleep(late)
+	n, err := s.fleet.find(words[len(words)-1])
+	if err != nil {
+		return err
+	}
+	return s.startOperator(n, base, o.duration("timeout", 25*time.Second))
 }
 
 func (s *scenario) startOperator(n *node, base uint64, timeout time.Duration) error {
