Wait for a time or a table index in one place each

Cause: four packages each had the same wait for a time that ends with its context, and the proxy had the same wait for a table index twice. Ruled out: a fake clock for these waits; they were in real time before.

--- a/internal/sequoiainstance/loop.go
+++ b/internal/sequoiainstance/loop.go
@@ -7,6 +7,7 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoialog"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
 
 // loop feeds the core from one goroutine and carries out its actions in order.
@@ -111,7 +112,7 @@
 			in.post(sequoiacontrol.KeysDrained{Move: move})
 			return
 		}
-		pause(in.ctx, drainPoll)
+		_ = sequoiatimer.Sleep(in.ctx, drainPoll)
 	}
 }
 
--- a/internal/sequoiainstance/store.go
+++ b/internal/sequoiainstance/store.go
@@ -10,6 +10,7 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiacontrol"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiastore"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
 
 const (
@@ -112,7 +113,7 @@
 		}
 		in.post(page)
 		if page.Err != nil {
-			pause(ctx, watchPause)
+			_ = sequoiatimer.Sleep(ctx, watchPause)
 		}
 		if n := len(page.Entries); n > 0 {
 			after = page.Entries[n-1].Index
@@ -140,7 +141,7 @@
 		for _, id := range table.Members() {
 			in.checkLease(id, seen)
 		}
-		pause(in.ctx, leasePollInterval)
+		_ = sequoiatimer.Sleep(in.ctx, leasePollInterval)
 	}
 }
 
@@ -159,12 +160,3 @@
 		in.post(sequoiacontrol.LeaseExpired{Incarnation: id})
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/sequoiameasure/configurations.go
+++ b/internal/sequoiameasure/configurations.go
@@ -10,6 +10,7 @@
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaadmin"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiafleet"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
 
 const (
@@ -44,11 +45,11 @@
 }
 
 func (m *measurement) configure(ctx context.Context, subject string, f *sequoiafleet.Fleet) error {
-	if err := pause(ctx, settleTime); err != nil {
+	if err := sequoiatimer.Sleep(ctx, settleTime); err != nil {
 		return err
 	}
 	calls, started := f.Store.Counts().Total(), time.Now()
-	if err := pause(ctx, m.cfg.Window); err != nil {
+	if err := sequoiatimer.Sleep(ctx, m.cfg.Window); err != nil {
 		return err
 	}
 	idle := float64(f.Store.Counts().Total()-calls) / time.Since(started).Seconds()
@@ -82,7 +83,7 @@
 		if time.Since(started) > configurationLimit {
 			return 0, errors.Wrapf(errNotInForce, "revision %d", reply.Revision)
 		}
-		if err := pause(ctx, configurationPoll); err != nil {
+		if err := sequoiatimer.Sleep(ctx, configurationPoll); err != nil {
 			return 0, err
 		}
 	}
--- a/internal/sequoiameasure/fleets.go
+++ b/internal/sequoiameasure/fleets.go
@@ -13,6 +13,7 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiafleet"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiainstance"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiasettings"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
 
 const (
@@ -95,7 +96,7 @@
 		return err
 	}
 	defer closeFleet(f)
-	if err := pause(ctx, settleTime); err != nil {
+	if err := sequoiatimer.Sleep(ctx, settleTime); err != nil {
 		return err
 	}
 	subject := fmt.Sprintf("%d processes", n)
--- a/internal/sequoiameasure/handshakes.go
+++ b/internal/sequoiameasure/handshakes.go
@@ -9,6 +9,7 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiacontrol"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiapeer"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
 
 const (
@@ -46,7 +47,7 @@
 		p.Send(member(0), center.Addr(), report)
 	}
 	for deadline := time.Now().Add(handshakeWait); received.Load() < handshakes && time.Now().Before(deadline); {
-		if err := pause(ctx, time.Millisecond); err != nil {
+		if err := sequoiatimer.Sleep(ctx, time.Millisecond); err != nil {
 			return err
 		}
 	}
--- a/internal/sequoiameasure/measure.go
+++ b/internal/sequoiameasure/measure.go
@@ -132,15 +132,3 @@
 		return m.cores(ctx)
 	}
 }
-
-// pause waits for d or returns ctx's error.
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/sequoiameasure/requests.go
+++ b/internal/sequoiameasure/requests.go
@@ -9,6 +9,7 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiachecker"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiafleet"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiastandin"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 	"github.com/sequoiaspring/sequoiaspring/pkg/sequoiaclient"
 )
 
@@ -102,7 +103,7 @@
 	direct := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: throughputCallers}}
 	r := &requestFleet{fleet: f, client: client, direct: direct}
 	r.paths = requestPaths(f, client, direct)
-	return r, pause(ctx, settleTime)
+	return r, sequoiatimer.Sleep(ctx, settleTime)
 }
 
 func (r *requestFleet) close() {
@@ -197,7 +198,7 @@
 // idleUse returns the cores that the program uses without load.
 func idleUse(ctx context.Context, window time.Duration) (float64, error) {
 	before, started := cpuTime(), time.Now()
-	if err := pause(ctx, window); err != nil {
+	if err := sequoiatimer.Sleep(ctx, window); err != nil {
 		return 0, err
 	}
 	return (cpuTime() - before).Seconds() / time.Since(started).Seconds(), nil
--- a/internal/sequoiaproxy/proxy.go
+++ b/internal/sequoiaproxy/proxy.go
@@ -15,6 +15,7 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiahttp"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
 
 // Defaults and limits.
@@ -214,17 +215,7 @@
 	if s := p.router.Snapshot(); s != nil {
 		index = s.Table.Index
 	}
-	changed := make(chan struct{})
-	defer p.router.WaitIndex(index+1, func() { close(changed) })()
-	t := time.NewTimer(absentRetry)
-	defer t.Stop()
-	select {
-	case <-changed:
-	case <-t.C:
-	case <-ctx.Done():
-		return false
-	}
-	return true
+	return p.awaitIndex(ctx, index+1, absentRetry)
 }
 
 // truthful turns NotRun into Unknown if an earlier attempt may have run.
@@ -275,13 +266,17 @@
 // pause waits before a retry: for the log entries by which another process refused the request, or with a backoff. It
 // returns false if the request's time is over.
 func (p *Proxy) pause(ctx context.Context, resp *sequoiarouter.Response, attempt int) bool {
-	wait := backoffBase << (attempt - 1)
-	reached := make(chan struct{})
 	if resp.Reason == sequoiarouter.ReasonNotOwner {
-		wait = indexWait
-		defer p.router.WaitIndex(resp.LogIndex, func() { close(reached) })()
+		return p.awaitIndex(ctx, resp.LogIndex, indexWait)
 	}
-	t := time.NewTimer(wait)
+	return sequoiatimer.Sleep(ctx, backoffBase<<(attempt-1)) == nil
+}
+
+// awaitIndex waits until the table has reached an index, at most for a time. It returns false if ctx ends first.
+func (p *Proxy) awaitIndex(ctx context.Context, index uint64, limit time.Duration) bool {
+	reached := make(chan struct{})
+	defer p.router.WaitIndex(index, func() { close(reached) })()
+	t := time.NewTimer(limit)
 	defer t.Stop()
 	select {
 	case <-reached:
--- a/internal/sequoiastore/client.go
+++ b/internal/sequoiastore/client.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
 
 // Defaults of a client.
@@ -281,12 +283,8 @@
 
 // pause waits for a time or until the context ends.
 func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return errors.Wrap(ErrUnavailable, ctx.Err().Error())
+	if err := sequoiatimer.Sleep(ctx, d); err != nil {
+		return errors.Wrap(ErrUnavailable, err.Error())
 	}
+	return nil
 }
--- a/pkg/sequoiaclient/client.go
+++ b/pkg/sequoiaclient/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiahttp"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
 
 // Defaults and limits.
@@ -219,7 +220,7 @@
 			k.sent, k.stamp, k.firstSent = false, 0, time.Time{}
 		}
 		res.Attempts, res.FirstEpoch, res.FirstSent = n, k.stamp, k.firstSent
-		if !c.mayRetry(ctx, k, res) || !sleep(ctx, min(backoffMax, backoffBase<<(n-1))) || c.windowOver(k.firstSent) {
+		if !c.mayRetry(ctx, k, res) || sequoiatimer.Sleep(ctx, min(backoffMax, backoffBase<<(n-1))) != nil || c.windowOver(k.firstSent) {
 			return truthful(res, k.mayHaveRun), nil
 		}
 		if res.Reason == sequoiarouter.ReasonNotOwner || res.Reason == sequoiarouter.ReasonUnreachable {
@@ -324,7 +325,7 @@
 		}
 		// A first attempt stamped with the epoch of a lost owner would end as Unknown after the takeover, so it
 		// waits for the next owner.
-		if !sleep(ctx, ownerWait) {
+		if sequoiatimer.Sleep(ctx, ownerWait) != nil {
 			return netip.AddrPort{}, ctx.Err()
 		}
 		c.readTable(ctx)
@@ -405,14 +406,3 @@
 	}
 	return res
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/pkg/sequoiaclient/table.go
+++ b/pkg/sequoiaclient/table.go
@@ -10,6 +10,7 @@
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiahttp"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
 
 // tableView is a Document that can be searched. It is immutable.
@@ -65,7 +66,7 @@
 func (c *Client) keepTable() {
 	for {
 		c.readTable(c.ctx)
-		if !sleep(c.ctx, c.refresh) {
+		if sequoiatimer.Sleep(c.ctx, c.refresh) != nil {
 			return
 		}
 	}
