Move the HTTP front's connection handling into a package of its own

A second front is needed on the users' platform, where callers, health checks and heartbeats arrive on ports of their own.

--- a/internal/sequoiaproxy/announce.go
+++ b/internal/sequoiaproxy/announce.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiacontrol"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiafront"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
 )
 
@@ -169,7 +170,7 @@
 }
 
 func writeError(w http.ResponseWriter, r *http.Request, status int, err error) {
-	writeBody(w, r, status, []byte(strconv.Quote(err.Error())+"\n"))
+	sequoiafront.WriteBody(w, r, status, []byte(strconv.Quote(err.Error())+"\n"))
 }
 
 func writeJSON(w http.ResponseWriter, r *http.Request, v any) {
@@ -179,5 +180,5 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	writeBody(w, r, http.StatusOK, body)
+	sequoiafront.WriteBody(w, r, http.StatusOK, body)
 }
--- a/internal/sequoiaproxy/front.go
+++ b/internal/sequoiaproxy/front.go
@@ -2,22 +2,16 @@
 
 import (
 	"cmp"
-	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
-	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/logging"
-	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 
-	"github.com/sequoiaspring/sequoiaspring/internal/sequoiapoller"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiafront"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
 )
@@ -43,46 +37,16 @@
 
 // Limits of the front.
 const (
-	// maxPipelined bounds the requests that one connection may have outstanding.
-	maxPipelined  = 64
-	maxConns      = 20000
-	maxWriteQueue = 32 << 20 // bytes
-	maxKeyLength  = 1024     // bytes, of keys and request identifiers
-	shutdownTime  = time.Second
-	// maxHead bounds what a request may have besides its body, in bytes.
-	maxHead = 64 << 10
+	maxKeyLength = 1024 // bytes, of keys and request identifiers
 )
 
-// fronts are the running listeners.
-type fronts struct {
-	mu      sync.Mutex
-	engines []*nbhttp.Engine
-}
-
-func (f *fronts) add(e *nbhttp.Engine) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.engines = append(f.engines, e)
-}
-
-func (f *fronts) close() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, e := range f.engines {
-		ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
-		_ = e.Shutdown(ctx)
-		cancel()
-	}
-	f.engines = nil
-}
-
 // ListenCallers starts the front for callers and returns its address.
 func (p *Proxy) ListenCallers(addr netip.AddrPort) (netip.AddrPort, error) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/stamp", p.serveStamp)
 	mux.HandleFunc("GET /v1/table", p.serveTable)
 	// The mux would redirect paths that it considers unclean, so services are matched before it.
-	return p.listen(addr, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return p.front.Listen(addr, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasPrefix(r.RequestURI, servicePrefix) {
 			p.serveRequest(w, r)
 			return
@@ -95,107 +59,7 @@
 func (p *Proxy) ListenUpstream(addr netip.AddrPort) (netip.AddrPort, error) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/announce", p.serveAnnounce)
-	return p.listen(addr, mux)
-}
-
-// quietLibrary keeps nbio's own lines about starts and stops out of the process's log, which has JSON lines only.
-var quietLibrary = sync.OnceFunc(func() { logging.SetLevel(logging.LevelError) })
-
-func (p *Proxy) listen(addr netip.AddrPort, h http.Handler) (netip.AddrPort, error) {
-	quietLibrary()
-	ln, err := net.Listen("tcp", addr.String())
-	if err != nil {
-		return netip.AddrPort{}, errors.Wrapf(err, "listen on %s", addr)
-	}
-	bound, err := netip.ParseAddrPort(ln.Addr().String())
-	if err != nil {
-		return netip.AddrPort{}, err
-	}
-	e := nbhttp.NewEngine(nbhttp.Config{
-		Network: "tcp", Addrs: []string{bound.String()}, Handler: h, OnRequest: p.prepare, MaxLoad: maxConns,
-		ReadLimit: p.maxBody + maxHead, MaxHTTPBodySize: p.maxBody, MaxWriteBufferSize: maxWriteQueue,
-		IOMod: nbhttp.IOModNonBlocking, SupportServerOnly: true,
-		Listen: func(string, string) (net.Listener, error) { return ln, nil },
-	})
-	loops := sequoiapoller.New(e.Engine, func(c *nbio.Conn, b []byte) { c.DataHandler()(c, b) })
-	if err := e.Start(); err != nil {
-		_ = ln.Close()
-		return netip.AddrPort{}, errors.Wrapf(err, "listen on %s", addr)
-	}
-	p.fronts.add(e)
-	if err := loops.AwaitStart(); err != nil {
-		return netip.AddrPort{}, errors.Wrapf(err, "listen on %s", addr)
-	}
-	return bound, nil
-}
-
-// callerConn runs the requests of one connection in order. nbhttp would run the close callback of a connection only
-// after its running handler, so a disconnection would not cancel a request; with an executor of its own it does.
-type callerConn struct {
-	ctx    context.Context
-	cancel context.CancelFunc
-
-	mu      sync.Mutex
-	jobs    []func()
-	running bool
-}
-
-// prepare is called by nbhttp before a request is queued. It gives the request the connection's context.
-func (p *Proxy) prepare(w http.ResponseWriter, r *http.Request) {
-	parser := w.(*nbhttp.Response).Parser
-	v, ok := p.conns.Load(parser)
-	if !ok {
-		c := &callerConn{}
-		c.ctx, c.cancel = context.WithCancel(context.Background())
-		p.conns.Store(parser, c)
-		parser.Execute = func(job func()) bool {
-			p.inProgress.Add(1)
-			if c.execute(parser.Conn, func() {
-				defer p.inProgress.Add(-1)
-				job()
-			}) {
-				return true
-			}
-			p.inProgress.Add(-1)
-			return false
-		}
-		parser.OnClose(func(parser *nbhttp.Parser, _ error) {
-			c.cancel()
-			p.conns.Delete(parser)
-		})
-		v = c
-	}
-	*r = *r.WithContext(v.(*callerConn).ctx)
-}
-
-func (c *callerConn) execute(conn net.Conn, job func()) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.jobs) >= maxPipelined {
-		_ = conn.Close()
-		return false
-	}
-	c.jobs = append(c.jobs, job)
-	if !c.running {
-		c.running = true
-		go c.run()
-	}
-	return true
-}
-
-func (c *callerConn) run() {
-	for {
-		c.mu.Lock()
-		if len(c.jobs) == 0 {
-			c.running = false
-			c.mu.Unlock()
-			return
-		}
-		job := c.jobs[0]
-		c.jobs = c.jobs[1:]
-		c.mu.Unlock()
-		job()
-	}
+	return p.front.Listen(addr, mux)
 }
 
 const servicePrefix = "/s/"
@@ -311,7 +175,7 @@
 			body = []byte(resp.Outcome.String() + " " + resp.Reason + "\n")
 		}
 	}
-	writeBody(w, r, status, body)
+	sequoiafront.WriteBody(w, r, status, body)
 }
 
 // failureStatus separates faults of the request itself from those that another attempt may not meet.
@@ -324,41 +188,3 @@
 	}
 	return http.StatusServiceUnavailable
 }
-
-func writeBody(w http.ResponseWriter, r *http.Request, status int, body []byte) {
-	// Without a length nbhttp would add chunks, even to the response to HEAD, which has no body.
-	if r.Method != http.MethodHead || w.Header().Get("Content-Length") == "" {
-		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	}
-	if http.StatusText(status) == "" {
-		writeRaw(w, r, status, body)
-		return
-	}
-	w.WriteHeader(status)
-	if r.Method != http.MethodHead {
-		_, _ = w.Write(body)
-	}
-}
-
-// writeRaw writes a response with a status that has no standard text, which nbhttp would turn into 200.
-func writeRaw(w http.ResponseWriter, r *http.Request, status int, body []byte) {
-	header := w.Header()
-	conn, _, err := w.(http.Hijacker).Hijack()
-	if err != nil {
-		return
-	}
-	var b strings.Builder
-	b.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " \r\n")
-	if r.Close {
-		header.Set("Connection", "close")
-	}
-	_ = header.Write(&b)
-	b.WriteString("\r\n")
-	if r.Method != http.MethodHead {
-		b.Write(body)
-	}
-	_, _ = conn.Write([]byte(b.String()))
-	if r.Close {
-		_ = conn.Close()
-	}
-}
--- a/internal/sequoiaproxy/proxy.go
+++ b/internal/sequoiaproxy/proxy.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiacontrol"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiafront"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiahttp"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
@@ -58,13 +59,11 @@
 	maxBody     int
 	maxResponse int64
 	registry    prometheus.Registerer
-	conns       sync.Map // *nbhttp.Parser to *callerConn
 	table       atomic.Pointer[encodedTable]
-	inProgress  atomic.Int64
 	stop        chan struct{}
 	stopped     sync.WaitGroup
 	stopOnce    sync.Once
-	fronts      fronts
+	front       *sequoiafront.Front
 	removed     safeguards
 }
 
@@ -106,6 +105,7 @@
 	for _, o := range opts {
 		o(p)
 	}
+	p.front = sequoiafront.New(p.maxBody)
 	p.upstream = sequoiahttp.New(append(p.removed.upstream(), sequoiahttp.WithMaxResponse(p.maxResponse))...)
 	p.metrics = newMetrics(p.registry, router)
 	p.stopped.Go(p.run)
@@ -289,8 +289,8 @@
 
 // ServeForwarded carries out a request that another process has passed on. It is never passed on again.
 func (p *Proxy) ServeForwarded(ctx context.Context, req *sequoiarouter.Request) *sequoiarouter.Response {
-	p.inProgress.Add(1)
-	defer p.inProgress.Add(-1)
+	p.front.Add(1)
+	defer p.front.Add(-1)
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	return p.runLocal(ctx, req)
@@ -303,14 +303,14 @@
 	if p.removed.drainWait {
 		return 0
 	}
-	return int(p.inProgress.Load())
+	return p.front.InProgress()
 }
 
 // Close stops the listeners and the timer.
 func (p *Proxy) Close() {
 	p.stopOnce.Do(func() {
 		close(p.stop)
-		p.fronts.close()
+		p.front.Close()
 		p.stopped.Wait()
 		p.upstream.Close()
 	})
--- a/internal/sequoiaproxy/table.go
+++ b/internal/sequoiaproxy/table.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiafront"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
 	"github.com/sequoiaspring/sequoiaspring/pkg/sequoiaclient"
 )
@@ -19,7 +20,7 @@
 func (p *Proxy) serveTable(w http.ResponseWriter, r *http.Request) {
 	s := p.router.Snapshot()
 	if s == nil {
-		writeBody(w, r, http.StatusServiceUnavailable, nil)
+		sequoiafront.WriteBody(w, r, http.StatusServiceUnavailable, nil)
 		return
 	}
 	t := p.table.Load()
@@ -34,11 +35,11 @@
 	}
 	w.Header().Set("ETag", t.etag)
 	if r.Header.Get("If-None-Match") == t.etag {
-		writeBody(w, r, http.StatusNotModified, nil)
+		sequoiafront.WriteBody(w, r, http.StatusNotModified, nil)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	writeBody(w, r, http.StatusOK, t.body)
+	sequoiafront.WriteBody(w, r, http.StatusOK, t.body)
 }
 
 func document(t *sequoiatable.Table) sequoiaclient.Document {
@@ -100,18 +101,18 @@
 	q := r.URL.Query()
 	s := p.router.Snapshot()
 	if s == nil {
-		writeBody(w, r, http.StatusServiceUnavailable, nil)
+		sequoiafront.WriteBody(w, r, http.StatusServiceUnavailable, nil)
 		return
 	}
 	service := s.Table.Service(q.Get("service"))
 	key := q.Get("key")
 	if service == nil || key == "" {
-		writeBody(w, r, http.StatusNotFound, nil)
+		sequoiafront.WriteBody(w, r, http.StatusNotFound, nil)
 		return
 	}
 	epoch := service.Lookup(key).Epoch
 	if epoch == 0 {
-		writeBody(w, r, http.StatusServiceUnavailable, nil)
+		sequoiafront.WriteBody(w, r, http.StatusServiceUnavailable, nil)
 		return
 	}
 	w.Header().Set(headerFirstEpoch, strconv.FormatUint(uint64(epoch), 10))
