--- a/cmd/sequoiaspring/main.go
+++ b/cmd/sequoiaspring/main.go
@@ -28,6 +28,7 @@
 
 type arguments struct {
 	Run           *runCommand           `arg:"subcommand:run" help:"run the process beside an upstream, until SIGTERM or a drain"`
+	Platform      *platformCommand      `arg:"subcommand:platform" help:"run the process beside an upstream on the users' platform, until SIGTERM"`
 	Check         *checkCommand         `arg:"subcommand:check" help:"check settings or a configuration without using them"`
 	Demo          *demoCommand          `arg:"subcommand:demo" help:"run a whole deployment on loopback under load, with a loss and a drain"`
 	Apply         *applyCommand         `arg:"subcommand:apply" help:"put a configuration document in force in every process"`
@@ -55,6 +56,8 @@
 	switch {
 	case a.Run != nil:
 		return a.Run
+	case a.Platform != nil:
+		return a.Platform
 	case a.Check != nil:
 		return a.Check
 	case a.Demo != nil:
--- /dev/null
+++ b/cmd/sequoiaspring/platform.go
@@ -0,0 +1,15 @@
+package main
+
+import (
+	"context"
+	"io"
+
+	sequoiaplatform "github.com/sequoiaspring/sequoiaspring/platform"
+)
+
+type platformCommand struct{}
+
+// run serves until SIGTERM. The platform names the settings file.
+func (c *platformCommand) run(ctx context.Context, out io.Writer) error {
+	return sequoiaplatform.Run(ctx, out)
+}
--- a/internal/sequoiahttp/exchange.go
+++ b/internal/sequoiahttp/exchange.go
@@ -9,6 +9,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -30,6 +31,8 @@
 	// maxIdleTime is shorter than the idle timeouts that servers commonly have (5 s and more), so that a server
 	// rarely closes a connection while a request is on its way.
 	maxIdleTime = 4 * time.Second
+	// maxForeign bounds the late responses to earlier requests that are dropped before the connection is given up.
+	maxForeign = 2
 	// silentAfter is the wait without any byte of a response after which a connection whose request has reached its
 	// deadline counts as silent. A shorter one says more about the deadline than about the connection.
 	silentAfter = 500 * time.Millisecond
@@ -44,6 +47,8 @@
 	// ErrNotDelimited reports a response with neither a length nor chunks, whose end cannot be told from a broken
 	// connection.
 	ErrNotDelimited = errors.New("the response has neither a length nor chunks")
+	// ErrForeign reports responses that belong to no request in progress.
+	ErrForeign = errors.New("the response belongs to another request")
 	// ErrProtocol reports a switch of protocols, which was not asked for.
 	ErrProtocol = errors.New("the server switched protocols")
 )
@@ -75,6 +80,11 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Matches, if set, reports whether a response with this header belongs to the request. One that does not is a late
+	// response to an earlier request: it is read and dropped.
+	Matches func(h http.Header) bool
+	// MaxIdle, if positive, is the longest time for which a reused connection may have been idle.
+	MaxIdle time.Duration
 }
 
 // Response is a complete response.
@@ -89,6 +99,8 @@
 	maxResponse int64
 	dialTimeout time.Duration
 	dialer      net.Dialer
+	// untilClose accepts a response that ends with its connection.
+	untilClose bool
 	// reuseCancelled is set by tests only.
 	reuseCancelled bool
 
@@ -117,6 +129,13 @@
 	return func(c *Client) { c.dialTimeout = d }
 }
 
+// WithResponsesUntilClose accepts responses that have neither a length nor chunks and end with their connection. One
+// whose connection is reset is still an error; one that the server cuts off in an orderly way cannot be told from a
+// complete one.
+func WithResponsesUntilClose() Option {
+	return func(c *Client) { c.untilClose = true }
+}
+
 // WithReuseOfCancelled removes a safeguard, so that a test can show that it detects the fault which it prevents: the
 // connection of a cancelled request is used again, and the next request gets the late response. The product never uses
 // it.
@@ -149,13 +168,13 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &Error{Err: err}
 	}
-	cn, err := c.get(ctx, addr)
+	cn, err := c.get(ctx, addr, cmp.Or(req.MaxIdle, maxIdleTime))
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
 	started := time.Now()
 	stop := context.AfterFunc(ctx, func() { c.interrupt(cn) })
-	resp, reusable, err := cn.exchange(hr, c.maxResponse)
+	resp, reusable, err := cn.exchange(hr, req.Matches, c.maxResponse, c.untilClose)
 	if !stop() {
 		reusable = false
 	}
@@ -208,13 +227,13 @@
 	}
 }
 
-func (c *Client) get(ctx context.Context, addr netip.AddrPort) (*conn, error) {
+func (c *Client) get(ctx context.Context, addr netip.AddrPort, maxIdle time.Duration) (*conn, error) {
 	for {
 		cn := c.pop(addr)
 		if cn == nil {
 			break
 		}
-		if time.Since(cn.idleSince) < maxIdleTime && quiet(cn.Conn) {
+		if time.Since(cn.idleSince) < min(maxIdle, maxIdleTime) && quiet(cn.Conn) {
 			cn.written, cn.answered = false, false
 			return cn, nil
 		}
@@ -320,11 +339,26 @@
 }
 
 // exchange returns reusable only if exactly one whole response has been read.
-func (cn *conn) exchange(req *http.Request, limit int64) (resp *Response, reusable bool, err error) {
+func (cn *conn) exchange(
+	req *http.Request, matches func(http.Header) bool, limit int64, untilClose bool,
+) (resp *Response, reusable bool, err error) {
 	if err := req.Write(cn); err != nil {
 		return nil, false, err
 	}
-	hr, err := cn.readHead(req)
+	for range maxForeign + 1 {
+		resp, reusable, err = cn.readResponse(req, limit, untilClose)
+		if err != nil || matches == nil || matches(resp.Header) {
+			return resp, reusable, err
+		}
+		if !reusable && cn.r.Buffered() == 0 {
+			break
+		}
+	}
+	return nil, false, errors.WithStack(ErrForeign)
+}
+
+func (cn *conn) readResponse(req *http.Request, limit int64, untilClose bool) (*Response, bool, error) {
+	hr, err := cn.readHead(req, untilClose)
 	if err != nil {
 		return nil, false, err
 	}
@@ -336,12 +370,12 @@
 	if int64(len(body)) > limit {
 		return nil, false, errors.Wrapf(ErrResponseTooLarge, "limit %d bytes", limit)
 	}
-	reusable = !hr.Close && cn.r.Buffered() == 0
+	reusable := !hr.Close && cn.r.Buffered() == 0
 	return &Response{Status: hr.StatusCode, Header: hr.Header, Body: body}, reusable, nil
 }
 
 // readHead reads the head of the final response.
-func (cn *conn) readHead(req *http.Request) (*http.Response, error) {
+func (cn *conn) readHead(req *http.Request, untilClose bool) (*http.Response, error) {
 	for {
 		hr, err := http.ReadResponse(cn.r, req)
 		if err != nil {
@@ -352,7 +386,7 @@
 			return nil, ErrProtocol
 		case hr.StatusCode < http.StatusOK:
 			continue
-		case hr.ContentLength < 0 && len(hr.TransferEncoding) == 0 && req.Method != http.MethodHead:
+		case !untilClose && hr.ContentLength < 0 && len(hr.TransferEncoding) == 0 && req.Method != http.MethodHead:
 			return nil, ErrNotDelimited
 		}
 		return hr, nil
--- /dev/null
+++ b/internal/sequoiakeyspace/meter.go
@@ -0,0 +1,62 @@
+package sequoiakeyspace
+
+import "time"
+
+// Meter measures the load of each key as the upstream's working time per second.
+type Meter struct {
+	load [int(MaxKey) + 1]float32
+}
+
+// NewMeter returns a Meter without load.
+func NewMeter() *Meter { return &Meter{} }
+
+// Add notes work on a key. Decay ages it.
+func (m *Meter) Add(key Key, work time.Duration) {
+	m.load[key] += float32(work.Seconds())
+}
+
+// Decay multiplies all loads by f, between 0 and 1.
+func (m *Meter) Decay(f float32) {
+	for i := range m.load {
+		m.load[i] *= f
+	}
+}
+
+// Sum returns the load of the keys from and to, both inclusive.
+func (m *Meter) Sum(from, to Key) float64 {
+	sum := 0.0
+	for i := int(from); i <= int(to); i++ {
+		sum += float64(m.load[i])
+	}
+	return sum
+}
+
+// Window is a contiguous part of a range with its load.
+type Window struct {
+	From, To Key
+	Load     float64
+}
+
+// Size returns the number of keys.
+func (w Window) Size() int { return int(w.To) - int(w.From) + 1 }
+
+// Pick returns the part of a range with the fewest keys whose load is at least low and at most high. It returns false if
+// there is none.
+func (m *Meter) Pick(r Range, low, high float64) (Window, bool) {
+	best, found := Window{}, false
+	sum, start := 0.0, int(r.From)
+	for end := int(r.From); end <= int(r.To); end++ {
+		sum += float64(m.load[end])
+		for start < end && sum-float64(m.load[start]) >= low {
+			sum -= float64(m.load[start])
+			start++
+		}
+		if sum < low || sum > high {
+			continue
+		}
+		if w := (Window{Key(start), Key(end), sum}); !found || w.Size() < best.Size() {
+			best, found = w, true
+		}
+	}
+	return best, found
+}
--- /dev/null
+++ b/internal/sequoiakeyspace/table.go
@@ -0,0 +1,187 @@
+// Package sequoiakeyspace is the table of key ranges and their holders, for services whose keys are numbers.
+//
+// Contiguous ranges need one grant each, where hashed keys would need one for nearly every busy key. Busy keys lie
+// close together, so ranges are split by load, and single busy keys may become ranges of their own.
+package sequoiakeyspace
+
+import (
+	"encoding/json"
+	"slices"
+	"sort"
+
+	"github.com/pkg/errors"
+)
+
+// Key is the number that a request's key is mapped to.
+type Key uint16
+
+// MaxKey is the highest key.
+const MaxKey = Key(1<<16 - 1)
+
+// Errors of a table.
+var (
+	// ErrMalformed reports a value that is not the encoding of a valid table.
+	ErrMalformed = errors.New("malformed table")
+	// ErrRange reports a range whose end lies before its start.
+	ErrRange = errors.New("the range is empty")
+)
+
+// Fence is the number by which an upstream tells a newer grant from an older one. It increases with each assignment.
+type Fence uint64
+
+// Holder names one life of an upstream and the instance that it runs on.
+type Holder struct {
+	Instance string
+	Upstream string
+	// Born is the upstream's start in Unix milliseconds. An upstream may start again under its identifier.
+	Born int64
+}
+
+// Zero reports whether no upstream is named.
+func (h Holder) Zero() bool { return h == Holder{} }
+
+// Range is an assignment of the keys From to To, both inclusive.
+type Range struct {
+	From, To Key
+	Holder   Holder
+	Fence    Fence
+	// Handover is what the last holder returned when it released the keys, empty if it did not.
+	Handover string `json:",omitempty"`
+}
+
+// Size returns the number of keys.
+func (r Range) Size() int { return int(r.To) - int(r.From) + 1 }
+
+// Contains reports whether key is in the range.
+func (r Range) Contains(key Key) bool { return r.From <= key && key <= r.To }
+
+// Table holds the ranges of each service, in order and without gaps, so that each key has one holder.
+type Table struct {
+	Services map[string][]Range
+	// Fence is the highest fence in use.
+	Fence Fence
+}
+
+// NewTable returns a table without services.
+func NewTable() *Table {
+	return &Table{Services: map[string][]Range{}}
+}
+
+// Decode returns ErrMalformed for anything but a valid table.
+func Decode(b []byte) (*Table, error) {
+	var t Table
+	if err := json.Unmarshal(b, &t); err != nil {
+		return nil, errors.Wrap(ErrMalformed, err.Error())
+	}
+	if t.Services == nil {
+		t.Services = map[string][]Range{}
+	}
+	for name, ranges := range t.Services {
+		next := 0
+		for _, r := range ranges {
+			if int(r.From) != next || r.To < r.From || r.Fence > t.Fence {
+				return nil, errors.Wrapf(ErrMalformed, "service %q: range %d to %d with fence %d", name, r.From, r.To, r.Fence)
+			}
+			next = int(r.To) + 1
+		}
+		if next != int(MaxKey)+1 {
+			return nil, errors.Wrapf(ErrMalformed, "service %q: the ranges end at %d", name, next-1)
+		}
+	}
+	return &t, nil
+}
+
+// Encode returns the encoding that Decode reads.
+func (t *Table) Encode() ([]byte, error) {
+	b, err := json.Marshal(t)
+	return b, errors.Wrap(err, "encode the table")
+}
+
+// Clone returns a copy that can be changed.
+func (t *Table) Clone() *Table {
+	c := &Table{Services: make(map[string][]Range, len(t.Services)), Fence: t.Fence}
+	for name, ranges := range t.Services {
+		c.Services[name] = slices.Clone(ranges)
+	}
+	return c
+}
+
+// Find returns the range that has the key.
+func (t *Table) Find(service string, key Key) (Range, bool) {
+	ranges := t.Services[service]
+	i := sort.Search(len(ranges), func(i int) bool { return ranges[i].To >= key })
+	if i == len(ranges) {
+		return Range{}, false
+	}
+	return ranges[i], true
+}
+
+// Held returns the ranges of all services whose holder is on the instance, by service.
+func (t *Table) Held(instance string) map[string][]Range {
+	held := map[string][]Range{}
+	for name, ranges := range t.Services {
+		for _, r := range ranges {
+			if r.Holder.Instance == instance {
+				held[name] = append(held[name], r)
+			}
+		}
+	}
+	return held
+}
+
+// Spread assigns all keys of a service in equal parts, in the order of the holders, each with a fence of its own.
+func (t *Table) Spread(service string, holders []Holder) {
+	n := len(holders)
+	var ranges []Range
+	for i, h := range holders {
+		t.Fence++
+		from, to := i*(int(MaxKey)+1)/n, (i+1)*(int(MaxKey)+1)/n-1
+		ranges = append(ranges, Range{From: Key(from), To: Key(to), Holder: h, Fence: t.Fence})
+	}
+	t.Services[service] = ranges
+}
+
+// Assign gives the keys to a holder with a new fence, and splits ranges that reach beyond them. It returns ErrRange.
+func (t *Table) Assign(service string, from, to Key, h Holder, handover string) error {
+	if to < from {
+		return errors.Wrapf(ErrRange, "%d to %d", from, to)
+	}
+	t.Fence++
+	var out []Range
+	assigned := Range{From: from, To: to, Holder: h, Fence: t.Fence, Handover: handover}
+	for _, r := range t.Services[service] {
+		if r.To < from || r.From > to {
+			out = append(out, r)
+			continue
+		}
+		if r.From < from {
+			left := r
+			left.To = from - 1
+			out = append(out, left)
+		}
+		if r.Contains(from) {
+			out = append(out, assigned)
+		}
+		if r.To > to {
+			right := r
+			right.From = to + 1
+			out = append(out, right)
+		}
+	}
+	t.Services[service] = out
+	return nil
+}
+
+// Join merges neighbours that have the same holder and fence, which are parts of one grant.
+func (t *Table) Join(service string) {
+	ranges := t.Services[service]
+	out := ranges[:0:0]
+	for _, r := range ranges {
+		if n := len(out); n > 0 && out[n-1].Holder == r.Holder && out[n-1].Fence == r.Fence && out[n-1].Handover == r.Handover {
+			out[n-1].To = r.To
+			continue
+		}
+		out = append(out, r)
+	}
+	t.Services[service] = out
+}
--- /dev/null
+++ b/internal/sequoianode/client.go
@@ -0,0 +1,366 @@
+package sequoianode
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/textproto"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiafront"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiapeer"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaroute"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
+)
+
+// Reasons of a response that no upstream gave.
+const (
+	reasonNoConfiguration = "NoConfiguration"
+	reasonNoRoute         = "NoRoute"
+	reasonBadRequest      = "BadRequest"
+	reasonNoUpstream      = "NoUpstream"
+	reasonNoOwner         = "NoOwner"
+	reasonNotOwner        = "NotOwner"
+	reasonUnreachable     = "Unreachable"
+	reasonDeadline        = "Deadline"
+	reasonConnectionLost  = "ConnectionLost"
+	reasonUpstreamRefused = "UpstreamRefused"
+	reasonUpstreamFailed  = "UpstreamFailed"
+	reasonLeaving         = "Leaving"
+	reasonStopping        = "Stopping"
+	reasonCancelled       = "Cancelled"
+)
+
+const (
+	// defaultTimeout applies to a request that names no deadline on a route without a timeout.
+	defaultTimeout = 5 * time.Second
+	// maxHops bounds the processes that a request is offered to.
+	maxHops = 4
+	// ownerRetry is when a client should come back whose key has no reachable owner, 250 ms.
+	ownerRetry = 250 * time.Millisecond
+	// startRetry is when a client should come back to a process that does not know its configuration yet.
+	startRetry = 300 * time.Millisecond
+	// tableWait bounds the wait for a newer table that another process already has.
+	tableWait = 120 * time.Millisecond
+	// minRemaining is the least time in which another attempt may succeed.
+	minRemaining = 15 * time.Millisecond
+)
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
+}
+
+func removeHopHeaders(h http.Header) {
+	for _, v := range h["Connection"] {
+		for name := range strings.SplitSeq(v, ",") {
+			delete(h, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(h, name)
+	}
+}
+
+// serveClient carries out a client's request.
+func (n *Node) serveClient(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
+	cfg := n.config.Load()
+	if cfg == nil {
+		n.finish(w, r, nil, &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonNoConfiguration, RetryAfter: startRetry}, began)
+		return
+	}
+	route, ok := cfg.Find(r.Host, r.RequestURI)
+	if !ok {
+		n.finish(w, r, nil, &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonNoRoute}, began)
+		return
+	}
+	req, attrs, err := n.readRequest(r, cfg, route, began)
+	if err != nil {
+		n.log.Event("request rejected", "Host", r.Host, "Path", r.URL.Path, "Error", err)
+		n.finish(w, r, nil, &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonBadRequest}, began)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
+	defer cancel()
+	resp := n.carryOut(ctx, req, attrs, route, cfg.Services[req.Service].Keyed)
+	if r.Context().Err() != nil {
+		n.metrics.cancelled.Inc()
+		return
+	}
+	n.finish(w, r, req, resp, began)
+}
+
+// readRequest reads a request whole, because nbhttp reuses its memory after the handler.
+func (n *Node) readRequest(
+	r *http.Request, cfg *sequoiaroute.Configuration, route *sequoiaroute.Route, began time.Time,
+) (*sequoiarouter.Request, Attributes, error) {
+	attrs, err := n.dialect.ReadRequest(r.Header)
+	if err != nil {
+		return nil, attrs, err
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, attrs, errors.Wrap(err, "read the body")
+	}
+	if limit := cfg.Limits.MaxBodyBytes; limit > 0 && len(body) > limit {
+		return nil, attrs, errors.Errorf("the body has %d bytes; allowed: %d", len(body), limit)
+	}
+	timeout := route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if attrs.Timeout > 0 {
+		timeout = min(timeout, attrs.Timeout)
+	}
+	removeHopHeaders(r.Header)
+	return &sequoiarouter.Request{
+		Service: n.splitter.Choose(route), RequestID: attrs.ID, Repeatable: route.Idempotent,
+		Deadline: began.Add(timeout), Method: r.Method, Path: r.RequestURI, Host: r.Host, Header: r.Header, Body: body,
+		Route: route.Name, Origin: n.id.Service, Priority: route.Priority, Objective: route.Objective,
+	}, attrs, nil
+}
+
+// attempt is what is known of a request's earlier attempts.
+type attempt struct {
+	// offered counts those that an upstream may have received.
+	offered int
+	tried   map[string]bool
+	// last is the most telling response so far.
+	last *sequoiarouter.Response
+}
+
+// carryOut offers the request to upstreams until one responds or nothing more can be tried truthfully.
+func (n *Node) carryOut(
+	ctx context.Context, req *sequoiarouter.Request, attrs Attributes, route *sequoiaroute.Route, keyed bool,
+) *sequoiarouter.Response {
+	n.retries.begin(req.Service, n.memberCount())
+	a := &attempt{tried: map[string]bool{}}
+	if keyed && !attrs.HasKey {
+		return &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonBadRequest}
+	}
+	for hop := range maxHops {
+		var resp *sequoiarouter.Response
+		if keyed {
+			req.Key = formatKey(attrs.Key)
+			resp = n.sendToOwner(ctx, req, attrs.Key)
+		} else {
+			resp = n.sendToAny(ctx, req, a)
+		}
+		if resp == nil {
+			break
+		}
+		a.note(resp)
+		if hop == maxHops-1 || !n.again(ctx, req, route, keyed, resp, a) {
+			break
+		}
+	}
+	return a.result(ctx)
+}
+
+// note keeps the response that says most: one of an upstream, else one that the request may have run, else the last.
+func (a *attempt) note(resp *sequoiarouter.Response) {
+	if resp.Outcome != sequoiarouter.NotRun || resp.Reason == reasonUpstreamRefused {
+		a.offered++
+	}
+	if a.last == nil || a.last.Outcome == sequoiarouter.NotRun || resp.Outcome == sequoiarouter.Answered {
+		if a.last != nil && resp.Outcome == sequoiarouter.NotRun && resp.RetryAfter == 0 {
+			resp.RetryAfter = a.last.RetryAfter
+		}
+		a.last = resp
+	}
+}
+
+func (a *attempt) result(ctx context.Context) *sequoiarouter.Response {
+	if a.last == nil {
+		return &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonNoUpstream, RetryAfter: ownerRetry}
+	}
+	if a.last.Outcome == sequoiarouter.NotRun && ctx.Err() != nil {
+		a.last.Reason = reasonDeadline
+	}
+	return a.last
+}
+
+// again reports whether the request is offered once more. One that may have run is repeated only if it is idempotent.
+func (n *Node) again(
+	ctx context.Context, req *sequoiarouter.Request, route *sequoiaroute.Route, keyed bool, resp *sequoiarouter.Response, a *attempt,
+) bool {
+	if ctx.Err() != nil || time.Until(req.Deadline) < minRemaining {
+		return false
+	}
+	switch resp.Outcome {
+	case sequoiarouter.Answered:
+		if resp.Status < http.StatusInternalServerError || !req.Repeatable {
+			return false
+		}
+	case sequoiarouter.Unknown:
+		if !req.Repeatable || resp.Reason == reasonCancelled || resp.Reason == reasonDeadline {
+			return false
+		}
+	case sequoiarouter.NotRun:
+		if resp.Reason == reasonNotOwner {
+			return n.awaitTable(ctx, resp.LogIndex)
+		}
+		if resp.Reason != reasonUpstreamRefused {
+			// No upstream has had the request, so that another offer is no retry.
+			return !keyed && resp.Reason != reasonNoUpstream
+		}
+	}
+	if a.offered >= max(1, route.MaxAttempts) || a.last.Outcome == sequoiarouter.Unknown && !req.Repeatable {
+		return false
+	}
+	if !n.retries.take(req.Service) {
+		n.metrics.retriesDenied.Inc()
+		return false
+	}
+	n.metrics.retries.Inc()
+	return true
+}
+
+// sendToOwner sends the request to the process beside the upstream that holds its key.
+func (n *Node) sendToOwner(ctx context.Context, req *sequoiarouter.Request, key sequoiakeyspace.Key) *sequoiarouter.Response {
+	n.mu.Lock()
+	t, _ := n.core.Table()
+	var holder sequoiakeyspace.Holder
+	if t != nil {
+		r, _ := t.Find(req.Service, key)
+		holder = r.Holder
+	}
+	n.mu.Unlock()
+	if holder.Zero() {
+		return &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonNoOwner, RetryAfter: ownerRetry}
+	}
+	return n.send(ctx, req, holder.Instance)
+}
+
+// sendToAny sends the request to the upstream with the lowest expected delay. It returns nil if there is none left.
+func (n *Node) sendToAny(ctx context.Context, req *sequoiarouter.Request, a *attempt) *sequoiarouter.Response {
+	m, ok := n.directory.choose(req.Service, a.tried)
+	if !ok {
+		return nil
+	}
+	a.tried[m.Instance] = true
+	return n.send(ctx, req, m.Instance)
+}
+
+func (n *Node) send(ctx context.Context, req *sequoiarouter.Request, instance string) *sequoiarouter.Response {
+	n.directory.begin(instance)
+	if instance == n.id.Instance {
+		resp := n.serveLocal(ctx, req)
+		n.directory.end(instance, resp, false)
+		return resp
+	}
+	resp, unreachable := n.forward(ctx, req, instance)
+	n.directory.end(instance, resp, unreachable)
+	return resp
+}
+
+func (n *Node) forward(ctx context.Context, req *sequoiarouter.Request, instance string) (resp *sequoiarouter.Response, unreachable bool) {
+	addr, ok := n.directory.address(instance)
+	if !ok {
+		return &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonUnreachable, RetryAfter: ownerRetry}, false
+	}
+	resp, err := n.forwarder.Forward(ctx, addr, req)
+	switch {
+	case err == nil:
+		return resp, false
+	case errors.Is(err, sequoiapeer.ErrNotSent):
+		if ctx.Err() == nil {
+			n.log.Event("process unreachable", "Instance", instance, "RequestID", req.RequestID, "Error", err)
+		}
+		return &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonUnreachable, RetryAfter: ownerRetry}, ctx.Err() == nil
+	case errors.Is(err, context.DeadlineExceeded):
+		return &sequoiarouter.Response{Outcome: sequoiarouter.Unknown, Reason: reasonDeadline}, false
+	case errors.Is(err, context.Canceled):
+		return &sequoiarouter.Response{Outcome: sequoiarouter.Unknown, Reason: reasonCancelled}, false
+	}
+	return &sequoiarouter.Response{Outcome: sequoiarouter.Unknown, Reason: reasonConnectionLost}, false
+}
+
+// awaitTable waits for the table of at least a revision. It reports whether this process has it.
+func (n *Node) awaitTable(ctx context.Context, revision uint64) bool {
+	ctx, cancel := context.WithTimeout(ctx, tableWait)
+	defer cancel()
+	for {
+		n.mu.Lock()
+		_, known := n.core.Table()
+		changed := n.changed
+		n.mu.Unlock()
+		if known >= revision {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+func (n *Node) memberCount() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.core.Members())
+}
+
+// finish writes the response to the client and logs the request's end. req is nil if the request could not be read.
+func (n *Node) finish(w http.ResponseWriter, r *http.Request, req *sequoiarouter.Request, resp *sequoiarouter.Response, began time.Time) {
+	status, body := resp.Status, resp.Body
+	h := w.Header()
+	if resp.Outcome == sequoiarouter.Answered {
+		for name, values := range resp.Header {
+			if !slices.Contains(hopHeaders, name) {
+				h[name] = values
+			}
+		}
+	} else {
+		status = failureStatus(resp)
+		body = []byte(resp.Outcome.String() + " " + resp.Reason + "\n")
+		if status == http.StatusServiceUnavailable {
+			n.dialect.SetRetryAfter(h, resp.RetryAfter)
+		}
+	}
+	if n.stopping.Load() {
+		h.Set("Connection", "close")
+	}
+	sequoiafront.WriteBody(w, r, status, body)
+	n.record(r, req, resp, status, time.Since(began))
+}
+
+// record counts and logs the end of a client's request.
+func (n *Node) record(r *http.Request, req *sequoiarouter.Request, resp *sequoiarouter.Response, status int, took time.Duration) {
+	n.metrics.request(resp, status, took)
+	fields := []any{"Outcome", resp.Outcome, "Status", status, "Reason", resp.Reason, "Milliseconds", took.Milliseconds()}
+	if req != nil {
+		fields = append(fields, "RequestID", req.RequestID, "Route", req.Route, "Service", req.Service, "Key", req.Key,
+			"Left", time.Until(req.Deadline).Milliseconds())
+	} else {
+		fields = append(fields, "Host", r.Host, "Path", r.URL.Path)
+	}
+	if resp.Outcome == sequoiarouter.Answered && status < http.StatusInternalServerError {
+		n.log.Success("request answered", fields...)
+		return
+	}
+	n.log.Event("request failed", append(fields, "RetryAfter", resp.RetryAfter.Milliseconds())...)
+}
+
+// failureStatus returns 503 only for a request that has not run and never will.
+func failureStatus(resp *sequoiarouter.Response) int {
+	switch {
+	case resp.Reason == reasonNoRoute:
+		return http.StatusNotFound
+	case resp.Reason == reasonBadRequest:
+		return http.StatusBadRequest
+	case resp.Outcome == sequoiarouter.NotRun:
+		return http.StatusServiceUnavailable
+	case resp.Reason == reasonDeadline:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
--- /dev/null
+++ b/internal/sequoianode/metrics.go
@@ -0,0 +1,87 @@
+package sequoianode
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
+)
+
+// metrics are the counters and histograms of a process.
+type metrics struct {
+	registry      *prometheus.Registry
+	requests      *prometheus.CounterVec
+	latency       *prometheus.HistogramVec
+	cancelled     prometheus.Counter
+	retries       prometheus.Counter
+	retriesDenied prometheus.Counter
+	grants        prometheus.Counter
+	tableWrites   prometheus.Counter
+	storeFaults   prometheus.Counter
+}
+
+func newMetrics(n *Node) *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sequoia_requests_total", Help: "Clients' requests by outcome, reason and status.",
+		}, []string{"outcome", "reason", "status"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "sequoia_request_seconds", Help: "Time from a client's request to its response.",
+			Buckets: []float64{.005, .01, .025, .05, .1, .2, .3, .4, .6, .8, 1, 1.5, 3},
+		}, []string{"outcome"}),
+		cancelled: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sequoia_requests_cancelled_total", Help: "Requests whose client closed its connection.",
+		}),
+		retries: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sequoia_retries_total", Help: "Requests sent to an upstream once more.",
+		}),
+		retriesDenied: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sequoia_retries_denied_total", Help: "Retries that the budget did not allow.",
+		}),
+		grants: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sequoia_grants_total", Help: "Grants and renewals sent to the local upstream.",
+		}),
+		tableWrites: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sequoia_table_writes_total", Help: "Attempts to change the table of keys.",
+		}),
+		storeFaults: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sequoia_store_lost_total", Help: "Times at which the store was lost.",
+		}),
+	}
+	m.registry.MustRegister(m.requests, m.latency, m.cancelled, m.retries, m.retriesDenied, m.grants, m.tableWrites, m.storeFaults)
+	m.gauge("sequoia_running", "Requests at the local upstream.", func() float64 { return float64(n.load().Running) })
+	m.gauge("sequoia_waiting", "Requests that wait for the local upstream.", func() float64 { return float64(n.load().Waiting) })
+	m.gauge("sequoia_table_revision", "Revision of the table of keys.", func() float64 {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		_, revision := n.core.Table()
+		return float64(revision)
+	})
+	m.gauge("sequoia_configuration_version", "Version of the configuration in force.", func() float64 {
+		if cfg := n.config.Load(); cfg != nil {
+			return float64(cfg.Version)
+		}
+		return 0
+	})
+	m.gauge("sequoia_log_lines_lost", "Lines that found the log's buffer full.", func() float64 { return float64(n.log.Lost()) })
+	return m
+}
+
+func (m *metrics) gauge(name, help string, f func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, f))
+}
+
+func (m *metrics) request(resp *sequoiarouter.Response, status int, took time.Duration) {
+	outcome := resp.Outcome.String()
+	m.requests.WithLabelValues(outcome, resp.Reason, strconv.Itoa(status)).Inc()
+	m.latency.WithLabelValues(outcome).Observe(took.Seconds())
+}
+
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/internal/sequoiaowner/core.go
@@ -0,0 +1,754 @@
+// Package sequoiaowner decides which upstream holds which keys and when it may serve them. Its Core takes what happened
+// and returns what is to be done; it does no input or output.
+//
+// The table of ranges is one value in the platform's store, changed by compare-and-swap only. A process grants the keys
+// that the table names for the upstream beside it, and only while it has authority: for a fixed time after it sent the
+// last call that the store answered and that proves that its entry among the members exists. Grants end with the
+// authority at the latest. So a process whose entry has been missing for that time, in the same write that takes its
+// keys, holds none.
+package sequoiaowner
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
+)
+
+// Times of ownership.
+const (
+	// DefaultAuthority is how long a process may grant keys after its last proof, 5 s: a lost instance's keys wait that
+	// long, and an outage of the store that is shorter stops no owner.
+	DefaultAuthority = 5 * time.Second
+	// defaultHold is the duration of a grant, 2.5 s: longer than the requests that run on it, and short because the keys
+	// of an upstream that fails wait for its end.
+	defaultHold = 2500 * time.Millisecond
+	// renewInterval is the time between renewals of a grant, 700 ms, so that two may be lost.
+	renewInterval = 700 * time.Millisecond
+	// retryInterval is the time to the next attempt after a grant without an answer.
+	retryInterval = 250 * time.Millisecond
+	// drift is the part of a grant's duration by which an upstream's clock may exceed it; 2% is the stated bound.
+	drift = 0.03
+	// minHold is the shortest grant worth sending.
+	minHold = 300 * time.Millisecond
+	// takeoverMargin covers the difference between the clocks of two processes over the authority's duration.
+	takeoverMargin = 300 * time.Millisecond
+	// rankDelay separates the attempts of several processes to make the same change.
+	rankDelay = 700 * time.Millisecond
+	// settleTime is how long the members of a service must be unchanged before its keys are spread over them.
+	settleTime = 2 * time.Second
+	// silence is how long an upstream may show no sign of life before its keys are given away.
+	silence = 1500 * time.Millisecond
+	// writeInterval is the time between attempts to write the table.
+	writeInterval = 150 * time.Millisecond
+	// freshProof is the age of the last proof up to which a move may begin. Later the store may be failing.
+	freshProof = 1800 * time.Millisecond
+	// MaxRanges bounds the ranges of one upstream, each of which is renewed by itself.
+	MaxRanges = 24
+)
+
+// Member is a process that is registered in the store.
+type Member struct {
+	Instance string
+	// Address takes requests that other processes forward.
+	Address netip.AddrPort
+	Domain  string
+	// Process names one life of the process.
+	Process  string
+	Upstream Upstream
+	// Revision and Lease are the store's. They are not encoded.
+	Revision uint64 `json:"-"`
+	Lease    uint64 `json:"-"`
+}
+
+// Upstream is what a process says of the upstream beside it.
+type Upstream struct {
+	ID      string
+	Born    int64
+	Service string
+	Slots   int
+	// Leaving is true once the upstream has announced that it will end.
+	Leaving bool
+	// Lost is true while the upstream shows no sign of life.
+	Lost bool
+}
+
+// Holder returns the upstream as the table names it.
+func (m Member) Holder() sequoiakeyspace.Holder {
+	return sequoiakeyspace.Holder{Instance: m.Instance, Upstream: m.Upstream.ID, Born: m.Upstream.Born}
+}
+
+// Usable reports whether the member's upstream may get keys and requests.
+func (m Member) Usable() bool {
+	return m.Upstream.ID != "" && !m.Upstream.Leaving && !m.Upstream.Lost
+}
+
+// Grant is an order to the upstream to hold keys, or to renew them.
+type Grant struct {
+	Range sequoiakeyspace.Range
+	Hold  time.Duration
+	Sent  time.Time
+}
+
+// Release is an order to the upstream to give keys back.
+type Release struct {
+	Range sequoiakeyspace.Range
+}
+
+// Write is a change of the table. It holds only if the table has the revision Base and the members named in Absent are
+// not registered.
+type Write struct {
+	Table  *sequoiakeyspace.Table
+	Base   uint64
+	Absent []string
+	Reason string
+}
+
+// Actions are what the core wants done.
+type Actions struct {
+	Grants   []Grant
+	Releases []Release
+	Write    *Write
+	// ReadTable asks for a read of the table that is not stale.
+	ReadTable bool
+}
+
+// grant is the state of one range at the upstream.
+type grant struct {
+	inFlight bool
+	next     time.Time
+	// until is the end of what the upstream has confirmed, latest the end of all that was sent.
+	until, latest time.Time
+	refused       bool
+	failures      int
+}
+
+// move is a range on its way to another holder, or away from one that is lost.
+type move struct {
+	part     sequoiakeyspace.Range
+	to       sequoiakeyspace.Holder
+	handover string
+	// released is true when the upstream no longer holds the keys. releasing is true while it is being asked.
+	released, releasing bool
+	reason              string
+}
+
+// Core is the state of one process's ownership. It is not safe for concurrent use.
+type Core struct {
+	instance  string
+	authority time.Duration
+	hold      time.Duration
+
+	members   map[string]Member
+	changed   time.Time
+	absent    map[string]time.Time
+	table     *sequoiakeyspace.Table
+	revision  uint64
+	keyed     map[string]bool
+	upstream  Upstream
+	alive     time.Time
+	started   time.Time
+	proof     time.Time
+	verified  bool
+	grants    map[sequoiakeyspace.Range]*grant
+	moves     []*move
+	writing   bool
+	nextWrite time.Time
+	reading   bool
+	stopping  bool
+}
+
+// Option changes a Core under construction.
+type Option func(*Core)
+
+// WithAuthority sets how long a process may grant keys after its last proof.
+func WithAuthority(d time.Duration) Option {
+	return func(c *Core) { c.authority = d }
+}
+
+// WithHold sets the duration of a grant.
+func WithHold(d time.Duration) Option {
+	return func(c *Core) { c.hold = d }
+}
+
+// New returns the Core of the process on an instance. All times must come from a clock that goes on while the instance
+// is suspended.
+func New(instance string, now time.Time, opts ...Option) *Core {
+	c := &Core{
+		instance: instance, authority: DefaultAuthority, hold: defaultHold, started: now, alive: now,
+		members: map[string]Member{}, absent: map[string]time.Time{}, keyed: map[string]bool{},
+		grants: map[sequoiakeyspace.Range]*grant{}, changed: now,
+	}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
+}
+
+// SetKeyed names the services whose upstreams own keys.
+func (c *Core) SetKeyed(services []string) {
+	c.keyed = map[string]bool{}
+	for _, s := range services {
+		c.keyed[s] = true
+	}
+}
+
+// SetMember notes a member's entry in the store.
+func (c *Core) SetMember(now time.Time, m Member) {
+	old, known := c.members[m.Instance]
+	if known && old.Revision > m.Revision {
+		return
+	}
+	if !known || old.Upstream != m.Upstream {
+		c.changed = now
+	}
+	c.members[m.Instance] = m
+	delete(c.absent, m.Instance)
+}
+
+// RemoveMember notes that a member's entry is gone. A process whose own entry is gone has no new proof until it is
+// registered again.
+func (c *Core) RemoveMember(now time.Time, instance string, revision uint64) {
+	if m, known := c.members[instance]; !known || m.Revision > revision {
+		return
+	}
+	delete(c.members, instance)
+	c.changed = now
+	if instance == c.instance {
+		c.verified = false
+	}
+}
+
+// Members returns the registered members by instance. The map must not be changed.
+func (c *Core) Members() map[string]Member { return c.members }
+
+// Table returns the table and its revision; the table is nil until one has been read. It must not be changed.
+func (c *Core) Table() (*sequoiakeyspace.Table, uint64) { return c.table, c.revision }
+
+// SetTable notes the table with its revision in the store. A table older than the known one is ignored.
+func (c *Core) SetTable(t *sequoiakeyspace.Table, revision uint64) bool {
+	if revision < c.revision || (revision == c.revision && c.table != nil) {
+		return false
+	}
+	c.table, c.revision = t, revision
+	c.nextWrite = time.Time{}
+	c.dropMoves()
+	return true
+}
+
+// dropMoves ends moves whose keys are no longer this instance's.
+func (c *Core) dropMoves() {
+	c.moves = slices.DeleteFunc(c.moves, func(m *move) bool {
+		r, ok := c.rangeOf(m.part)
+		return !ok || r.Holder != m.part.Holder || r.Fence != m.part.Fence
+	})
+}
+
+func (c *Core) rangeOf(part sequoiakeyspace.Range) (sequoiakeyspace.Range, bool) {
+	return c.table.Find(c.service(), part.From)
+}
+
+func (c *Core) service() string { return c.upstream.Service }
+
+// Prove notes that the store answered a call sent at the given time, which shows that this process's entry exists.
+func (c *Core) Prove(sent time.Time) {
+	c.verified = true
+	if sent.After(c.proof) {
+		c.proof = sent
+	}
+}
+
+// Doubt notes that the entry of this process may be gone although a lease was renewed, as after a failed call.
+func (c *Core) Doubt() { c.verified = false }
+
+// Verified reports whether the entry of this process is known to exist since the last failed call.
+func (c *Core) Verified() bool { return c.verified }
+
+// AuthorityUntil returns the time at which all grants end without another proof.
+func (c *Core) AuthorityUntil() time.Time {
+	if c.proof.IsZero() {
+		return time.Time{}
+	}
+	return c.proof.Add(c.authority)
+}
+
+// SetUpstream notes what the local upstream says of itself. An announcement of an earlier life is ignored.
+func (c *Core) SetUpstream(now time.Time, u Upstream) bool {
+	if c.upstream.ID != "" && u.Born < c.upstream.Born {
+		return false
+	}
+	if u.ID != c.upstream.ID || u.Born != c.upstream.Born {
+		c.grants = map[sequoiakeyspace.Range]*grant{}
+		c.moves = nil
+	} else if c.upstream.Leaving {
+		u.Leaving = true
+	}
+	c.upstream = u
+	c.alive = now
+	return true
+}
+
+// Upstream returns the local upstream.
+func (c *Core) Upstream() Upstream { return c.upstream }
+
+// Alive notes a sign of life of the local upstream.
+func (c *Core) Alive(now time.Time) {
+	c.alive = now
+	c.upstream.Lost = false
+}
+
+// UpstreamLost notes that the local upstream refuses connections.
+func (c *Core) UpstreamLost() {
+	if c.upstream.ID != "" {
+		c.upstream.Lost = true
+	}
+}
+
+// Stop makes the process give its keys away, because it is about to end and its upstream has ended or will.
+func (c *Core) Stop() { c.stopping = true }
+
+// Holds reports whether the local upstream may begin a request on the key now, and until when the confirmed grant runs.
+func (c *Core) Holds(now time.Time, service string, key sequoiakeyspace.Key) (until time.Time, ok bool) {
+	if c.table == nil || service != c.upstream.Service {
+		return time.Time{}, false
+	}
+	r, found := c.table.Find(service, key)
+	if !found || r.Holder != c.holder() {
+		return time.Time{}, false
+	}
+	g := c.grants[grantKey(r)]
+	if g == nil || c.moving(key) || !g.until.After(now) {
+		return time.Time{}, false
+	}
+	return g.until, true
+}
+
+// Granting reports whether the process is able to grant keys to the local upstream.
+func (c *Core) Granting() bool {
+	return c.upstream.ID != "" && !c.upstream.Lost
+}
+
+// Mine reports whether the table names the local upstream for the key, granted or not.
+func (c *Core) Mine(service string, key sequoiakeyspace.Key) bool {
+	if c.table == nil {
+		return false
+	}
+	r, found := c.table.Find(service, key)
+	return found && r.Holder.Instance == c.instance
+}
+
+// Moving reports whether the key is on its way to another holder.
+func (c *Core) moving(key sequoiakeyspace.Key) bool {
+	return slices.ContainsFunc(c.moves, func(m *move) bool { return m.part.Contains(key) })
+}
+
+// Moves returns the number of ranges on their way.
+func (c *Core) Moves() int { return len(c.moves) }
+
+// HeldRanges returns the ranges of the local upstream that are not on their way.
+func (c *Core) HeldRanges() []sequoiakeyspace.Range {
+	if c.table == nil {
+		return nil
+	}
+	var held []sequoiakeyspace.Range
+	for _, r := range c.table.Services[c.service()] {
+		if r.Holder == c.holder() && !c.moving(r.From) {
+			held = append(held, r)
+		}
+	}
+	return held
+}
+
+func (c *Core) holder() sequoiakeyspace.Holder {
+	return sequoiakeyspace.Holder{Instance: c.instance, Upstream: c.upstream.ID, Born: c.upstream.Born}
+}
+
+// grantKey leaves out what may change while the grant stays the same.
+func grantKey(r sequoiakeyspace.Range) sequoiakeyspace.Range {
+	return sequoiakeyspace.Range{From: r.From, To: r.To, Fence: r.Fence}
+}
+
+// BeginMove starts to move a part of one of the local upstream's ranges. It reports whether the move began.
+func (c *Core) BeginMove(now time.Time, from, to sequoiakeyspace.Key, dest Member, reason string) bool {
+	r, ok := c.table.Find(c.service(), from)
+	if !ok || r.Holder != c.holder() || !r.Contains(to) || c.moving(from) || c.moving(to) || !dest.Usable() {
+		return false
+	}
+	if now.Sub(c.proof) > freshProof || !c.verified {
+		return false
+	}
+	r.From, r.To = from, to
+	c.moves = append(c.moves, &move{part: r, to: dest.Holder(), reason: reason})
+	return true
+}
+
+// Step returns what is to be done now.
+func (c *Core) Step(now time.Time) Actions {
+	var a Actions
+	c.observe(now)
+	if c.table != nil {
+		c.stepLeaving(now)
+		c.stepGrants(now, &a)
+		c.stepMoves(now, &a)
+	}
+	if a.Write == nil {
+		a.Write = c.plan(now)
+	}
+	if a.Write != nil {
+		if c.writing || now.Before(c.nextWrite) || c.table == nil {
+			a.Write = nil
+		} else {
+			c.writing = true
+		}
+	}
+	return a
+}
+
+// observe notes since when members that hold keys have been missing, and whether the local upstream is alive.
+func (c *Core) observe(now time.Time) {
+	if c.upstream.ID != "" && now.Sub(c.alive) > silence {
+		c.upstream.Lost = true
+	}
+	if c.table == nil {
+		return
+	}
+	named := map[string]bool{}
+	for _, ranges := range c.table.Services {
+		for _, r := range ranges {
+			named[r.Holder.Instance] = true
+		}
+	}
+	for instance := range named {
+		_, registered := c.members[instance]
+		_, known := c.absent[instance]
+		if !registered && !known {
+			c.absent[instance] = now
+		}
+	}
+	maps.DeleteFunc(c.absent, func(instance string, _ time.Time) bool { return !named[instance] })
+}
+
+// stepGrants renews the local upstream's grants.
+func (c *Core) stepGrants(now time.Time, a *Actions) {
+	if c.upstream.ID == "" {
+		return
+	}
+	end := c.AuthorityUntil()
+	current := map[sequoiakeyspace.Range]bool{}
+	for _, r := range c.table.Services[c.service()] {
+		if r.Holder != c.holder() {
+			continue
+		}
+		key := grantKey(r)
+		current[key] = true
+		g := c.grants[key]
+		if g == nil {
+			g = c.adopt(key)
+			c.grants[key] = g
+		}
+		hold := time.Duration(float64(min(c.hold, end.Sub(now))) * (1 - drift))
+		if g.inFlight || g.refused || c.upstream.Lost || hold < minHold || now.Before(g.next) || c.moving(r.From) || c.moving(r.To) {
+			continue
+		}
+		g.inFlight = true
+		g.latest = latest(g.latest, now.Add(c.hold))
+		a.Grants = append(a.Grants, Grant{Range: r, Hold: hold, Sent: now})
+	}
+	maps.DeleteFunc(c.grants, func(key sequoiakeyspace.Range, g *grant) bool {
+		return !current[key] && !g.inFlight && !g.latest.After(now)
+	})
+}
+
+// adopt returns the state of a range that the table names for the first time. A part of a larger grant has that
+// grant's state, since the upstream holds it with the same fence.
+func (c *Core) adopt(key sequoiakeyspace.Range) *grant {
+	g := &grant{}
+	for k, old := range c.grants {
+		if k.Fence == key.Fence && k.From <= key.From && key.To <= k.To {
+			g.until, g.latest, g.next = old.until, old.latest, old.next
+		}
+	}
+	return g
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Granted notes the end of a grant call. err is ErrFenced if the upstream has seen a higher fence; confirmed is false
+// if there was no answer.
+func (c *Core) Granted(now time.Time, order Grant, confirmed, fenced bool) {
+	g := c.grants[grantKey(order.Range)]
+	if g == nil {
+		return
+	}
+	g.inFlight = false
+	switch {
+	case fenced:
+		g.refused = true
+		g.until = time.Time{}
+	case confirmed:
+		c.Alive(now)
+		g.failures = 0
+		g.until = latest(g.until, order.Sent.Add(order.Hold))
+		g.next = order.Sent.Add(renewInterval)
+	default:
+		g.failures++
+		g.next = now.Add(retryInterval)
+	}
+}
+
+// Refused reports whether the upstream refused a grant because of a higher fence, so that the table is out of date.
+func (c *Core) refused() *sequoiakeyspace.Range {
+	for key, g := range c.grants {
+		if !g.refused {
+			continue
+		}
+		if r, ok := c.table.Find(c.service(), key.From); ok && grantKey(r) == key && r.Holder == c.holder() {
+			return &r
+		}
+	}
+	return nil
+}
+
+// stepLeaving begins the moves of an upstream that leaves or is lost.
+func (c *Core) stepLeaving(now time.Time) {
+	u := c.upstream
+	if u.ID == "" || !u.Leaving && !u.Lost && !c.stopping {
+		return
+	}
+	others := c.usable(u.Service)
+	if len(others) == 0 {
+		return
+	}
+	for i, r := range c.HeldRanges() {
+		c.moves = append(c.moves, &move{part: r, to: others[i%len(others)].Holder(), reason: "Leaving"})
+	}
+}
+
+// usable returns the other members whose upstreams may get keys of a service, in the order of their instances.
+func (c *Core) usable(service string) []Member {
+	var out []Member
+	for _, name := range slices.Sorted(maps.Keys(c.members)) {
+		m := c.members[name]
+		if name != c.instance && m.Upstream.Service == service && m.Usable() {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (c *Core) stepMoves(now time.Time, a *Actions) {
+	ready := false
+	for _, m := range c.moves {
+		switch {
+		case m.released:
+		case c.upstream.Lost || c.ended(now, m):
+			m.released = c.ended(now, m)
+		case !m.releasing:
+			m.releasing = true
+			a.Releases = append(a.Releases, Release{Range: m.part})
+		}
+		ready = ready || m.released
+	}
+	if ready && c.table != nil {
+		a.Write = c.writeMoves()
+	}
+}
+
+// ended reports whether no grant that was ever sent for the keys of a move still runs.
+func (c *Core) ended(now time.Time, m *move) bool {
+	if now.Before(c.started.Add(c.hold)) {
+		return false
+	}
+	for key, g := range c.grants {
+		if key.Fence == m.part.Fence && key.From <= m.part.To && m.part.From <= key.To && g.latest.After(now) {
+			return false
+		}
+	}
+	return true
+}
+
+// Released notes the end of a release call. confirmed is false if there was no answer.
+func (c *Core) Released(now time.Time, order Release, handover string, confirmed bool) {
+	for _, m := range c.moves {
+		if m.part != order.Range {
+			continue
+		}
+		m.releasing = false
+		if confirmed {
+			m.released, m.handover = true, handover
+			c.Alive(now)
+		}
+	}
+}
+
+// writeMoves returns the table with the keys of all released moves at their new holders.
+func (c *Core) writeMoves() *Write {
+	t := c.table.Clone()
+	reason := ""
+	for _, m := range c.moves {
+		if !m.released {
+			continue
+		}
+		to := m.to
+		if dest, ok := c.members[to.Instance]; !ok || dest.Holder() != to || !dest.Usable() {
+			others := c.usable(c.service())
+			if len(others) == 0 {
+				continue
+			}
+			to = others[int(m.part.From)%len(others)].Holder()
+		}
+		if err := t.Assign(c.service(), m.part.From, m.part.To, to, m.handover); err != nil {
+			continue
+		}
+		reason = m.reason
+	}
+	if reason == "" {
+		return nil
+	}
+	t.Join(c.service())
+	return &Write{Table: t, Base: c.revision, Reason: reason}
+}
+
+// plan returns the change of the table that is due, if any.
+func (c *Core) plan(now time.Time) *Write {
+	if c.table == nil || !c.verified || now.Sub(c.proof) > freshProof {
+		return nil
+	}
+	if w := c.planRenewal(); w != nil {
+		return w
+	}
+	if w := c.planSpread(now); w != nil {
+		return w
+	}
+	return c.planTakeover(now)
+}
+
+// planRenewal gives the keys of the local upstream's earlier life, and those that it refused, a new fence. An earlier
+// life on the same instance and address has ended, so its keys wait for nothing.
+func (c *Core) planRenewal() *Write {
+	u := c.upstream
+	if u.ID == "" || u.Lost || u.Leaving || c.stopping || !c.keyed[u.Service] {
+		return nil
+	}
+	t := c.table.Clone()
+	reason := ""
+	for _, r := range c.table.Services[u.Service] {
+		if r.Holder.Instance == c.instance && r.Holder != c.holder() {
+			_ = t.Assign(u.Service, r.From, r.To, c.holder(), "")
+			reason = "UpstreamRestarted"
+		}
+	}
+	if r := c.refused(); reason == "" && r != nil {
+		_ = t.Assign(u.Service, r.From, r.To, c.holder(), r.Handover)
+		reason = "GrantRefused"
+	}
+	if reason == "" {
+		return nil
+	}
+	return &Write{Table: t, Base: c.revision, Reason: reason}
+}
+
+// planSpread assigns the keys of a service that has no holders yet.
+func (c *Core) planSpread(now time.Time) *Write {
+	for _, service := range slices.Sorted(maps.Keys(c.keyed)) {
+		if len(c.table.Services[service]) > 0 {
+			continue
+		}
+		members := c.usable(service)
+		if me, ok := c.members[c.instance]; ok && me.Upstream.Service == service && me.Usable() {
+			members = append(members, me)
+			slices.SortFunc(members, func(a, b Member) int { return compare(a.Instance, b.Instance) })
+		}
+		if len(members) == 0 || now.Sub(c.changed) < settleTime+c.delay() {
+			continue
+		}
+		var holders []sequoiakeyspace.Holder
+		for _, m := range members {
+			holders = append(holders, m.Holder())
+		}
+		t := c.table.Clone()
+		t.Spread(service, holders)
+		return &Write{Table: t, Base: c.revision, Reason: "Spread"}
+	}
+	return nil
+}
+
+// planTakeover assigns the keys of members that have been missing for the duration of their authority.
+func (c *Core) planTakeover(now time.Time) *Write {
+	wait := c.authority + takeoverMargin + c.delay()
+	t := c.table.Clone()
+	var lost []string
+	for _, instance := range slices.Sorted(maps.Keys(c.absent)) {
+		if now.Sub(c.absent[instance]) < wait {
+			continue
+		}
+		for service, ranges := range c.table.Services {
+			members := c.usable(service)
+			if me, ok := c.members[c.instance]; ok && me.Upstream.Service == service && me.Usable() {
+				members = append(members, me)
+			}
+			if len(members) == 0 {
+				continue
+			}
+			for _, r := range ranges {
+				if r.Holder.Instance == instance {
+					c.divide(t, service, r, members)
+					lost = append(lost, instance)
+				}
+			}
+		}
+	}
+	if len(lost) == 0 {
+		return nil
+	}
+	slices.Sort(lost)
+	return &Write{Table: t, Base: c.revision, Absent: slices.Compact(lost), Reason: "Takeover"}
+}
+
+// minPart is the smallest number of keys that a lost range is divided into.
+const minPart = 256
+
+// divide assigns a lost range in parts, so that its load does not fall on one upstream.
+func (c *Core) divide(t *sequoiakeyspace.Table, service string, r sequoiakeyspace.Range, members []Member) {
+	n := max(1, min(len(members), r.Size()/minPart))
+	for i := range n {
+		from := int(r.From) + i*r.Size()/n
+		to := int(r.From) + (i+1)*r.Size()/n - 1
+		m := members[(int(t.Fence)+1)%len(members)]
+		_ = t.Assign(service, sequoiakeyspace.Key(from), sequoiakeyspace.Key(to), m.Holder(), "")
+	}
+}
+
+// delay returns how long this process waits before a change that any other may make too.
+func (c *Core) delay() time.Duration {
+	rank := slices.Index(slices.Sorted(maps.Keys(c.members)), c.instance)
+	return time.Duration(min(max(rank, 0), 8)) * rankDelay
+}
+
+// Written notes the end of a write. The result is known only if ok or conflict is true; otherwise the table must be
+// read, and the change be made again, before it is known whether it holds.
+func (c *Core) Written(now time.Time, w *Write, revision uint64, ok bool) {
+	c.writing = false
+	if ok {
+		c.SetTable(w.Table, revision)
+		return
+	}
+	c.nextWrite = now.Add(writeInterval)
+}
+
+func compare(a, b string) int {
+	if a < b {
+		return -1
+	}
+	if a > b {
+		return 1
+	}
+	return 0
+}
--- a/internal/sequoiapeer/frame.go
+++ b/internal/sequoiapeer/frame.go
@@ -118,19 +118,26 @@
 	Path       string              `cbor:"8,keyasint"`
 	Header     map[string][]string `cbor:"9,keyasint,omitempty"`
 	Body       []byte              `cbor:"10,keyasint,omitempty"`
+	Host       string              `cbor:"11,keyasint,omitempty"`
+	Origin     string              `cbor:"12,keyasint,omitempty"`
+	Priority   int                 `cbor:"13,keyasint,omitempty"`
+	Objective  time.Duration       `cbor:"14,keyasint,omitempty"`
+	Route      string              `cbor:"15,keyasint,omitempty"`
 }
 
 // wireResponse is sequoiarouter.Response as encoded. The conversion between the two fails to compile when a field is
 // missing in one.
 type wireResponse struct {
-	Outcome  sequoiarouter.Outcome      `cbor:"1,keyasint"`
-	Reason   string                     `cbor:"2,keyasint,omitempty"`
-	Owner    sequoiatable.IncarnationID `cbor:"3,keyasint,omitempty"`
-	Epoch    sequoiatable.Epoch         `cbor:"4,keyasint,omitempty"`
-	LogIndex uint64                     `cbor:"5,keyasint,omitempty"`
-	Status   int                        `cbor:"6,keyasint,omitempty"`
-	Header   map[string][]string        `cbor:"7,keyasint,omitempty"`
-	Body     []byte                     `cbor:"8,keyasint,omitempty"`
+	Outcome    sequoiarouter.Outcome      `cbor:"1,keyasint"`
+	Reason     string                     `cbor:"2,keyasint,omitempty"`
+	Owner      sequoiatable.IncarnationID `cbor:"3,keyasint,omitempty"`
+	Epoch      sequoiatable.Epoch         `cbor:"4,keyasint,omitempty"`
+	LogIndex   uint64                     `cbor:"5,keyasint,omitempty"`
+	RetryAfter time.Duration              `cbor:"9,keyasint,omitempty"`
+	Load       sequoiarouter.Load         `cbor:"10,keyasint"`
+	Status     int                        `cbor:"6,keyasint,omitempty"`
+	Header     map[string][]string        `cbor:"7,keyasint,omitempty"`
+	Body       []byte                     `cbor:"8,keyasint,omitempty"`
 }
 
 var bufferEncoder = mustBufferEncoder()
@@ -161,6 +168,7 @@
 	w := wireRequest{
 		Service: req.Service, Key: req.Key, RequestID: req.RequestID, FirstEpoch: req.FirstEpoch,
 		Repeatable: req.Repeatable, Method: req.Method, Path: req.Path, Header: req.Header, Body: req.Body,
+		Host: req.Host, Route: req.Route, Origin: req.Origin, Priority: req.Priority, Objective: req.Objective,
 	}
 	if !req.Deadline.IsZero() {
 		w.Remaining = req.Deadline.Sub(now)
@@ -180,6 +188,7 @@
 	req := &sequoiarouter.Request{
 		Service: w.Service, Key: w.Key, RequestID: w.RequestID, FirstEpoch: w.FirstEpoch,
 		Repeatable: w.Repeatable, Forwarded: true, Method: w.Method, Path: w.Path, Header: w.Header, Body: w.Body,
+		Host: w.Host, Route: w.Route, Origin: w.Origin, Priority: w.Priority, Objective: w.Objective,
 	}
 	if w.Remaining > 0 {
 		req.Deadline = now.Add(w.Remaining)
--- a/internal/sequoiarouter/request.go
+++ b/internal/sequoiarouter/request.go
@@ -53,6 +53,16 @@
 	// Forwarded is true for a request that another process has passed on; it is not passed on again.
 	Forwarded bool
 	Method    string
+	// Host is the host that the caller named, empty if the upstream's address is to be sent.
+	Host string
+	// Route names the rule that the request follows.
+	Route string
+	// Origin is the service of the instance where the request began.
+	Origin string
+	// Priority is the request's rank in its service's queue; 0 is the highest.
+	Priority int
+	// Objective is the time within which the response has its full value to the caller, counted from its arrival.
+	Objective time.Duration
 	// Path is the path behind the service's name, with the query.
 	Path   string
 	Header map[string][]string
@@ -72,6 +82,16 @@
 	req.FirstAttempt = req.FirstAttempt && resp.Outcome == NotRun
 }
 
+// Load is what a process knows of its upstream's load.
+type Load struct {
+	// Running and Waiting are requests in progress and in the queue.
+	Running, Waiting int
+	// Slots is the number of requests that the upstream works on at once.
+	Slots int
+	// Work is the mean duration of a request at the upstream, zero if none has ended.
+	Work time.Duration
+}
+
 // Response is the end of a request.
 type Response struct {
 	Outcome Outcome
@@ -81,7 +101,11 @@
 	Epoch  sequoiatable.Epoch
 	// LogIndex is the index of the table by which the responding process decided.
 	LogIndex uint64
-	Status   int
-	Header   map[string][]string
-	Body     []byte
+	// RetryAfter is when another attempt may succeed, zero if nothing is known. It belongs to NotRun only.
+	RetryAfter time.Duration
+	// Load is the responding upstream's load after the request.
+	Load   Load
+	Status int
+	Header map[string][]string
+	Body   []byte
 }
