Renew only the pieces of a range that are not being moved

Pieces are now renewed by themselves, a release waits for renewals in flight, and a move does not begin while an unanswered grant may still be applied.

--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -101,7 +101,7 @@
 		orders:   sequoiahttp.New(sequoiahttp.WithMaxIdle(2)),
 		splitter: sequoiaroute.NewSplitter(), queue: sequoiaadmission.New(defaultSlots), meter: sequoiakeyspace.NewMeter(),
 		changed: make(chan struct{}), directory: newDirectory(id),
-		core: sequoiaowner.New(id.Instance, sequoiatimer.BootTime()),
+		core: sequoiaowner.New(id.Instance, sequoiatimer.BootTime(), sequoiaowner.WithHeartbeat(id.Heartbeat)),
 	}
 	n.metrics = newMetrics(n)
 	n.retries = newRetryBudgets(id)
--- a/internal/sequoiaowner/core.go
+++ b/internal/sequoiaowner/core.go
@@ -39,8 +39,12 @@
 	rankDelay = 700 * time.Millisecond
 	// settleTime is how long the members of a service must be unchanged before its keys are spread over them.
 	settleTime = 2 * time.Second
-	// silence is how long an upstream may show no sign of life before its keys are given away.
-	silence = 1500 * time.Millisecond
+	// holderSilence is how long an upstream that holds keys may show no sign of life, 1.5 s: two renewals and a margin.
+	holderSilence = 1500 * time.Millisecond
+	// idleSilence is how many announcements an upstream without keys may miss.
+	idleSilence = 3
+	// defaultHeartbeat is the interval of an upstream's announcements, 1 s.
+	defaultHeartbeat = time.Second
 	// writeInterval is the time between attempts to write the table.
 	writeInterval = 150 * time.Millisecond
 	// freshProof is the age of the last proof up to which a move may begin. Later the store may be failing.
@@ -119,10 +123,10 @@
 type grant struct {
 	inFlight bool
 	next     time.Time
-	// until is the end of what the upstream has confirmed, latest the end of all that was sent.
-	until, latest time.Time
-	refused       bool
-	failures      int
+	// until is the end of what the upstream has confirmed, latest the end of all that was sent, and unconfirmed the end
+	// of what was sent without an answer.
+	until, latest, unconfirmed time.Time
+	refused                    bool
 }
 
 // move is a range on its way to another holder, or away from one that is lost.
@@ -140,6 +144,7 @@
 	instance  string
 	authority time.Duration
 	hold      time.Duration
+	heartbeat time.Duration
 
 	members   map[string]Member
 	changed   time.Time
@@ -173,11 +178,16 @@
 	return func(c *Core) { c.hold = d }
 }
 
+// WithHeartbeat sets the interval of the local upstream's announcements.
+func WithHeartbeat(d time.Duration) Option {
+	return func(c *Core) { c.heartbeat = d }
+}
+
 // New returns the Core of the process on an instance. All times must come from a clock that goes on while the instance
 // is suspended.
 func New(instance string, now time.Time, opts ...Option) *Core {
 	c := &Core{
-		instance: instance, authority: DefaultAuthority, hold: defaultHold, started: now, alive: now,
+		instance: instance, authority: DefaultAuthority, hold: defaultHold, heartbeat: defaultHeartbeat, started: now, alive: now,
 		members: map[string]Member{}, absent: map[string]time.Time{}, keyed: map[string]bool{},
 		grants: map[sequoiakeyspace.Range]*grant{}, changed: now,
 	}
@@ -318,13 +328,50 @@
 	if !found || r.Holder != c.holder() {
 		return time.Time{}, false
 	}
-	g := c.grants[grantKey(r)]
-	if g == nil || c.moving(key) || !g.until.After(now) {
-		return time.Time{}, false
+	for _, p := range c.pieces(r) {
+		if g := c.grants[grantKey(p)]; g != nil && p.Contains(key) && g.until.After(now) {
+			return g.until, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// pieces returns the parts of a range that are not on their way to another holder. They are renewed by themselves, so
+// that a renewal cannot bring back keys that have been released.
+func (c *Core) pieces(r sequoiakeyspace.Range) []sequoiakeyspace.Range {
+	pieces := []sequoiakeyspace.Range{r}
+	for _, m := range c.moves {
+		if m.part.Fence == r.Fence {
+			pieces = without(pieces, m.part)
+		}
+	}
+	return pieces
+}
+
+// without returns the ranges less the keys of a part.
+func without(ranges []sequoiakeyspace.Range, part sequoiakeyspace.Range) []sequoiakeyspace.Range {
+	var out []sequoiakeyspace.Range
+	for _, r := range ranges {
+		if !overlap(r, part) {
+			out = append(out, r)
+			continue
+		}
+		if r.From < part.From {
+			left := r
+			left.To = part.From - 1
+			out = append(out, left)
+		}
+		if r.To > part.To {
+			right := r
+			right.From = part.To + 1
+			out = append(out, right)
+		}
 	}
-	return g.until, true
+	return out
 }
 
+func overlap(a, b sequoiakeyspace.Range) bool { return a.From <= b.To && b.From <= a.To }
+
 // Granting reports whether the process is able to grant keys to the local upstream.
 func (c *Core) Granting() bool {
 	return c.upstream.ID != "" && !c.upstream.Lost
@@ -339,11 +386,6 @@
 	return found && r.Holder.Instance == c.instance
 }
 
-// Moving reports whether the key is on its way to another holder.
-func (c *Core) moving(key sequoiakeyspace.Key) bool {
-	return slices.ContainsFunc(c.moves, func(m *move) bool { return m.part.Contains(key) })
-}
-
 // Moves returns the number of ranges on their way.
 func (c *Core) Moves() int { return len(c.moves) }
 
@@ -354,8 +396,8 @@
 	}
 	var held []sequoiakeyspace.Range
 	for _, r := range c.table.Services[c.service()] {
-		if r.Holder == c.holder() && !c.moving(r.From) {
-			held = append(held, r)
+		if r.Holder == c.holder() {
+			held = append(held, c.pieces(r)...)
 		}
 	}
 	return held
@@ -372,18 +414,40 @@
 
 // BeginMove starts to move a part of one of the local upstream's ranges. It reports whether the move began.
 func (c *Core) BeginMove(now time.Time, from, to sequoiakeyspace.Key, dest Member, reason string) bool {
-	r, ok := c.table.Find(c.service(), from)
-	if !ok || r.Holder != c.holder() || !r.Contains(to) || c.moving(from) || c.moving(to) || !dest.Usable() {
+	i := slices.IndexFunc(c.HeldRanges(), func(r sequoiakeyspace.Range) bool { return r.Contains(from) && r.Contains(to) })
+	if i < 0 || !dest.Usable() || now.Sub(c.proof) > freshProof || !c.verified {
 		return false
 	}
-	if now.Sub(c.proof) > freshProof || !c.verified {
+	r := c.HeldRanges()[i]
+	r.From, r.To = from, to
+	if c.uncertain(now, r) {
 		return false
 	}
-	r.From, r.To = from, to
 	c.moves = append(c.moves, &move{part: r, to: dest.Holder(), reason: reason})
 	return true
 }
 
+// uncertain reports whether a grant of some of the keys was sent without an answer and may still be applied, after a
+// release too.
+func (c *Core) uncertain(now time.Time, part sequoiakeyspace.Range) bool {
+	for key, g := range c.grants {
+		if key.Fence == part.Fence && overlap(key, part) && g.unconfirmed.After(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// granting reports whether a grant of some of the keys is being sent.
+func (c *Core) granting(part sequoiakeyspace.Range) bool {
+	for key, g := range c.grants {
+		if key.Fence == part.Fence && overlap(key, part) && g.inFlight {
+			return true
+		}
+	}
+	return false
+}
+
 // Step returns what is to be done now.
 func (c *Core) Step(now time.Time) Actions {
 	var a Actions
@@ -408,7 +472,7 @@
 
 // observe notes since when members that hold keys have been missing, and whether the local upstream is alive.
 func (c *Core) observe(now time.Time) {
-	if c.upstream.ID != "" && now.Sub(c.alive) > silence {
+	if c.upstream.ID != "" && now.Sub(c.alive) > c.silence() {
 		c.upstream.Lost = true
 	}
 	if c.table == nil {
@@ -430,6 +494,17 @@
 	maps.DeleteFunc(c.absent, func(instance string, _ time.Time) bool { return !named[instance] })
 }
 
+// silence is how long the local upstream may show no sign of life. Renewals of grants are answered by one that holds
+// keys; otherwise there are only its announcements, of which some come late.
+func (c *Core) silence() time.Duration {
+	for _, g := range c.grants {
+		if g.until.After(c.alive) {
+			return holderSilence
+		}
+	}
+	return idleSilence * c.heartbeat
+}
+
 // stepGrants renews the local upstream's grants.
 func (c *Core) stepGrants(now time.Time, a *Actions) {
 	if c.upstream.ID == "" {
@@ -437,10 +512,7 @@
 	}
 	end := c.AuthorityUntil()
 	current := map[sequoiakeyspace.Range]bool{}
-	for _, r := range c.table.Services[c.service()] {
-		if r.Holder != c.holder() {
-			continue
-		}
+	for _, r := range c.HeldRanges() {
 		key := grantKey(r)
 		current[key] = true
 		g := c.grants[key]
@@ -449,7 +521,7 @@
 			c.grants[key] = g
 		}
 		hold := time.Duration(float64(min(c.hold, end.Sub(now))) * (1 - drift))
-		if g.inFlight || g.refused || c.upstream.Lost || hold < minHold || now.Before(g.next) || c.moving(r.From) || c.moving(r.To) {
+		if g.inFlight || g.refused || c.upstream.Lost || hold < minHold || now.Before(g.next) {
 			continue
 		}
 		g.inFlight = true
@@ -467,7 +539,7 @@
 	g := &grant{}
 	for k, old := range c.grants {
 		if k.Fence == key.Fence && k.From <= key.From && key.To <= k.To {
-			g.until, g.latest, g.next = old.until, old.latest, old.next
+			g.until, g.latest, g.unconfirmed, g.next = old.until, old.latest, old.unconfirmed, old.next
 		}
 	}
 	return g
@@ -494,11 +566,10 @@
 		g.until = time.Time{}
 	case confirmed:
 		c.Alive(now)
-		g.failures = 0
 		g.until = latest(g.until, order.Sent.Add(order.Hold))
 		g.next = order.Sent.Add(renewInterval)
 	default:
-		g.failures++
+		g.unconfirmed = latest(g.unconfirmed, order.Sent.Add(c.hold))
 		g.next = now.Add(retryInterval)
 	}
 }
@@ -550,7 +621,7 @@
 		case m.released:
 		case c.upstream.Lost || c.ended(now, m):
 			m.released = c.ended(now, m)
-		case !m.releasing:
+		case !m.releasing && !c.granting(m.part):
 			m.releasing = true
 			a.Releases = append(a.Releases, Release{Range: m.part})
 		}
@@ -567,7 +638,7 @@
 		return false
 	}
 	for key, g := range c.grants {
-		if key.Fence == m.part.Fence && key.From <= m.part.To && m.part.From <= key.To && g.latest.After(now) {
+		if key.Fence == m.part.Fence && overlap(key, m.part) && g.latest.After(now) {
 			return false
 		}
 	}
