Hand keys over at SIGTERM and begin nothing that outlives the process

All keys now move to other upstreams, by load; a request whose deadline lies after the process's end is rejected.

--- a/internal/sequoiakeyspace/meter.go
+++ b/internal/sequoiakeyspace/meter.go
@@ -60,3 +60,22 @@
 	}
 	return best, found
 }
+
+// Cut divides a range into at most n parts of about the same load. Without any load the parts have the same size.
+func (m *Meter) Cut(r Range, n int) []Range {
+	n = max(1, min(n, r.Size()))
+	total := m.Sum(r.From, r.To)
+	var parts []Range
+	part, sum := r, 0.0
+	for key := int(r.From); key < int(r.To) && len(parts) < n-1; key++ {
+		sum += float64(m.load[key])
+		done := float64(len(parts)+1) / float64(n)
+		if total > 0 && sum < total*done || total == 0 && float64(key-int(r.From)+1) < float64(r.Size())*done {
+			continue
+		}
+		part.To = Key(key)
+		parts = append(parts, part)
+		part.From, part.To = Key(key)+1, r.To
+	}
+	return append(parts, part)
+}
--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -87,6 +87,10 @@
 		n.finish(w, r, nil, &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonBadRequest}, began)
 		return
 	}
+	if n.outlives(req.Deadline) {
+		n.finish(w, r, req, &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonStopping, RetryAfter: startRetry}, began)
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
 	defer cancel()
 	resp := n.carryOut(ctx, req, attrs, route, cfg.Services[req.Service].Keyed)
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -80,6 +80,8 @@
 	config       atomic.Pointer[sequoiaroute.Configuration]
 	stopping     atomic.Bool
 	ready        atomic.Bool
+	// endsAt is when a stopping process ends at the latest, in Unix nanoseconds.
+	endsAt atomic.Int64
 
 	mu sync.Mutex
 	// The following are protected by mu.
@@ -101,8 +103,10 @@
 		orders:   sequoiahttp.New(sequoiahttp.WithMaxIdle(2)),
 		splitter: sequoiaroute.NewSplitter(), queue: sequoiaadmission.New(defaultSlots), meter: sequoiakeyspace.NewMeter(),
 		changed: make(chan struct{}), directory: newDirectory(id),
-		core: sequoiaowner.New(id.Instance, sequoiatimer.BootTime(), sequoiaowner.WithHeartbeat(id.Heartbeat)),
 	}
+	n.core = sequoiaowner.New(
+		id.Instance, sequoiatimer.BootTime(), sequoiaowner.WithHeartbeat(id.Heartbeat), sequoiaowner.WithMeter(n.meter),
+	)
 	n.metrics = newMetrics(n)
 	n.retries = newRetryBudgets(id)
 	n.balancer = newBalancer(n)
@@ -376,13 +380,15 @@
 	return nil
 }
 
-// stop lets clients go elsewhere, finishes what is in progress and gives keys away if the upstream has ended.
+// stop lets clients go elsewhere, gives the keys away and finishes what is in progress.
 func (n *Node) stop(ctx context.Context) {
 	began := time.Now()
+	limit := began.Add(n.id.Grace - stopMargin)
+	n.endsAt.Store(limit.UnixNano())
 	n.log.Event("process stopping", "InProgress", n.front.InProgress())
 	n.stopping.Store(true)
+	n.withCore(func(c *sequoiaowner.Core) { c.Stop() })
 	n.registration.Changed()
-	limit := began.Add(n.id.Grace - stopMargin)
 	for time.Now().Before(limit) {
 		if time.Since(began) >= stopNotice && n.front.InProgress() == 0 && !n.mustHandOver() {
 			break
@@ -399,6 +405,11 @@
 	n.log.Event("process stopped", "InProgress", n.front.InProgress())
 }
 
+// outlives reports whether a request with this deadline may end after the process, so that it must not begin.
+func (n *Node) outlives(deadline time.Time) bool {
+	return n.stopping.Load() && deadline.UnixNano() > n.endsAt.Load()
+}
+
 // restarts reports whether the upstream lives on, so that this process will be started again beside it.
 func (n *Node) restarts() bool {
 	n.mu.Lock()
@@ -407,11 +418,8 @@
 	return u.ID != "" && !u.Lost && !u.Leaving
 }
 
-// mustHandOver reports whether keys of an upstream that has ended wait for new holders.
+// mustHandOver reports whether keys of the local upstream wait for new holders.
 func (n *Node) mustHandOver() bool {
-	if n.restarts() {
-		return false
-	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return len(n.core.HeldRanges()) > 0 || n.core.Moves() > 0
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -37,6 +37,9 @@
 	if req.Service == peerService {
 		return n.servePeer(ctx, req)
 	}
+	if n.outlives(req.Deadline) {
+		return n.notRun(reasonStopping, ownerRetry)
+	}
 	n.front.Add(1)
 	defer n.front.Add(-1)
 	return n.serveLocal(ctx, req)
--- a/internal/sequoiaowner/core.go
+++ b/internal/sequoiaowner/core.go
@@ -145,6 +145,7 @@
 	authority time.Duration
 	hold      time.Duration
 	heartbeat time.Duration
+	meter     *sequoiakeyspace.Meter
 
 	members   map[string]Member
 	changed   time.Time
@@ -183,11 +184,17 @@
 	return func(c *Core) { c.heartbeat = d }
 }
 
+// WithMeter sets the measured load of the local upstream's keys.
+func WithMeter(m *sequoiakeyspace.Meter) Option {
+	return func(c *Core) { c.meter = m }
+}
+
 // New returns the Core of the process on an instance. All times must come from a clock that goes on while the instance
 // is suspended.
 func New(instance string, now time.Time, opts ...Option) *Core {
 	c := &Core{
 		instance: instance, authority: DefaultAuthority, hold: defaultHold, heartbeat: defaultHeartbeat, started: now, alive: now,
+		meter: sequoiakeyspace.NewMeter(),
 		members: map[string]Member{}, absent: map[string]time.Time{}, keyed: map[string]bool{},
 		grants: map[sequoiakeyspace.Range]*grant{}, changed: now,
 	}
@@ -587,21 +594,40 @@
 	return nil
 }
 
-// stepLeaving begins the moves of an upstream that leaves or is lost.
+// stepLeaving begins the moves of all keys of an upstream that leaves, is lost or whose process stops. Only a lost one's
+// keys may be given up while the store may be failing: nobody could write their new holder.
 func (c *Core) stepLeaving(now time.Time) {
 	u := c.upstream
 	if u.ID == "" || !u.Leaving && !u.Lost && !c.stopping {
 		return
 	}
 	others := c.usable(u.Service)
-	if len(others) == 0 {
+	held := c.HeldRanges()
+	if len(others) == 0 || len(held) == 0 || !u.Lost && (now.Sub(c.proof) > freshProof || !c.verified) {
 		return
 	}
-	for i, r := range c.HeldRanges() {
-		c.moves = append(c.moves, &move{part: r, to: others[i%len(others)].Holder(), reason: "Leaving"})
+	total := 0.0
+	for _, r := range held {
+		total += c.weight(r)
+	}
+	share := total / float64(len(others))
+	given := make([]float64, len(others))
+	for _, r := range held {
+		for _, part := range c.meter.Cut(r, int(c.weight(r)/share+0.5)) {
+			least := slices.Index(given, slices.Min(given))
+			given[least] += c.weight(part)
+			c.moves = append(c.moves, &move{part: part, to: others[least].Holder(), reason: "Leaving"})
+		}
 	}
 }
 
+// keyWeight is the load that a key counts for besides what was measured, so that keys without requests are spread too.
+const keyWeight = 1e-6
+
+func (c *Core) weight(r sequoiakeyspace.Range) float64 {
+	return c.meter.Sum(r.From, r.To) + keyWeight*float64(r.Size())
+}
+
 // usable returns the other members whose upstreams may get keys of a service, in the order of their instances.
 func (c *Core) usable(service string) []Member {
 	var out []Member
