--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"net/textproto"
 	"slices"
 	"strings"
@@ -13,9 +14,11 @@
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiafront"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiapeer"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaroute"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
 
 // Reasons of a response that no upstream gave.
@@ -47,6 +50,8 @@
 	startRetry = 300 * time.Millisecond
 	// tableWait bounds the wait for a newer table that another process already has.
 	tableWait = 120 * time.Millisecond
+	// probeInterval is the time between probes of a process that could not be reached.
+	probeInterval = 150 * time.Millisecond
 	// minRemaining is the least time in which another attempt may succeed.
 	minRemaining = 15 * time.Millisecond
 )
@@ -257,34 +262,56 @@
 	n.directory.begin(instance)
 	if instance == n.id.Instance {
 		resp := n.serveLocal(ctx, req)
-		n.directory.end(instance, resp, false)
+		n.directory.end(instance, resp)
 		return resp
 	}
-	resp, unreachable := n.forward(ctx, req, instance)
-	n.directory.end(instance, resp, unreachable)
-	return resp
-}
-
-func (n *Node) forward(ctx context.Context, req *sequoiarouter.Request, instance string) (resp *sequoiarouter.Response, unreachable bool) {
 	addr, ok := n.directory.address(instance)
 	if !ok {
-		return &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonUnreachable, RetryAfter: ownerRetry}, false
+		n.directory.end(instance, nil)
+		return unreachable()
 	}
 	resp, err := n.forwarder.Forward(ctx, addr, req)
+	if err == nil {
+		n.directory.end(instance, resp)
+		return resp
+	}
+	n.directory.end(instance, nil)
+	if ctx.Err() == nil && n.directory.unreachable(instance) {
+		n.log.Event("process unreachable", "Instance", instance, "RequestID", req.RequestID, "Error", err)
+		go n.probe(instance, addr)
+	}
+	return forwardFailed(ctx, err)
+}
+
+func unreachable() *sequoiarouter.Response {
+	return &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonUnreachable, RetryAfter: ownerRetry}
+}
+
+// forwardFailed judges a request that another process has not answered.
+func forwardFailed(ctx context.Context, err error) *sequoiarouter.Response {
+	reason := reasonConnectionLost
 	switch {
-	case err == nil:
-		return resp, false
 	case errors.Is(err, sequoiapeer.ErrNotSent):
-		if ctx.Err() == nil {
-			n.log.Event("process unreachable", "Instance", instance, "RequestID", req.RequestID, "Error", err)
+		return unreachable()
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		reason = reasonDeadline
+	case ctx.Err() != nil:
+		reason = reasonCancelled
+	}
+	return &sequoiarouter.Response{Outcome: sequoiarouter.Unknown, Reason: reason}
+}
+
+// probe asks a process that could not be reached until it answers, so that no request has to find out.
+func (n *Node) probe(instance string, addr netip.AddrPort) {
+	began := time.Now()
+	for time.Since(began) < maxUnreachable {
+		_ = sequoiatimer.Sleep(context.Background(), probeInterval)
+		if _, ok := n.balancer.ask(context.Background(), sequoiaowner.Member{Instance: instance, Address: addr}); ok {
+			n.log.Event("process reached again", "Instance", instance, "After", time.Since(began).Milliseconds())
+			break
 		}
-		return &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonUnreachable, RetryAfter: ownerRetry}, ctx.Err() == nil
-	case errors.Is(err, context.DeadlineExceeded):
-		return &sequoiarouter.Response{Outcome: sequoiarouter.Unknown, Reason: reasonDeadline}, false
-	case errors.Is(err, context.Canceled):
-		return &sequoiarouter.Response{Outcome: sequoiarouter.Unknown, Reason: reasonCancelled}, false
 	}
-	return &sequoiarouter.Response{Outcome: sequoiarouter.Unknown, Reason: reasonConnectionLost}, false
+	n.directory.reached(instance)
 }
 
 // awaitTable waits for the table of at least a revision. It reports whether this process has it.
--- a/internal/sequoianode/directory.go
+++ b/internal/sequoianode/directory.go
@@ -16,8 +16,8 @@
 	goneTime = 2500 * time.Millisecond
 	// loadAge is the age at which a reported load says nothing any more.
 	loadAge = 1500 * time.Millisecond
-	// unreachableTime is how long no request goes to a process that could not be reached.
-	unreachableTime = 400 * time.Millisecond
+	// maxUnreachable is how long no request goes to a process that could not be reached and does not answer probes.
+	maxUnreachable = 15 * time.Second
 	// maxCandidates bounds the upstreams that are compared for one request.
 	maxCandidates = 5
 	// initialWork is the duration of a request at an upstream of which nothing is known, 150 ms.
@@ -146,8 +146,30 @@
 	}
 }
 
-// end notes how a request to an instance ended.
-func (d *directory) end(instance string, resp *sequoiarouter.Response, unreachable bool) {
+// reached notes that a process answers again, or has been unreachable for so long that requests may try it.
+func (d *directory) reached(instance string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p := d.peers[instance]; p != nil {
+		p.unreachable = time.Time{}
+	}
+}
+
+// unreachable marks a process that could not be reached. It returns true if it was not marked already.
+func (d *directory) unreachable(instance string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.peers[instance]
+	now := time.Now()
+	if p == nil || now.Before(p.unreachable) {
+		return false
+	}
+	p.unreachable = now.Add(maxUnreachable)
+	return true
+}
+
+// end notes how a request to an instance ended. resp is nil if it could not be reached.
+func (d *directory) end(instance string, resp *sequoiarouter.Response) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p := d.peers[instance]
@@ -155,8 +177,7 @@
 		return
 	}
 	p.outstanding--
-	if unreachable {
-		p.unreachable = time.Now().Add(unreachableTime)
+	if resp == nil {
 		return
 	}
 	if resp.Load.Slots > 0 {
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -35,6 +35,11 @@
 )
 
 const (
+	// livenessInterval is the time between checks of a connection to another process, 120 ms: one without data for six
+	// of them, 720 ms, is given up, which leaves some of a request's time.
+	livenessInterval = 120 * time.Millisecond
+	// connectTimeout bounds connecting to another process, 400 ms; the way there and back takes 3 ms.
+	connectTimeout = 400 * time.Millisecond
 	// stepInterval is how often ownership is checked.
 	stepInterval = 50 * time.Millisecond
 	// orderTimeout bounds a grant; the upstream is on the same instance.
@@ -134,6 +139,7 @@
 	}
 	n.forwarder, err = sequoiapeer.NewForwarder(
 		secret, sequoiapeer.WithServe(n.serveForwarded), sequoiapeer.WithTimers(n.timers),
+		sequoiapeer.WithLiveness(livenessInterval, connectTimeout),
 		sequoiapeer.WithForwardRejected(func(peer netip.AddrPort, err error) {
 			n.log.Event("peer rejected", "Peer", peer, "Error", err)
 		}),
--- a/internal/sequoiaowner/core.go
+++ b/internal/sequoiaowner/core.go
@@ -150,6 +150,7 @@
 	members   map[string]Member
 	changed   time.Time
 	absent    map[string]time.Time
+	addresses map[string]netip.AddrPort
 	table     *sequoiakeyspace.Table
 	revision  uint64
 	keyed     map[string]bool
@@ -195,7 +196,7 @@
 	c := &Core{
 		instance: instance, authority: DefaultAuthority, hold: defaultHold, heartbeat: defaultHeartbeat, started: now, alive: now,
 		meter: sequoiakeyspace.NewMeter(),
-		members: map[string]Member{}, absent: map[string]time.Time{}, keyed: map[string]bool{},
+		members: map[string]Member{}, absent: map[string]time.Time{}, addresses: map[string]netip.AddrPort{}, keyed: map[string]bool{},
 		grants: map[sequoiakeyspace.Range]*grant{}, changed: now,
 	}
 	for _, o := range opts {
@@ -222,6 +223,7 @@
 		c.changed = now
 	}
 	c.members[m.Instance] = m
+	c.addresses[m.Instance] = m.Address
 	delete(c.absent, m.Instance)
 }
 
@@ -783,7 +785,7 @@
 	t := c.table.Clone()
 	var lost []string
 	for _, instance := range slices.Sorted(maps.Keys(c.absent)) {
-		if now.Sub(c.absent[instance]) < wait {
+		if now.Sub(c.absent[instance]) < wait && !c.replaced(instance) {
 			continue
 		}
 		for service, ranges := range c.table.Services {
@@ -809,6 +811,18 @@
 	return &Write{Table: t, Base: c.revision, Absent: slices.Compact(lost), Reason: "Takeover"}
 }
 
+// replaced reports whether another instance has the address of one that is missing. The platform gives an address away
+// only when its machine is gone, so nothing there holds keys.
+func (c *Core) replaced(instance string) bool {
+	address, known := c.addresses[instance]
+	for other, m := range c.members {
+		if known && other != instance && m.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // minPart is the smallest number of keys that a lost range is divided into.
 const minPart = 256
 
--- a/internal/sequoiapeer/forward.go
+++ b/internal/sequoiapeer/forward.go
@@ -87,6 +87,9 @@
 	// Dial opens a TCP connection. Tests replace it to cut connections.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 
+	// interval is the time between checks of a connection's liveness, connect the bound on connecting.
+	interval, connect time.Duration
+
 	key      []byte
 	timers   *sequoiatimer.Service
 	checks   *sequoiatimer.Subscription
@@ -138,6 +141,12 @@
 	return func(fw *Forwarder) { fw.timers = s }
 }
 
+// WithLiveness sets the interval of the checks of each connection and the bound on connecting. A connection in use is
+// pinged every second check and closed after six without data.
+func WithLiveness(interval, connect time.Duration) ForwarderOption {
+	return func(fw *Forwarder) { fw.interval, fw.connect = interval, connect }
+}
+
 // NewForwarder returns a Forwarder that authenticates with the shared key and has started its event loops. It returns
 // ErrKey if the key is too short.
 func NewForwarder(sharedKey []byte, opts ...ForwarderOption) (*Forwarder, error) {
@@ -149,6 +158,8 @@
 		Serve:    refuse,
 		Rejected: func(netip.AddrPort, error) {},
 		Dial:     dialTCP,
+		interval: checkInterval,
+		connect:  dialTimeout,
 		key:      key,
 		timers:   sequoiatimer.New(),
 		conns:    map[*forwardConn]struct{}{},
@@ -178,10 +189,13 @@
 	if err := loops.AwaitStart(); err != nil {
 		return nil, err
 	}
-	f.checks = f.timers.Every(checkInterval, func(time.Time) { f.check() })
+	f.checks = f.timers.Every(f.interval, func(time.Time) { f.check() })
 	return f, nil
 }
 
+// elapsed returns the time that a number of checks stands for.
+func (f *Forwarder) elapsed(ticks int) time.Duration { return time.Duration(ticks) * f.interval }
+
 func refuse(context.Context, *sequoiarouter.Request) *sequoiarouter.Response {
 	return &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: "NotServing"}
 }
@@ -410,7 +424,7 @@
 
 // open connects to addr and waits for the mutual challenge.
 func (f *Forwarder) open(addr netip.AddrPort) (*forwardConn, error) {
-	ctx, cancel := context.WithTimeout(f.ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(f.ctx, f.connect)
 	defer cancel()
 	netConn, err := f.Dial(ctx, addr)
 	if err != nil {
--- a/internal/sequoiapeer/forwardconn.go
+++ b/internal/sequoiapeer/forwardconn.go
@@ -25,18 +25,18 @@
 	recentTicks = 6
 	// silentTicks is the number of checks without data after which a connection in use is closed: 3 s.
 	silentTicks = 6
-	// idleTicks is the number of checks without a request after which a connection is closed: 30 s.
-	idleTicks = 60
-	// acceptedIdleTicks is the number of checks without data after which the accepting side closes a connection: 40 s.
-	// It is longer than idleTicks, so that the side that sends requests closes first and none is on its way.
-	acceptedIdleTicks = 80
+	// idleTime is how long a connection may be without a request before it is closed.
+	idleTime = 30 * time.Second
+	// acceptedIdleTime is how long the accepting side keeps a connection without data. It is longer than idleTime, so
+	// that the side that sends requests closes first and none is on its way.
+	acceptedIdleTime = 40 * time.Second
 	// trustTime is the time since the peer's last data up to which a connection gets a request without a ping first.
 	trustTime = 3 * time.Second
 	// verifyTimeout bounds the wait for the pong without which an idle connection gets no request. A new connection
 	// takes its place then.
 	verifyTimeout = 300 * time.Millisecond
-	// handshakeTicks is the number of checks after which a connection that is not authenticated is closed: 1 s.
-	handshakeTicks = 2
+	// handshakeTime is how long a connection may take to authenticate.
+	handshakeTime = time.Second
 	// maxInFlight bounds the requests in progress on one connection, abandoned ones included.
 	maxInFlight = 1024
 	// maxRetainedBuffer is the size in bytes above which an empty receive buffer is released.
@@ -560,8 +560,9 @@
 		c.unusedTicks = 0
 	}
 	inUse := c.dialed && c.unusedTicks <= recentTicks || !c.dialed && (len(c.serving) > 0 || c.partial.Load())
-	idle := c.dialed && c.unusedTicks > idleTicks || !c.dialed && silent > acceptedIdleTicks
-	late := !c.authenticated && c.ticks > handshakeTicks
+	idle := c.dialed && c.forwarder.elapsed(c.unusedTicks) > idleTime ||
+		!c.dialed && c.forwarder.elapsed(int(silent)) > acceptedIdleTime
+	late := !c.authenticated && c.forwarder.elapsed(c.ticks) > handshakeTime
 	due := c.authenticated && inUse && c.ticks%pingTicks == 0
 	if idle && c.dialed {
 		// Set here, so that no request is registered before close.
