Reach the store and the table through other processes

The writer now sends the table to new holders, a process that refuses or is refused for an older table passes the newer one on, and calls to the store go through a peer for 1 s after one failed. Refused requests count as load of their key, so that a full upstream does not look half empty, and keys stay 3 s after a move.

--- a/internal/sequoianode/balance.go
+++ b/internal/sequoianode/balance.go
@@ -2,29 +2,23 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
-	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
-	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
 
-// peerService is the name under which processes send each other messages. No configuration has a service with it.
-const peerService = "\x00peer"
-
-// Paths of messages between processes.
-const pathLoad = "/load"
-
 const (
-	// balanceInterval is the time between looks at the balance of load, 500 ms.
-	balanceInterval = 500 * time.Millisecond
+	// balanceInterval is the time between looks at the balance of load, 300 ms.
+	balanceInterval = 300 * time.Millisecond
 	// meterDecay ages the measured load at each look, so that it covers about 2 s.
-	meterDecay = 0.78
+	meterDecay = 0.86
+	// settledTime is how long keys stay after a move before they may be moved for balance again, 3 s. Measured load is
+	// noisy, and without it a busy key would move back and forth.
+	settledTime = 3 * time.Second
 	// sampled is the number of other upstreams that an overloaded one compares itself with.
 	sampled = 4
 	// minUtilization is the utilization below which nothing is moved.
@@ -33,8 +27,6 @@
 	minDifference = 0.12
 	// moveShare is the part of half the difference that is moved at once, low to high.
 	moveLow, moveHigh = 0.5, 1.1
-	// peerTimeout bounds a message between processes.
-	peerTimeout = 300 * time.Millisecond
 )
 
 // loadReport is what a process tells another of its upstream.
@@ -129,6 +121,9 @@
 	defer n.mu.Unlock()
 	best, found := sequoiakeyspace.Window{}, false
 	for _, r := range held {
+		if n.core.HeldFor(sequoiatimer.BootTime(), r) < settledTime {
+			continue
+		}
 		w, ok := n.meter.Pick(r, want*moveLow, want*moveHigh)
 		if ok && (!found || w.Size() < best.Size()) {
 			best, found = w, true
@@ -142,31 +137,3 @@
 			"Utilization", own.Utilization, "Other", other.Utilization, "Load", best.Load, "Wanted", want)
 	}
 }
-
-func (b *balancer) ask(ctx context.Context, m sequoiaowner.Member) (loadReport, bool) {
-	req := &sequoiarouter.Request{
-		Service: peerService, Path: pathLoad, Method: http.MethodGet, Repeatable: true, Deadline: time.Now().Add(peerTimeout),
-	}
-	resp, err := b.n.forwarder.Forward(ctx, m.Address, req)
-	if err != nil {
-		return loadReport{}, false
-	}
-	var r loadReport
-	if err := json.Unmarshal(resp.Body, &r); err != nil {
-		b.n.log.Event("load report rejected", "Instance", m.Instance, "Error", err)
-		return loadReport{}, false
-	}
-	return r, true
-}
-
-// servePeer answers a message of another process.
-func (n *Node) servePeer(_ context.Context, req *sequoiarouter.Request) *sequoiarouter.Response {
-	if req.Path != pathLoad {
-		return n.notRun(reasonBadRequest, 0)
-	}
-	body, err := json.Marshal(n.report())
-	if err != nil {
-		return n.notRun(reasonBadRequest, 0)
-	}
-	return &sequoiarouter.Response{Outcome: sequoiarouter.Answered, Status: http.StatusOK, Body: body}
-}
--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -48,8 +48,8 @@
 	ownerRetry = 250 * time.Millisecond
 	// startRetry is when a client should come back to a process that does not know its configuration yet.
 	startRetry = 300 * time.Millisecond
-	// tableWait bounds the wait for a newer table that another process already has.
-	tableWait = 120 * time.Millisecond
+	// tableWait is the pause before a request goes to an owner again that did not have the table yet, 15 ms.
+	tableWait = 15 * time.Millisecond
 	// probeInterval is the time between probes of a process that could not be reached.
 	probeInterval = 150 * time.Millisecond
 	// minRemaining is the least time in which another attempt may succeed.
@@ -141,6 +141,8 @@
 	// offered counts those that an upstream may have received.
 	offered int
 	tried   map[string]bool
+	// instance is where the last attempt went.
+	instance string
 	// last is the most telling response so far.
 	last *sequoiarouter.Response
 }
@@ -158,7 +160,7 @@
 		var resp *sequoiarouter.Response
 		if keyed {
 			req.Key = formatKey(attrs.Key)
-			resp = n.sendToOwner(ctx, req, attrs.Key)
+			resp = n.sendToOwner(ctx, req, attrs.Key, a)
 		} else {
 			resp = n.sendToAny(ctx, req, a)
 		}
@@ -214,7 +216,7 @@
 		}
 	case sequoiarouter.NotRun:
 		if resp.Reason == reasonNotOwner {
-			return n.awaitTable(ctx, resp.LogIndex)
+			return n.newerTable(ctx, a.instance, resp.LogIndex)
 		}
 		if resp.Reason != reasonUpstreamRefused {
 			// No upstream has had the request, so that another offer is no retry.
@@ -233,7 +235,9 @@
 }
 
 // sendToOwner sends the request to the process beside the upstream that holds its key.
-func (n *Node) sendToOwner(ctx context.Context, req *sequoiarouter.Request, key sequoiakeyspace.Key) *sequoiarouter.Response {
+func (n *Node) sendToOwner(
+	ctx context.Context, req *sequoiarouter.Request, key sequoiakeyspace.Key, a *attempt,
+) *sequoiarouter.Response {
 	n.mu.Lock()
 	t, _ := n.core.Table()
 	var holder sequoiakeyspace.Holder
@@ -245,6 +249,7 @@
 	if holder.Zero() {
 		return &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonNoOwner, RetryAfter: ownerRetry}
 	}
+	a.instance = holder.Instance
 	return n.send(ctx, req, holder.Instance)
 }
 
@@ -314,24 +319,20 @@
 	n.directory.reached(instance)
 }
 
-// awaitTable waits for the table of at least a revision. It reports whether this process has it.
-func (n *Node) awaitTable(ctx context.Context, revision uint64) bool {
-	ctx, cancel := context.WithTimeout(ctx, tableWait)
-	defer cancel()
-	for {
-		n.mu.Lock()
-		_, known := n.core.Table()
-		changed := n.changed
-		n.mu.Unlock()
-		if known >= revision {
-			return true
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return false
-		}
+// newerTable gets a table that is at least as new as that of the process that refused the request for its key. The one
+// with the older table may be this process or the other. It reports whether the request may be sent again.
+func (n *Node) newerTable(ctx context.Context, instance string, revision uint64) bool {
+	n.mu.Lock()
+	t, known := n.core.Table()
+	n.mu.Unlock()
+	switch {
+	case known < revision:
+		n.fetchTable(ctx, instance)
+		return true
+	case known > revision && t != nil:
+		n.sendTable(context.WithoutCancel(ctx), known, t, map[string]bool{instance: true})
 	}
+	return sequoiatimer.Sleep(ctx, tableWait) == nil
 }
 
 func (n *Node) memberCount() int {
--- a/internal/sequoianode/dialect.go
+++ b/internal/sequoianode/dialect.go
@@ -10,6 +10,7 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiahttp"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaregistry"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaroute"
 )
 
@@ -80,6 +81,8 @@
 	Handover func(h http.Header) string
 	// ConfigurationKey is the store's key of the operator's configuration.
 	ConfigurationKey string
+	// Store returns the store that is reached by an exchange.
+	Store func(e sequoiaregistry.Exchange) sequoiaregistry.Store
 	// ReadConfiguration decodes the operator's configuration.
 	ReadConfiguration func(b []byte) (*sequoiaroute.Configuration, error)
 }
--- a/internal/sequoianode/directory.go
+++ b/internal/sequoianode/directory.go
@@ -88,6 +88,21 @@
 	return p.member.Address, true
 }
 
+// others returns the addresses of at most n random other processes.
+func (d *directory) others(n int) []netip.AddrPort {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	var all []netip.AddrPort
+	for instance, p := range d.peers {
+		if instance != d.id.Instance && !now.Before(p.unreachable) && (p.removed.IsZero() || now.Sub(p.removed) < maxUnreachable) {
+			all = append(all, p.member.Address)
+		}
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(n, len(all))]
+}
+
 // usable reports whether requests may go to the peer's upstream.
 func (p *peer) usable(now time.Time) bool {
 	return p.member.Usable() && (p.removed.IsZero() || now.Sub(p.removed) < goneTime) && !now.Before(p.unreachable)
--- a/internal/sequoianode/metrics.go
+++ b/internal/sequoianode/metrics.go
@@ -22,6 +22,7 @@
 	grants        prometheus.Counter
 	tableWrites   prometheus.Counter
 	storeFaults   prometheus.Counter
+	relayed       prometheus.Counter
 }
 
 func newMetrics(n *Node) *metrics {
@@ -53,7 +54,10 @@
 			Name: "sequoia_store_lost_total", Help: "Times at which the store was lost.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.cancelled, m.retries, m.retriesDenied, m.grants, m.tableWrites, m.storeFaults)
+	m.relayed = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "sequoia_store_relayed_total", Help: "Calls to the store that another process made.",
+	})
+	m.registry.MustRegister(m.relayed, m.requests, m.latency, m.cancelled, m.retries, m.retriesDenied, m.grants, m.tableWrites, m.storeFaults)
 	m.gauge("sequoia_running", "Requests at the local upstream.", func() float64 { return float64(n.load().Running) })
 	m.gauge("sequoia_waiting", "Requests that wait for the local upstream.", func() float64 { return float64(n.load().Waiting) })
 	m.gauge("sequoia_table_revision", "Revision of the table of keys.", func() float64 {
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -79,6 +79,7 @@
 	registration *sequoiaregistry.Registration
 	metrics      *metrics
 	balancer     *balancer
+	relay        *relay
 	retries      *retryBudgets
 	directory    *directory
 	splitter     *sequoiaroute.Splitter
@@ -100,9 +101,11 @@
 }
 
 // New returns a Node that has not started.
-func New(id Identity, d Dialect, store sequoiaregistry.Store, log *sequoialog.Events, timers *sequoiatimer.Service) *Node {
+func New(
+	id Identity, d Dialect, direct sequoiaregistry.Exchange, log *sequoialog.Events, timers *sequoiatimer.Service,
+) *Node {
 	n := &Node{
-		id: id, dialect: d, store: store, log: log, timers: timers, process: randomID(8),
+		id: id, dialect: d, log: log, timers: timers, process: randomID(8),
 		front:    sequoiafront.New(maxBody),
 		upstream: sequoiahttp.New(sequoiahttp.WithResponsesUntilClose(), sequoiahttp.WithMaxIdle(16)),
 		orders:   sequoiahttp.New(sequoiahttp.WithMaxIdle(2)),
@@ -112,6 +115,8 @@
 	n.core = sequoiaowner.New(
 		id.Instance, sequoiatimer.BootTime(), sequoiaowner.WithHeartbeat(id.Heartbeat), sequoiaowner.WithMeter(n.meter),
 	)
+	n.relay = newRelay(n, direct)
+	n.store = d.Store(n.relay.exchange)
 	n.metrics = newMetrics(n)
 	n.retries = newRetryBudgets(id)
 	n.balancer = newBalancer(n)
--- /dev/null
+++ b/internal/sequoianode/peer.go
@@ -0,0 +1,173 @@
+package sequoianode
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
+)
+
+// peerService is the name under which processes send each other messages. No configuration has a service with it.
+const peerService = "\x00peer"
+
+// Paths of messages between processes.
+const (
+	// pathLoad asks for the load of the upstream beside a process.
+	pathLoad = "/load"
+	// pathTable brings a table, with its revision as the key.
+	pathTable = "/table"
+	// pathFetch asks for the table.
+	pathFetch = "/fetch"
+	// pathStore is a call to the store on behalf of a process that does not reach it. The store's path follows.
+	pathStore = "/store"
+)
+
+// peerTimeout bounds a message between processes, 300 ms.
+const peerTimeout = 300 * time.Millisecond
+
+// errPeer reports a message that another process could not carry out.
+var errPeer = errors.New("the other process could not carry out the message")
+
+// message sends a message to another process and returns the answer.
+func (n *Node) message(
+	ctx context.Context, addr netip.AddrPort, timeout time.Duration, req *sequoiarouter.Request,
+) (*sequoiarouter.Response, error) {
+	req.Service, req.Repeatable, req.Deadline = peerService, true, time.Now().Add(timeout)
+	resp, err := n.forwarder.Forward(ctx, addr, req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.Outcome != sequoiarouter.Answered {
+		return nil, errors.Wrap(errPeer, resp.Reason)
+	}
+	return resp, nil
+}
+
+// servePeer answers a message of another process.
+func (n *Node) servePeer(ctx context.Context, req *sequoiarouter.Request) *sequoiarouter.Response {
+	switch {
+	case req.Path == pathLoad:
+		return answer(json.Marshal(n.report()))
+	case req.Path == pathTable:
+		n.takePeerTable(req.Key, req.Body)
+		return answer(nil, nil)
+	case req.Path == pathFetch:
+		return n.tableAnswer()
+	case len(req.Path) > len(pathStore) && req.Path[:len(pathStore)] == pathStore:
+		return n.relay.serve(ctx, req)
+	}
+	return n.notRun(reasonBadRequest, 0)
+}
+
+func answer(body []byte, err error) *sequoiarouter.Response {
+	if err != nil {
+		return &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonBadRequest}
+	}
+	return &sequoiarouter.Response{Outcome: sequoiarouter.Answered, Status: http.StatusOK, Body: body}
+}
+
+func (n *Node) tableAnswer() *sequoiarouter.Response {
+	n.mu.Lock()
+	t, revision := n.core.Table()
+	n.mu.Unlock()
+	if t == nil {
+		return n.notRun(reasonNoOwner, 0)
+	}
+	resp := answer(t.Encode())
+	resp.LogIndex = revision
+	return resp
+}
+
+// takePeerTable takes a table that another process has read from the store or written to it.
+func (n *Node) takePeerTable(revision string, body []byte) {
+	v, err := strconv.ParseUint(revision, 10, 64)
+	if err != nil {
+		n.log.Event("table of a peer rejected", "Error", err)
+		return
+	}
+	n.setPeerTable(v, body)
+}
+
+func (n *Node) setPeerTable(revision uint64, body []byte) {
+	t, err := sequoiakeyspace.Decode(body)
+	if err != nil {
+		n.log.Event("table of a peer rejected", "Revision", revision, "Error", err)
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.core.SetTable(t, revision) {
+		n.log.Event("table from a peer", "Revision", revision, "Fence", t.Fence)
+		n.notify()
+	}
+}
+
+// sendTable brings the table to the new holders of keys, so that they need not wait for the store's answer to their
+// watch, which one that is cut off from the store would not get.
+func (n *Node) sendTable(ctx context.Context, revision uint64, t *sequoiakeyspace.Table, instances map[string]bool) {
+	body, err := t.Encode()
+	if err != nil {
+		n.log.Event("table not sent", "Error", err)
+		return
+	}
+	for instance := range instances {
+		addr, ok := n.directory.address(instance)
+		if !ok || instance == n.id.Instance {
+			continue
+		}
+		go func() {
+			req := &sequoiarouter.Request{Path: pathTable, Method: http.MethodPost, Key: strconv.FormatUint(revision, 10), Body: body}
+			if _, err := n.message(ctx, addr, peerTimeout, req); err != nil {
+				n.log.Event("table not sent", "Instance", instance, "Revision", revision, "Error", err)
+			}
+		}()
+	}
+}
+
+// fetchTable reads the table of a process that has a newer one.
+func (n *Node) fetchTable(ctx context.Context, instance string) {
+	addr, ok := n.directory.address(instance)
+	if !ok {
+		return
+	}
+	resp, err := n.message(ctx, addr, peerTimeout, &sequoiarouter.Request{Path: pathFetch, Method: http.MethodGet})
+	if err != nil {
+		n.log.Event("table not fetched", "Instance", instance, "Error", err)
+		return
+	}
+	n.setPeerTable(resp.LogIndex, resp.Body)
+}
+
+// newHolders returns the instances that a table names and an earlier one does not name for the same keys.
+func newHolders(before, after *sequoiakeyspace.Table) map[string]bool {
+	instances := map[string]bool{}
+	for service, ranges := range after.Services {
+		for _, r := range ranges {
+			if old, ok := before.Find(service, r.From); !ok || old.Fence != r.Fence {
+				instances[r.Holder.Instance] = true
+			}
+		}
+	}
+	return instances
+}
+
+func (b *balancer) ask(ctx context.Context, m sequoiaowner.Member) (loadReport, bool) {
+	resp, err := b.n.message(ctx, m.Address, peerTimeout, &sequoiarouter.Request{Path: pathLoad, Method: http.MethodGet})
+	if err != nil {
+		return loadReport{}, false
+	}
+	var r loadReport
+	if err := json.Unmarshal(resp.Body, &r); err != nil {
+		b.n.log.Event("load report rejected", "Instance", m.Instance, "Error", err)
+		return loadReport{}, false
+	}
+	return r, true
+}
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -60,6 +60,7 @@
 	}
 	t, reason, retryAfter := n.admit(ctx, req)
 	if reason != "" {
+		n.meterRejected(req, key, reason)
 		return n.notRun(reason, retryAfter)
 	}
 	resp := n.callUpstream(ctx, req, key)
@@ -73,6 +74,17 @@
 	return resp
 }
 
+// meterRejected counts the work of a request that was rejected for lack of room as load of its key. Otherwise the load of
+// a full upstream would seem to be no more than it can do.
+func (n *Node) meterRejected(req *sequoiarouter.Request, key sequoiakeyspace.Key, reason string) {
+	if req.Key == "" || reason != sequoiaadmission.ReasonBusy && reason != sequoiaadmission.ReasonFull {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.meter.Add(key, n.queue.MeanWork())
+}
+
 func (n *Node) notRun(reason string, retryAfter time.Duration) *sequoiarouter.Response {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/sequoiaowner/core.go
+++ b/internal/sequoiaowner/core.go
@@ -136,7 +136,9 @@
 	// until is the end of what the upstream has confirmed, latest the end of all that was sent, and unconfirmed the end
 	// of what was sent without an answer.
 	until, latest, unconfirmed time.Time
-	refused                    bool
+	// since is when the table first named the local upstream for these keys with this fence.
+	since   time.Time
+	refused bool
 }
 
 // move is a range on its way to another holder, or away from one that is lost.
@@ -446,6 +448,14 @@
 	return true
 }
 
+// HeldFor returns how long the table has named the local upstream for the keys of one of its ranges.
+func (c *Core) HeldFor(now time.Time, r sequoiakeyspace.Range) time.Duration {
+	if g := c.grants[grantKey(r)]; g != nil {
+		return now.Sub(g.since)
+	}
+	return 0
+}
+
 // uncertain reports whether a grant of some of the keys was sent without an answer and may still be applied, after a
 // release too.
 func (c *Core) uncertain(now time.Time, part sequoiakeyspace.Range) bool {
@@ -536,7 +546,7 @@
 		current[key] = true
 		g := c.grants[key]
 		if g == nil {
-			g = c.adopt(key)
+			g = c.adopt(now, key)
 			c.grants[key] = g
 		}
 		hold := time.Duration(float64(min(c.hold, end.Sub(now))) * (1 - drift))
@@ -554,11 +564,12 @@
 
 // adopt returns the state of a range that the table names for the first time. A part of a larger grant has that
 // grant's state, since the upstream holds it with the same fence.
-func (c *Core) adopt(key sequoiakeyspace.Range) *grant {
-	g := &grant{}
+func (c *Core) adopt(now time.Time, key sequoiakeyspace.Range) *grant {
+	g := &grant{since: now}
 	for k, old := range c.grants {
 		if k.Fence == key.Fence && k.From <= key.From && key.To <= k.To {
 			g.until, g.latest, g.unconfirmed, g.next = old.until, old.latest, old.unconfirmed, old.next
+			g.since = old.since
 		}
 	}
 	return g
--- a/internal/sequoiaregistry/store.go
+++ b/internal/sequoiaregistry/store.go
@@ -40,6 +40,9 @@
 	Puts     []Item
 }
 
+// Exchange sends one call to the store and returns the status and the body of the answer.
+type Exchange func(ctx context.Context, method, path string, body []byte) (status int, answer []byte, err error)
+
 // Store is the platform's key-value store.
 type Store struct {
 	Get func(ctx context.Context, key string) (Item, error)
