Outlive outages of the store by promises of the other members

Weighed: a longer fixed authority (each lost instance's keys wait as long), witnesses (an owner lost with two of them waits for an operator). Chosen: an authority of 3.5 s, extended while all other members promise that they do not reach the store and take nothing over, 12 s at most; young processes wait 12 s.

--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -86,6 +86,7 @@
 	config       atomic.Pointer[sequoiaroute.Configuration]
 	stopping     atomic.Bool
 	ready        atomic.Bool
+	asking       atomic.Bool
 	// endsAt is when a stopping process ends at the latest, in Unix nanoseconds.
 	endsAt atomic.Int64
 
--- a/internal/sequoianode/orders.go
+++ b/internal/sequoianode/orders.go
@@ -19,7 +19,11 @@
 	before := n.core.Upstream()
 	a := n.core.Step(sequoiatimer.BootTime())
 	after := n.core.Upstream()
+	alone := n.core.NeedsPromises(sequoiatimer.BootTime())
 	n.mu.Unlock()
+	if alone {
+		go n.askPromises(ctx)
+	}
 	if before != after {
 		n.log.Event("upstream changed", "Upstream", after.ID, "Lost", after.Lost, "Leaving", after.Leaving)
 		n.memberChanged()
--- a/internal/sequoianode/peer.go
+++ b/internal/sequoianode/peer.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,6 +15,7 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
 
 // peerService is the name under which processes send each other messages. No configuration has a service with it.
@@ -26,12 +29,21 @@
 	pathTable = "/table"
 	// pathFetch asks for the table.
 	pathFetch = "/fetch"
+	// pathPromise asks for the promise to take no keys over.
+	pathPromise = "/promise"
 	// pathStore is a call to the store on behalf of a process that does not reach it. The store's path follows.
 	pathStore = "/store"
 )
 
-// peerTimeout bounds a message between processes, 300 ms.
-const peerTimeout = 300 * time.Millisecond
+const (
+	// peerTimeout bounds a message between processes, 300 ms.
+	peerTimeout = 300 * time.Millisecond
+	// promisePause is the time between rounds of asking for promises, 400 ms: three fit into the time of one promise.
+	promisePause = 400 * time.Millisecond
+)
+
+// reasonPromise means that the process reaches the store, so that it does not promise to take no keys over.
+const reasonPromise = "StoreReached"
 
 // errPeer reports a message that another process could not carry out.
 var errPeer = errors.New("the other process could not carry out the message")
@@ -59,6 +71,8 @@
 	case req.Path == pathTable:
 		n.takePeerTable(req.Key, req.Body)
 		return answer(nil, nil)
+	case req.Path == pathPromise:
+		return n.promise()
 	case req.Path == pathFetch:
 		return n.tableAnswer()
 	case len(req.Path) > len(pathStore) && req.Path[:len(pathStore)] == pathStore:
@@ -67,6 +81,51 @@
 	return n.notRun(reasonBadRequest, 0)
 }
 
+// promise answers a process that has lost the store.
+func (n *Node) promise() *sequoiarouter.Response {
+	n.mu.Lock()
+	given := n.core.Promise(sequoiatimer.BootTime())
+	n.mu.Unlock()
+	if !given {
+		return n.notRun(reasonPromise, 0)
+	}
+	return answer(nil, nil)
+}
+
+// askPromises extends this process's authority if all other members promise that they do not reach the store either.
+func (n *Node) askPromises(ctx context.Context) {
+	if !n.asking.CompareAndSwap(false, true) {
+		return
+	}
+	defer n.asking.Store(false)
+	n.mu.Lock()
+	var others []netip.AddrPort
+	for instance, m := range n.core.Members() {
+		if instance != n.id.Instance {
+			others = append(others, m.Address)
+		}
+	}
+	n.mu.Unlock()
+	asked := sequoiatimer.BootTime()
+	var promised atomic.Int64
+	var all sync.WaitGroup
+	for _, addr := range others {
+		all.Go(func() {
+			req := &sequoiarouter.Request{Path: pathPromise, Method: http.MethodPost}
+			if _, err := n.message(ctx, addr, peerTimeout, req); err == nil {
+				promised.Add(1)
+			}
+		})
+	}
+	all.Wait()
+	complete := promised.Load() == int64(len(others))
+	if complete {
+		n.withCore(func(c *sequoiaowner.Core) { c.Extend(asked) })
+	}
+	n.log.Event("asked for promises while the store is lost", "Members", len(others), "Promised", promised.Load(), "Extended", complete)
+	_ = sequoiatimer.Sleep(ctx, promisePause)
+}
+
 func answer(body []byte, err error) *sequoiarouter.Response {
 	if err != nil {
 		return &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonBadRequest}
--- a/internal/sequoiaowner/core.go
+++ b/internal/sequoiaowner/core.go
@@ -6,6 +6,10 @@
 // last call that the store answered and that proves that its entry among the members exists. Grants end with the
 // authority at the latest. So a process whose entry has been missing for that time, in the same write that takes its
 // keys, holds none.
+//
+// While nobody reaches the store nobody can take keys over either. So a process that has lost the store goes on if all
+// other members promise that they have lost it too and take nothing over for a while. A member that has joined since
+// the last proof is not asked, so a process that is young waits longer before it takes keys over.
 package sequoiaowner
 
 import (
@@ -19,9 +23,16 @@
 
 // Times of ownership.
 const (
-	// DefaultAuthority is how long a process may grant keys after its last proof, 5 s: a lost instance's keys wait that
-	// long, and an outage of the store that is shorter stops no owner.
-	DefaultAuthority = 5 * time.Second
+	// DefaultAuthority is how long a process may grant keys after its last proof, 3.5 s. A lost instance's keys wait that
+	// long; three renewals of a lease fit into it.
+	DefaultAuthority = 3500 * time.Millisecond
+	// maxAuthority bounds the authority with the promises of the other members, 12 s: longer than outages of the store
+	// usually are, and the longest wait for the keys of a lost instance.
+	maxAuthority = 12 * time.Second
+	// PromiseTime is how long a member that does not reach the store promises to take no keys over, 1.5 s.
+	PromiseTime = 1500 * time.Millisecond
+	// promiseAfter is the age of the last proof from which a member promises, and asks for promises, 1.2 s.
+	promiseAfter = 1200 * time.Millisecond
 	// defaultHold is the duration of a grant, 2.5 s: longer than the requests that run on it, and short because the keys
 	// of an upstream that fails wait for its end.
 	defaultHold = 2500 * time.Millisecond
@@ -170,6 +181,8 @@
 	alive     time.Time
 	started   time.Time
 	proof     time.Time
+	extended  time.Time
+	promised  time.Time
 	verified  bool
 	grants    map[sequoiakeyspace.Range]*grant
 	moves     []*move
@@ -302,7 +315,32 @@
 	if c.proof.IsZero() {
 		return time.Time{}
 	}
-	return c.proof.Add(c.authority)
+	end := latest(c.proof.Add(c.authority), c.extended)
+	if limit := c.proof.Add(maxAuthority); end.After(limit) {
+		return limit
+	}
+	return end
+}
+
+// NeedsPromises reports whether the process has keys and has not reached the store for a while, so that it should ask
+// the other members for their promises.
+func (c *Core) NeedsPromises(now time.Time) bool {
+	age := now.Sub(c.proof)
+	return !c.proof.IsZero() && age > promiseAfter && age < maxAuthority && len(c.HeldRanges()) > 0
+}
+
+// Promise returns true if this process does not reach the store either. It then takes no keys over for PromiseTime.
+func (c *Core) Promise(now time.Time) bool {
+	if now.Sub(c.proof) < promiseAfter || c.writing {
+		return false
+	}
+	c.promised = now.Add(PromiseTime + takeoverMargin)
+	return true
+}
+
+// Extend notes that all other members have promised, when asked at the given time.
+func (c *Core) Extend(asked time.Time) {
+	c.extended = latest(c.extended, asked.Add(PromiseTime))
 }
 
 // SetUpstream notes what the local upstream says of itself. An announcement of an earlier life is ignored.
@@ -805,7 +843,14 @@
 
 // planTakeover assigns the keys of members that have been missing for the duration of their authority.
 func (c *Core) planTakeover(now time.Time) *Write {
-	wait := c.authority + takeoverMargin + c.delay()
+	if now.Before(c.promised) {
+		return nil
+	}
+	wait := c.authority
+	if now.Sub(c.started) < maxAuthority+takeoverMargin {
+		wait = maxAuthority
+	}
+	wait += takeoverMargin + c.delay()
 	t := c.table.Clone()
 	var lost []string
 	for _, instance := range slices.Sorted(maps.Keys(c.absent)) {
--- a/internal/sequoiaregistry/registration.go
+++ b/internal/sequoiaregistry/registration.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// leaseTime is how long an entry outlives the last renewal of its lease, 3 s.
-	leaseTime = 3 * time.Second
+	// leaseTime is how long an entry outlives the last renewal of its lease, 2.5 s: one renewal may be lost.
+	leaseTime = 2500 * time.Millisecond
 	// keepInterval is the time between renewals of the lease, 1 s. A renewal costs a tenth of a read.
 	keepInterval = time.Second
 	// callTimeout bounds one call to the store, 800 ms: a slow store answers within some 250 ms.
