Order the queue by objective and let late requests make room

Requests go by priority, then objective; late ones wait while the queue is short and are rejected when others fill it.

--- a/internal/sequoiaadmission/queue.go
+++ b/internal/sequoiaadmission/queue.go
@@ -2,8 +2,9 @@
 // does no input or output.
 //
 // All requests for an upstream pass through the process beside it, so that the queue knows exactly how many are
-// running. It answers overload: a request that would miss its objective because of those ahead of it is rejected at
-// once, when its client can still try again, and does not delay the ones behind it.
+// running. Requests that can meet their objective go first, by priority and then by objective, so that short ones do not
+// wait behind long ones that have time. It answers overload: a request that cannot end before its deadline is rejected
+// at once, when its client can still try again, and one that has become late makes room for those that can be in time.
 package sequoiaadmission
 
 import (
@@ -28,6 +29,11 @@
 	initialShare = 0.35
 	// maxWaiting bounds the queue, per slot.
 	maxWaiting = 8
+	// lateShare is the length of the queue, per slot, up to which a request may wait that will be late: it uses slots that
+	// become free between bursts.
+	lateShare = 6
+	// evictShare is the number of requests, per slot, that wait and can be in time, from which late ones are rejected.
+	evictShare = 1.5
 	// minRetryAfter is the shortest time after which a rejected client is asked to come back, 40 ms: a slot becomes
 	// free at about this interval.
 	minRetryAfter = 40 * time.Millisecond
@@ -99,13 +105,36 @@
 		return
 	}
 	wait := q.wait(now, t)
-	if now.Add(wait + work).After(t.Objective) {
+	if late := now.Add(wait + work).After(t.Objective); late && !q.mayBeLate(now.Add(wait+work), t) {
 		t.Start(ReasonBusy, max(wait, minRetryAfter))
 		return
 	}
 	q.waiting = append(q.waiting, t)
 }
 
+// mayBeLate reports whether a request that would end at the given time, after its objective, may wait all the same: a
+// few may, to use slots that become free between bursts.
+func (q *Queue) mayBeLate(end time.Time, t *Ticket) bool {
+	return !end.After(t.Deadline) && len(q.waiting) < lateShare*q.slots
+}
+
+// before reports whether a waiting request goes before another: first those that can still meet their objective, then by
+// priority, then by objective.
+func (q *Queue) before(now time.Time, a, b *Ticket) bool {
+	lateA, lateB := q.late(now, a), q.late(now, b)
+	switch {
+	case lateA != lateB:
+		return lateB
+	case a.Priority != b.Priority:
+		return a.Priority < b.Priority
+	}
+	return a.Objective.Before(b.Objective)
+}
+
+func (q *Queue) late(now time.Time, t *Ticket) bool {
+	return now.Add(q.Work(t)).After(t.Objective)
+}
+
 // wait returns the expected time until the request would start.
 func (q *Queue) wait(now time.Time, t *Ticket) time.Duration {
 	var ahead time.Duration
@@ -113,7 +142,7 @@
 		ahead += max(q.Work(r)-now.Sub(r.started), q.Work(r)/4)
 	}
 	for _, w := range q.waiting {
-		if w.Priority <= t.Priority {
+		if q.before(now, w, t) {
 			ahead += q.Work(w)
 		}
 	}
@@ -163,13 +192,12 @@
 	return mean + time.Duration(smoothing*float64(sample-mean))
 }
 
-// fill starts waiting requests while there are slots, the highest priority first, and rejects those that would miss
-// their deadline.
+// fill starts waiting requests while there are slots, and rejects those that would miss their deadline.
 func (q *Queue) fill(now time.Time) {
 	for len(q.running) < q.slots && len(q.waiting) > 0 {
 		best := 0
 		for i, t := range q.waiting {
-			if t.Priority < q.waiting[best].Priority {
+			if q.before(now, t, q.waiting[best]) {
 				best = i
 			}
 		}
@@ -181,4 +209,26 @@
 		}
 		q.start(now, t)
 	}
+	q.evict(now)
+}
+
+// evict rejects the late requests that wait while others that can meet their objective fill the queue: they would be
+// held for nothing.
+func (q *Queue) evict(now time.Time) {
+	inTime := 0
+	for _, t := range q.waiting {
+		if !q.late(now, t) {
+			inTime++
+		}
+	}
+	if float64(inTime) < evictShare*float64(q.slots) {
+		return
+	}
+	q.waiting = slices.DeleteFunc(q.waiting, func(t *Ticket) bool {
+		if !q.late(now, t) {
+			return false
+		}
+		t.Start(ReasonBusy, q.retryAfter())
+		return true
+	})
 }
--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -143,6 +143,7 @@
 	tried   map[string]bool
 	// instance is where the last attempt went.
 	instance string
+	hops     int
 	// last is the most telling response so far.
 	last *sequoiarouter.Response
 }
@@ -167,12 +168,13 @@
 		if resp == nil {
 			break
 		}
+		a.hops = hop + 1
 		a.note(resp)
 		if hop == maxHops-1 || !n.again(ctx, req, route, keyed, resp, a) {
 			break
 		}
 	}
-	return a.result(ctx)
+	return a.result(ctx, req)
 }
 
 // note keeps the response that says most: one of an upstream, else one that the request may have run, else the last.
@@ -188,7 +190,8 @@
 	}
 }
 
-func (a *attempt) result(ctx context.Context) *sequoiarouter.Response {
+func (a *attempt) result(ctx context.Context, req *sequoiarouter.Request) *sequoiarouter.Response {
+	req.Target, req.Attempts = a.instance, a.hops
 	if a.last == nil {
 		return &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonNoUpstream, RetryAfter: ownerRetry}
 	}
@@ -260,6 +263,7 @@
 		return nil
 	}
 	a.tried[m.Instance] = true
+	a.instance = m.Instance
 	return n.send(ctx, req, m.Instance)
 }
 
@@ -371,6 +375,7 @@
 	fields := []any{"Outcome", resp.Outcome, "Status", status, "Reason", resp.Reason, "Milliseconds", took.Milliseconds()}
 	if req != nil {
 		fields = append(fields, "RequestID", req.RequestID, "Route", req.Route, "Service", req.Service, "Key", req.Key,
+			"Target", req.Target, "Attempts", req.Attempts, "Waiting", resp.Load.Waiting, "Running", resp.Load.Running,
 			"Left", time.Until(req.Deadline).Milliseconds())
 	} else {
 		fields = append(fields, "Host", r.Host, "Path", r.URL.Path)
--- a/internal/sequoiarouter/request.go
+++ b/internal/sequoiarouter/request.go
@@ -55,6 +55,9 @@
 	Method    string
 	// Host is the host that the caller named, empty if the upstream's address is to be sent.
 	Host string
+	// Target is the instance that the last attempt went to, and Attempts their number. They are not passed on.
+	Target   string
+	Attempts int
 	// Route names the rule that the request follows.
 	Route string
 	// Origin is the service of the instance where the request began.
