Send tables between processes, prefer the own failure domain, reject at the end

The writer now sends the table to the others in a compact form, and each response carries the revision, so that one that missed it fetches it. Undivided requests stay in the failure domain unless the upstream there is nearly full.

--- a/internal/sequoiakeyspace/table.go
+++ b/internal/sequoiakeyspace/table.go
@@ -69,12 +69,13 @@
 
 // Decode returns ErrMalformed for anything but a valid table.
 func Decode(b []byte) (*Table, error) {
-	var t Table
-	if err := json.Unmarshal(b, &t); err != nil {
+	var e encoding
+	if err := json.Unmarshal(b, &e); err != nil {
 		return nil, errors.Wrap(ErrMalformed, err.Error())
 	}
-	if t.Services == nil {
-		t.Services = map[string][]Range{}
+	t, err := e.table()
+	if err != nil {
+		return nil, err
 	}
 	for name, ranges := range t.Services {
 		next := 0
@@ -88,12 +89,12 @@
 			return nil, errors.Wrapf(ErrMalformed, "service %q: the ranges end at %d", name, next-1)
 		}
 	}
-	return &t, nil
+	return t, nil
 }
 
 // Encode returns the encoding that Decode reads.
 func (t *Table) Encode() ([]byte, error) {
-	b, err := json.Marshal(t)
+	b, err := json.Marshal(t.encoding())
 	return b, errors.Wrap(err, "encode the table")
 }
 
--- a/internal/sequoiakeyspace/table_test.go
+++ b/internal/sequoiakeyspace/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 	"time"
 
@@ -61,8 +62,9 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if _, err := sequoiakeyspace.Decode(encoded); err != nil {
-				t.Fatal(err)
+			decoded, err := sequoiakeyspace.Decode(encoded)
+			if err != nil || !reflect.DeepEqual(decoded, table) {
+				t.Fatalf("decoded %+v, want %+v: %v", decoded, table, err)
 			}
 		})
 	})
@@ -70,9 +72,12 @@
 	ginkgo.It("rejects what is not a valid table", func() {
 		for _, text := range []string{
 			"", "{", `{"Services":{"s":[]}}`,
-			`{"Services":{"s":[{"From":1,"To":65535}]}}`,
-			`{"Services":{"s":[{"From":0,"To":10},{"From":10,"To":65535}]}}`,
-			`{"Services":{"s":[{"From":0,"To":65535,"Fence":9}]},"Fence":3}`,
+			`{"Holders":[{}],"Services":{"s":[{"T":65534}]}}`,
+			`{"Holders":[{}],"Services":{"s":[{"T":10},{"T":9},{"T":65535}]}}`,
+			`{"Holders":[{}],"Services":{"s":[{"T":65535},{"T":65535}]}}`,
+			`{"Holders":[{}],"Services":{"s":[{"T":65535,"F":9}]},"Fence":3}`,
+			`{"Holders":[{}],"Services":{"s":[{"T":65535,"H":1}]}}`,
+			`{"Holders":[{}],"Services":{"s":[{"T":65535,"H":-1}]}}`,
 		} {
 			_, err := sequoiakeyspace.Decode([]byte(text))
 			Expect(err).To(MatchError(sequoiakeyspace.ErrMalformed), text)
--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -282,6 +282,7 @@
 	resp, err := n.forwarder.Forward(ctx, addr, req)
 	if err == nil {
 		n.directory.end(instance, resp)
+		n.noteRevision(instance, resp.LogIndex)
 		return resp
 	}
 	n.directory.end(instance, nil)
@@ -334,7 +335,7 @@
 		n.fetchTable(ctx, instance)
 		return true
 	case known > revision && t != nil:
-		n.sendTable(context.WithoutCancel(ctx), known, t, map[string]bool{instance: true})
+		n.sendTable(context.WithoutCancel(ctx), known, t, []string{instance})
 	}
 	return sequoiatimer.Sleep(ctx, tableWait) == nil
 }
--- a/internal/sequoianode/directory.go
+++ b/internal/sequoianode/directory.go
@@ -1,8 +1,10 @@
 package sequoianode
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,8 +24,14 @@
 	maxCandidates = 5
 	// initialWork is the duration of a request at an upstream of which nothing is known, 150 ms.
 	initialWork = 150 * time.Millisecond
-	// domainCost is the cost of a request to another failure domain, 3 ms: the time for the way there and back.
-	domainCost = 3 * time.Millisecond
+	// domainCost is the cost of a request to another failure domain, 25 ms: the way there and back, and the bytes between
+	// failure domains, which are worth keeping down where that costs callers next to nothing.
+	domainCost = 25 * time.Millisecond
+	// busyWeight is the part of a request's work by which a full upstream takes longer than an empty one.
+	busyWeight = 0.2
+	// fullUse is the use of the slots from which a request is likely to wait, and fullWeight what the wait costs.
+	fullUse    = 0.7
+	fullWeight = 2.0
 	// failureWeight multiplies the expected delay at an upstream by its share of failures.
 	failureWeight = 6.0
 	// failureSmoothing is the weight of a new result in the share of failures.
@@ -88,6 +96,13 @@
 	return p.member.Address, true
 }
 
+// instances returns the known instances.
+func (d *directory) instances() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Collect(maps.Keys(d.peers))
+}
+
 // others returns the addresses of at most n random other processes.
 func (d *directory) others(n int) []netip.AddrPort {
 	d.mu.Lock()
@@ -133,7 +148,8 @@
 	return best.member, true
 }
 
-// cost is the expected delay of one more request.
+// cost is the expected delay of one more request: the work, which takes longer at an upstream that is nearly full, and
+// the wait for a slot.
 func (d *directory) cost(now time.Time, p *peer) time.Duration {
 	work := p.load.Work
 	if work == 0 {
@@ -144,8 +160,9 @@
 		reported := float64(p.load.Running+p.load.Waiting) * (1 - float64(age)/float64(loadAge))
 		inProgress = max(inProgress, reported)
 	}
-	slots := max(1, p.member.Upstream.Slots)
-	cost := time.Duration((inProgress + 1) / float64(slots) * float64(work) * (1 + failureWeight*p.failures))
+	use := (inProgress + 1) / float64(max(1, p.member.Upstream.Slots))
+	factor := (1 + busyWeight*use + fullWeight*max(0, use-fullUse)) * (1 + failureWeight*p.failures)
+	cost := time.Duration(float64(work) * factor)
 	if p.member.Domain != d.id.Domain {
 		cost += domainCost
 	}
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -40,6 +40,10 @@
 	livenessInterval = 120 * time.Millisecond
 	// connectTimeout bounds connecting to another process, 400 ms; the way there and back takes 3 ms.
 	connectTimeout = 400 * time.Millisecond
+	// memberWait and configurationWait are how long watches wait, 6 s and 4 s. A connection that has gone silent delays
+	// what is watched by as much, and a configuration is to be in force within 5 s of that.
+	memberWait        = 6 * time.Second
+	configurationWait = 4 * time.Second
 	// stepInterval is how often ownership is checked.
 	stepInterval = 50 * time.Millisecond
 	// orderTimeout bounds a grant; the upstream is on the same instance.
@@ -53,6 +57,9 @@
 	// stopNotice is how long a stopping process goes on for the clients, who learn from two readiness checks, one a
 	// second, that they should go elsewhere.
 	stopNotice = 2300 * time.Millisecond
+	// stopSettle is how long a stopping process rejects requests before it ends, 100 ms: those that are on their way are
+	// answered, and the answers are written.
+	stopSettle = 100 * time.Millisecond
 	// stopMargin is how long before the end of the grace the process ends by itself.
 	stopMargin = 700 * time.Millisecond
 	// maxBody bounds the body of a request that this process buffers, in bytes.
@@ -87,6 +94,7 @@
 	stopping     atomic.Bool
 	ready        atomic.Bool
 	asking       atomic.Bool
+	fetching     atomic.Bool
 	// endsAt is when a stopping process ends at the latest, in Unix nanoseconds.
 	endsAt atomic.Int64
 
@@ -239,12 +247,12 @@
 		OnFault: n.dependency("registration"),
 	}
 	n.registration.Start(ctx)
-	own := &sequoiaregistry.Follower{
-		Store: n.store, Prefix: "Sequoia/", OnItems: n.onItems, OnFault: n.dependency("members and table"),
+	members := &sequoiaregistry.Follower{
+		Store: n.store, Prefix: memberPrefix, Wait: memberWait, OnItems: n.onItems, OnFault: n.dependency("members"),
 	}
-	go own.Run(ctx)
+	go members.Run(ctx)
 	configuration := &sequoiaregistry.Follower{
-		Store: n.store, Prefix: n.dialect.ConfigurationKey, OnItems: n.onItems, OnFault: n.dependency("configuration"),
+		Store: n.store, Prefix: n.dialect.ConfigurationKey, Wait: configurationWait, OnItems: n.onItems, OnFault: n.dependency("configuration"),
 	}
 	go configuration.Run(ctx)
 }
@@ -293,8 +301,6 @@
 	now := sequoiatimer.BootTime()
 	for _, it := range items {
 		switch {
-		case it.Key == tableKey:
-			n.takeTable(it)
 		case it.Key == n.dialect.ConfigurationKey:
 			n.takeConfiguration(it)
 		case strings.HasPrefix(it.Key, memberPrefix):
@@ -407,6 +413,11 @@
 		}
 		_ = sequoiatimer.Sleep(ctx, stepInterval)
 	}
+	// From here on new requests are rejected, so that none begins between the last look and the end.
+	n.endsAt.Store(0)
+	for settled := time.Now().Add(stopSettle); time.Now().Before(limit) && (time.Now().Before(settled) || n.front.InProgress() > 0); {
+		_ = sequoiatimer.Sleep(ctx, stepInterval/5)
+	}
 	if !n.restarts() {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
--- a/internal/sequoianode/orders.go
+++ b/internal/sequoianode/orders.go
@@ -89,14 +89,13 @@
 func (n *Node) write(ctx context.Context, w *sequoiaowner.Write) {
 	revision, err := n.commit(ctx, w)
 	n.mu.Lock()
-	before, _ := n.core.Table()
 	n.core.Written(sequoiatimer.BootTime(), w, revision, err == nil)
 	n.notify()
 	n.mu.Unlock()
 	n.metrics.tableWrites.Inc()
 	n.log.Event("table written", "Reason", w.Reason, "Base", w.Base, "Revision", revision, "Absent", w.Absent, "Error", err)
 	if err == nil {
-		n.sendTable(ctx, revision, w.Table, newHolders(before, w.Table))
+		n.sendTable(ctx, revision, w.Table, n.directory.instances())
 		n.step(ctx)
 		return
 	}
--- a/internal/sequoianode/peer.go
+++ b/internal/sequoianode/peer.go
@@ -169,15 +169,15 @@
 	}
 }
 
-// sendTable brings the table to the new holders of keys, so that they need not wait for the store's answer to their
-// watch, which one that is cut off from the store would not get.
-func (n *Node) sendTable(ctx context.Context, revision uint64, t *sequoiakeyspace.Table, instances map[string]bool) {
+// sendTable brings the table to other processes. Nobody watches it in the store, where each change would cost a call of
+// every process; one that misses it learns from the next response that there is a newer one.
+func (n *Node) sendTable(ctx context.Context, revision uint64, t *sequoiakeyspace.Table, instances []string) {
 	body, err := t.Encode()
 	if err != nil {
 		n.log.Event("table not sent", "Error", err)
 		return
 	}
-	for instance := range instances {
+	for _, instance := range instances {
 		addr, ok := n.directory.address(instance)
 		if !ok || instance == n.id.Instance {
 			continue
@@ -191,6 +191,20 @@
 	}
 }
 
+// noteRevision fetches the table of a process whose response shows that it has a newer one.
+func (n *Node) noteRevision(instance string, revision uint64) {
+	n.mu.Lock()
+	_, known := n.core.Table()
+	n.mu.Unlock()
+	if revision <= known || !n.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer n.fetching.Store(false)
+		n.fetchTable(context.Background(), instance)
+	}()
+}
+
 // fetchTable reads the table of a process that has a newer one.
 func (n *Node) fetchTable(ctx context.Context, instance string) {
 	addr, ok := n.directory.address(instance)
@@ -205,19 +219,6 @@
 	n.setPeerTable(resp.LogIndex, resp.Body)
 }
 
-// newHolders returns the instances that a table names and an earlier one does not name for the same keys.
-func newHolders(before, after *sequoiakeyspace.Table) map[string]bool {
-	instances := map[string]bool{}
-	for service, ranges := range after.Services {
-		for _, r := range ranges {
-			if old, ok := before.Find(service, r.From); !ok || old.Fence != r.Fence {
-				instances[r.Holder.Instance] = true
-			}
-		}
-	}
-	return instances
-}
-
 func (b *balancer) ask(ctx context.Context, m sequoiaowner.Member) (loadReport, bool) {
 	resp, err := b.n.message(ctx, m.Address, peerTimeout, &sequoiarouter.Request{Path: pathLoad, Method: http.MethodGet})
 	if err != nil {
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -71,6 +71,7 @@
 		n.meter.Add(key, took)
 	}
 	resp.Load = n.loadLocked()
+	_, resp.LogIndex = n.core.Table()
 	return resp
 }
 
--- a/internal/sequoiaregistry/follow.go
+++ b/internal/sequoiaregistry/follow.go
@@ -10,11 +10,8 @@
 )
 
 const (
-	// watchWait is how long a watch waits, 3 s: a connection that has gone silent is noticed soon after, and a waiting
-	// watch counts as one call.
-	watchWait = 3 * time.Second
-	// watchGrace is how long after that the answer may come.
-	watchGrace = time.Second
+	// watchGrace is how long after the end of its wait the answer to a watch may come, 600 ms.
+	watchGrace = 600 * time.Millisecond
 	// followPause is the pause after a failed read or watch.
 	followPause = 150 * time.Millisecond
 )
@@ -23,6 +20,9 @@
 type Follower struct {
 	Store  Store
 	Prefix string
+	// Wait is how long a watch waits. A waiting watch counts as one call, and a connection that has gone silent is
+	// noticed at its end.
+	Wait time.Duration
 	// OnItems gets changes in order. A deleted item has the revision at which it was known to be gone.
 	OnItems func(items []Item)
 	// OnFault is called with the first error of a series, and with nil when the store answers again.
@@ -78,9 +78,9 @@
 }
 
 func (f *Follower) watch(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
+	ctx, cancel := context.WithTimeout(ctx, f.Wait+watchGrace)
 	defer cancel()
-	items, revision, err := f.Store.Watch(ctx, f.Prefix, f.after, watchWait)
+	items, revision, err := f.Store.Watch(ctx, f.Prefix, f.after, f.Wait)
 	if err != nil {
 		return err
 	}
--- a/internal/sequoiaregistry/registry_test.go
+++ b/internal/sequoiaregistry/registry_test.go
@@ -189,7 +189,7 @@
 		s := &seen{items: map[string]sequoiaregistry.Item{}}
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		follower := &sequoiaregistry.Follower{Store: f.store(), OnItems: s.take, OnFault: func(error) {}}
+		follower := &sequoiaregistry.Follower{Store: f.store(), Wait: 3 * time.Second, OnItems: s.take, OnFault: func(error) {}}
 		go follower.Run(ctx)
 		Eventually(s.keys).Should(ConsistOf("a", "b"))
 		f.locked(func() {
@@ -206,7 +206,7 @@
 		faults := make(chan error, 100)
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		follower := &sequoiaregistry.Follower{Store: f.store(), OnItems: s.take, OnFault: func(err error) { faults <- err }}
+		follower := &sequoiaregistry.Follower{Store: f.store(), Wait: 3 * time.Second, OnItems: s.take, OnFault: func(err error) { faults <- err }}
 		go follower.Run(ctx)
 		f.locked(func() { f.down = true })
 		Eventually(faults).Should(Receive(MatchError(errDown)))
