--- a/internal/sequoiakeyspace/table.go
+++ b/internal/sequoiakeyspace/table.go
@@ -173,6 +173,45 @@
 	return nil
 }
 
+// Change is one assignment, as it is proposed and as it is sent to other processes.
+type Change struct {
+	Service  string `json:"S"`
+	From     Key    `json:"A"`
+	To       Key    `json:"B"`
+	Holder   Holder `json:"H"`
+	Handover string `json:"O,omitempty"`
+	// Was is the fence that the keys have before the change. The change holds only if they still have it.
+	Was Fence `json:"W"`
+	// Fence is the new one, zero in a proposal.
+	Fence Fence `json:"F,omitempty"`
+}
+
+// Apply makes the changes whose keys still have the fence that they name, and returns those that were made, with their
+// new fences. Changes that have a fence already keep it, so that each process gets the same table from them.
+func (t *Table) Apply(changes []Change) []Change {
+	var made []Change
+	services := map[string]bool{}
+	for _, c := range changes {
+		r, ok := t.Find(c.Service, c.From)
+		if !ok || r.Fence != c.Was || !r.Contains(c.To) || c.To < c.From {
+			continue
+		}
+		if c.Fence > 0 {
+			t.Fence = max(t.Fence, c.Fence) - 1
+		}
+		if err := t.Assign(c.Service, c.From, c.To, c.Holder, c.Handover); err != nil {
+			continue
+		}
+		c.Fence = t.Fence
+		made = append(made, c)
+		services[c.Service] = true
+	}
+	for name := range services {
+		t.Join(name)
+	}
+	return made
+}
+
 // Join merges neighbours that have the same holder and fence, which are parts of one grant.
 func (t *Table) Join(service string) {
 	ranges := t.Services[service]
--- a/internal/sequoianode/balance.go
+++ b/internal/sequoianode/balance.go
@@ -1,8 +1,10 @@
 package sequoianode
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -21,11 +23,21 @@
 	settledTime = 3 * time.Second
 	// sampled is the number of other upstreams that an overloaded one compares itself with.
 	sampled = 4
-	// minUtilization is the utilization below which nothing is moved.
-	minUtilization = 0.25
-	// minDifference is the difference of utilization below which nothing is moved.
-	minDifference = 0.12
-	// moveShare is the part of half the difference that is moved at once, low to high.
+	// minUtilization is the utilization below which nothing is moved, except to an upstream that has next to no load.
+	// Requests hardly wait below it.
+	minUtilization = 0.45
+	// minDifference is the difference of utilization below which nothing is moved. Of an upstream with six slots the
+	// measured one varies by about half of that.
+	minDifference = 0.18
+	// idleUtilization is that of an upstream that has next to no load, as one that has just joined, and idleDifference
+	// the difference at which it gets keys.
+	idleUtilization = 0.08
+	idleDifference  = 0.12
+	// overloaded is the utilization from which keys are moved again although they have just come.
+	overloaded = 0.9
+	// fillTarget is the utilization up to which another upstream is given keys at once.
+	fillTarget = 0.7
+	// moveLow and moveHigh bound the load that is moved, as parts of the wanted one.
 	moveLow, moveHigh = 0.5, 1.1
 )
 
@@ -57,7 +69,7 @@
 	moving := n.core.Moves()
 	u := n.core.Upstream()
 	n.mu.Unlock()
-	if len(held) == 0 || moving > 0 || u.Leaving || u.Lost || own.Utilization < minUtilization || n.stopping.Load() {
+	if len(held) == 0 || moving > 0 || u.Leaving || u.Lost || own.Utilization < idleDifference || n.stopping.Load() {
 		return
 	}
 	if !b.running.CompareAndSwap(false, true) {
@@ -65,7 +77,7 @@
 	}
 	go func() {
 		defer b.running.Store(false)
-		b.offload(ctx, own, held)
+		b.offload(ctx, own)
 	}()
 }
 
@@ -87,8 +99,9 @@
 	}
 }
 
-// offload asks some other upstreams for their load and moves keys to the one with the least.
-func (b *balancer) offload(ctx context.Context, own loadReport, held []sequoiakeyspace.Range) {
+// offload asks some other upstreams for their load and moves keys to those with the least, to each as many as it has room
+// for: a burst on neighbouring keys may need several upstreams at once.
+func (b *balancer) offload(ctx context.Context, own loadReport) {
 	n := b.n
 	n.mu.Lock()
 	var others []sequoiaowner.Member
@@ -100,28 +113,52 @@
 	}
 	n.mu.Unlock()
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	best, found := loadReport{}, -1
-	for i, m := range others[:min(sampled, len(others))] {
-		r, ok := b.ask(ctx, m)
-		if ok && r.Open && (found < 0 || r.Utilization < best.Utilization) {
-			best, found = r, i
+	var asked []candidate
+	for _, m := range others[:min(sampled, len(others))] {
+		if r, ok := b.ask(ctx, m); ok && r.Open {
+			asked = append(asked, candidate{m, r})
 		}
 	}
-	if found < 0 || own.Utilization-best.Utilization < minDifference {
-		return
+	slices.SortFunc(asked, func(x, y candidate) int { return cmp.Compare(x.report.Utilization, y.report.Utilization) })
+	settled := settledTime
+	if own.Utilization > overloaded {
+		settled = 0
+	}
+	for _, c := range asked {
+		if !worthMoving(own.Utilization, c.report.Utilization) {
+			return
+		}
+		share := min((own.Utilization-c.report.Utilization)/2, max(fillTarget-c.report.Utilization, minDifference/2))
+		want := share * float64(own.Slots) * balanceInterval.Seconds() / (1 - meterDecay)
+		if b.move(c, want, own, settled) {
+			own.Utilization -= share
+		}
+	}
+}
+
+// candidate is an upstream that may get keys.
+type candidate struct {
+	member sequoiaowner.Member
+	report loadReport
+}
+
+// worthMoving reports whether keys should move from an upstream to another with less load.
+func worthMoving(own, other float64) bool {
+	if other < idleUtilization {
+		return own-other >= idleDifference
 	}
-	want := (own.Utilization - best.Utilization) / 2 * float64(own.Slots) * balanceInterval.Seconds() / (1 - meterDecay)
-	b.move(held, others[found], want, own, best)
+	return own >= minUtilization && own-other >= minDifference
 }
 
-// move begins the move of the fewest keys that have about the wanted load.
-func (b *balancer) move(held []sequoiakeyspace.Range, dest sequoiaowner.Member, want float64, own, other loadReport) {
+// move begins the move of the fewest keys that have about the wanted load. It reports whether it began.
+func (b *balancer) move(c candidate, want float64, own loadReport, settled time.Duration) bool {
 	n := b.n
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	now := sequoiatimer.BootTime()
 	best, found := sequoiakeyspace.Window{}, false
-	for _, r := range held {
-		if n.core.HeldFor(sequoiatimer.BootTime(), r) < settledTime {
+	for _, r := range n.core.HeldRanges() {
+		if n.core.HeldFor(now, r) < settled {
 			continue
 		}
 		w, ok := n.meter.Pick(r, want*moveLow, want*moveHigh)
@@ -129,11 +166,10 @@
 			best, found = w, true
 		}
 	}
-	if !found {
-		return
-	}
-	if n.core.BeginMove(sequoiatimer.BootTime(), best.From, best.To, dest, sequoiaowner.ReasonBalance) {
-		n.log.Event("keys move for balance", "From", best.From, "To", best.To, "Destination", dest.Instance,
-			"Utilization", own.Utilization, "Other", other.Utilization, "Load", best.Load, "Wanted", want)
+	if !found || !n.core.BeginMove(now, best.From, best.To, c.member, sequoiaowner.ReasonBalance) {
+		return false
 	}
+	n.log.Event("keys move for balance", "From", best.From, "To", best.To, "Destination", c.member.Instance,
+		"Utilization", own.Utilization, "Other", c.report.Utilization, "Load", best.Load, "Wanted", want)
+	return true
 }
--- a/internal/sequoianode/metrics.go
+++ b/internal/sequoianode/metrics.go
@@ -23,6 +23,7 @@
 	tableWrites   prometheus.Counter
 	storeFaults   prometheus.Counter
 	relayed       prometheus.Counter
+	messagesLost  prometheus.Counter
 }
 
 func newMetrics(n *Node) *metrics {
@@ -57,7 +58,10 @@
 	m.relayed = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "sequoia_store_relayed_total", Help: "Calls to the store that another process made.",
 	})
-	m.registry.MustRegister(m.relayed, m.requests, m.latency, m.cancelled, m.retries, m.retriesDenied, m.grants, m.tableWrites, m.storeFaults)
+	m.messagesLost = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "sequoia_table_messages_lost_total", Help: "Changes of the table that another process did not take.",
+	})
+	m.registry.MustRegister(m.relayed, m.messagesLost, m.requests, m.latency, m.cancelled, m.retries, m.retriesDenied, m.grants, m.tableWrites, m.storeFaults)
 	m.gauge("sequoia_running", "Requests at the local upstream.", func() float64 { return float64(n.load().Running) })
 	m.gauge("sequoia_waiting", "Requests that wait for the local upstream.", func() float64 { return float64(n.load().Waiting) })
 	m.gauge("sequoia_table_revision", "Revision of the table of keys.", func() float64 {
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -44,6 +44,10 @@
 	// what is watched by as much, and a configuration is to be in force within 5 s of that.
 	memberWait        = 6 * time.Second
 	configurationWait = 4 * time.Second
+	// memberPause is the pause after a change of the members, 8 ms for each of them, and maxMemberPause its bound. Each
+	// change costs a call of every member, so a large fleet collects more of them.
+	memberPause    = 8 * time.Millisecond
+	maxMemberPause = time.Second
 	// stepInterval is how often ownership is checked.
 	stepInterval = 50 * time.Millisecond
 	// orderTimeout bounds a grant; the upstream is on the same instance.
@@ -98,6 +102,9 @@
 	// endsAt is when a stopping process ends at the latest, in Unix nanoseconds.
 	endsAt atomic.Int64
 
+	// committing is held while changes of the table are written.
+	committing sync.Mutex
+
 	mu sync.Mutex
 	// The following are protected by mu.
 	core     *sequoiaowner.Core
@@ -107,6 +114,8 @@
 	leftAt   time.Time
 	changed  chan struct{}
 	warm     time.Time
+	// proposals wait for the next commit of the table.
+	proposals []proposal
 }
 
 // New returns a Node that has not started.
@@ -249,6 +258,7 @@
 	n.registration.Start(ctx)
 	members := &sequoiaregistry.Follower{
 		Store: n.store, Prefix: memberPrefix, Wait: memberWait, OnItems: n.onItems, OnFault: n.dependency("members"),
+		Pause: func() time.Duration { return min(maxMemberPause, time.Duration(n.memberCount())*memberPause) },
 	}
 	go members.Run(ctx)
 	configuration := &sequoiaregistry.Follower{
--- a/internal/sequoianode/orders.go
+++ b/internal/sequoianode/orders.go
@@ -5,11 +5,8 @@
 	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiahttp"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
-	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaregistry"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
 
@@ -83,42 +80,3 @@
 	n.log.Event("keys released", "From", r.Range.From, "To", r.Range.To, "Fence", r.Range.Fence, "Confirmed", confirmed, "Error", err)
 	n.step(ctx)
 }
-
-// write changes the table in the store. If the result is not known, the table is read and the change is made again
-// until it is: a write without an answer may still be carried out while the table has the revision that it names.
-func (n *Node) write(ctx context.Context, w *sequoiaowner.Write) {
-	revision, err := n.commit(ctx, w)
-	n.mu.Lock()
-	n.core.Written(sequoiatimer.BootTime(), w, revision, err == nil)
-	n.notify()
-	n.mu.Unlock()
-	n.metrics.tableWrites.Inc()
-	n.log.Event("table written", "Reason", w.Reason, "Base", w.Base, "Revision", revision, "Absent", w.Absent, "Error", err)
-	if err == nil {
-		n.sendTable(ctx, revision, w.Table, n.directory.instances())
-		n.step(ctx)
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	if err := n.readTable(ctx); err != nil {
-		n.log.Event("table not read", "Error", err)
-	}
-}
-
-func (n *Node) commit(ctx context.Context, w *sequoiaowner.Write) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	b, err := w.Table.Encode()
-	if err != nil {
-		return 0, err
-	}
-	change := sequoiaregistry.Change{
-		Expected: map[string]uint64{tableKey: w.Base}, Puts: []sequoiaregistry.Item{{Key: tableKey, Value: b}},
-	}
-	for _, instance := range w.Absent {
-		change.Expected[memberPrefix+instance] = 0
-	}
-	revision, err := n.store.Commit(ctx, change)
-	return revision, errors.Wrap(err, "write the table")
-}
--- a/internal/sequoianode/peer.go
+++ b/internal/sequoianode/peer.go
@@ -27,6 +27,10 @@
 	pathLoad = "/load"
 	// pathTable brings a table, with its revision as the key.
 	pathTable = "/table"
+	// pathDelta brings a change of the table, with the new revision as the key.
+	pathDelta = "/delta"
+	// pathPropose brings changes to the process that writes the table.
+	pathPropose = "/propose"
 	// pathFetch asks for the table.
 	pathFetch = "/fetch"
 	// pathPromise asks for the promise to take no keys over.
@@ -71,6 +75,13 @@
 	case req.Path == pathTable:
 		n.takePeerTable(req.Key, req.Body)
 		return answer(nil, nil)
+	case req.Path == pathDelta:
+		if !n.takeDelta(req.Key, req.Body) {
+			return n.notRun(reasonNotOwner, 0)
+		}
+		return answer(nil, nil)
+	case req.Path == pathPropose:
+		return n.servePropose(ctx, req)
 	case req.Path == pathPromise:
 		return n.promise()
 	case req.Path == pathFetch:
@@ -169,23 +180,29 @@
 	}
 }
 
-// sendTable brings the table to other processes. Nobody watches it in the store, where each change would cost a call of
-// every process; one that misses it learns from the next response that there is a newer one.
+// sendTable brings the whole table to other processes.
 func (n *Node) sendTable(ctx context.Context, revision uint64, t *sequoiakeyspace.Table, instances []string) {
 	body, err := t.Encode()
 	if err != nil {
 		n.log.Event("table not sent", "Error", err)
 		return
 	}
+	n.sendAll(ctx, instances, &sequoiarouter.Request{
+		Path: pathTable, Method: http.MethodPost, Key: strconv.FormatUint(revision, 10), Body: body,
+	})
+}
+
+// sendAll sends a message to other processes and waits for none. One that is lost is made up for by noteRevision.
+func (n *Node) sendAll(ctx context.Context, instances []string, req *sequoiarouter.Request) {
 	for _, instance := range instances {
 		addr, ok := n.directory.address(instance)
 		if !ok || instance == n.id.Instance {
 			continue
 		}
+		own := *req
 		go func() {
-			req := &sequoiarouter.Request{Path: pathTable, Method: http.MethodPost, Key: strconv.FormatUint(revision, 10), Body: body}
-			if _, err := n.message(ctx, addr, peerTimeout, req); err != nil {
-				n.log.Event("table not sent", "Instance", instance, "Revision", revision, "Error", err)
+			if _, err := n.message(ctx, addr, peerTimeout, &own); err != nil {
+				n.metrics.messagesLost.Inc()
 			}
 		}()
 	}
--- a/internal/sequoiaowner/core.go
+++ b/internal/sequoiaowner/core.go
@@ -122,13 +122,22 @@
 	ReasonTakeover = "Takeover"
 )
 
-// Write is a change of the table. It holds only if the table has the revision Base and the members named in Absent are
-// not registered.
+// Write is a change of the table. It holds only if the members named in Absent are not registered.
 type Write struct {
-	Table  *sequoiakeyspace.Table
-	Base   uint64
-	Absent []string
-	Reason string
+	// Changes are the proposed assignments. Spread, if set, gives all keys of a service to holders for the first time.
+	Changes []sequoiakeyspace.Change
+	Spread  string
+	Holders []sequoiakeyspace.Holder
+	Absent  []string
+	Reason  string
+}
+
+// Apply makes the write's changes to a table and returns those that still hold.
+func (w *Write) Apply(t *sequoiakeyspace.Table) []sequoiakeyspace.Change {
+	if w.Spread != "" && len(t.Services[w.Spread]) == 0 {
+		t.Spread(w.Spread, w.Holders)
+	}
+	return t.Apply(w.Changes)
 }
 
 // Actions are what the core wants done.
@@ -749,10 +758,9 @@
 	}
 }
 
-// writeMoves returns the table with the keys of all released moves at their new holders.
+// writeMoves returns the change that gives the keys of all released moves to their new holders.
 func (c *Core) writeMoves() *Write {
-	t := c.table.Clone()
-	reason := ""
+	w := &Write{}
 	for _, m := range c.moves {
 		if !m.released {
 			continue
@@ -765,16 +773,17 @@
 			}
 			to = others[int(m.part.From)%len(others)].Holder()
 		}
-		if err := t.Assign(c.service(), m.part.From, m.part.To, to, m.handover); err != nil {
-			continue
-		}
-		reason = m.reason
+		w.Changes = append(w.Changes, change(c.service(), m.part, to, m.handover))
+		w.Reason = m.reason
 	}
-	if reason == "" {
+	if len(w.Changes) == 0 {
 		return nil
 	}
-	t.Join(c.service())
-	return &Write{Table: t, Base: c.revision, Reason: reason}
+	return w
+}
+
+func change(service string, r sequoiakeyspace.Range, to sequoiakeyspace.Holder, handover string) sequoiakeyspace.Change {
+	return sequoiakeyspace.Change{Service: service, From: r.From, To: r.To, Holder: to, Handover: handover, Was: r.Fence}
 }
 
 // plan returns the change of the table that is due, if any.
@@ -798,22 +807,20 @@
 	if u.ID == "" || u.Lost || u.Leaving || c.stopping || !c.keyed[u.Service] {
 		return nil
 	}
-	t := c.table.Clone()
-	reason := ""
+	w := &Write{Reason: ReasonRestart}
 	for _, r := range c.table.Services[u.Service] {
 		if r.Holder.Instance == c.instance && r.Holder != c.holder() {
-			_ = t.Assign(u.Service, r.From, r.To, c.holder(), "")
-			reason = ReasonRestart
+			w.Changes = append(w.Changes, change(u.Service, r, c.holder(), ""))
 		}
 	}
-	if r := c.refused(); reason == "" && r != nil {
-		_ = t.Assign(u.Service, r.From, r.To, c.holder(), r.Handover)
-		reason = ReasonRefused
+	if r := c.refused(); len(w.Changes) == 0 && r != nil {
+		w.Changes = append(w.Changes, change(u.Service, *r, c.holder(), r.Handover))
+		w.Reason = ReasonRefused
 	}
-	if reason == "" {
+	if len(w.Changes) == 0 {
 		return nil
 	}
-	return &Write{Table: t, Base: c.revision, Reason: reason}
+	return w
 }
 
 // planSpread assigns the keys of a service that has no holders yet.
@@ -834,9 +841,7 @@
 		for _, m := range members {
 			holders = append(holders, m.Holder())
 		}
-		t := c.table.Clone()
-		t.Spread(service, holders)
-		return &Write{Table: t, Base: c.revision, Reason: ReasonSpread}
+		return &Write{Spread: service, Holders: holders, Reason: ReasonSpread}
 	}
 	return nil
 }
@@ -851,8 +856,7 @@
 		wait = maxAuthority
 	}
 	wait += takeoverMargin + c.delay()
-	t := c.table.Clone()
-	var lost []string
+	w := &Write{Reason: ReasonTakeover}
 	for _, instance := range slices.Sorted(maps.Keys(c.absent)) {
 		if now.Sub(c.absent[instance]) < wait && !c.replaced(instance) {
 			continue
@@ -867,17 +871,18 @@
 			}
 			for _, r := range ranges {
 				if r.Holder.Instance == instance {
-					c.divide(t, service, r, members)
-					lost = append(lost, instance)
+					w.Changes = append(w.Changes, divide(len(w.Changes), service, r, members)...)
+					w.Absent = append(w.Absent, instance)
 				}
 			}
 		}
 	}
-	if len(lost) == 0 {
+	if len(w.Changes) == 0 {
 		return nil
 	}
-	slices.Sort(lost)
-	return &Write{Table: t, Base: c.revision, Absent: slices.Compact(lost), Reason: ReasonTakeover}
+	slices.Sort(w.Absent)
+	w.Absent = slices.Compact(w.Absent)
+	return w
 }
 
 // replaced reports whether another instance has the address of one that is missing. The platform gives an address away
@@ -895,15 +900,17 @@
 // minPart is the smallest number of keys that a lost range is divided into.
 const minPart = 256
 
-// divide assigns a lost range in parts, so that its load does not fall on one upstream.
-func (c *Core) divide(t *sequoiakeyspace.Table, service string, r sequoiakeyspace.Range, members []Member) {
+// divide assigns a lost range in parts, so that its load does not fall on one upstream. first rotates the members.
+func divide(first int, service string, r sequoiakeyspace.Range, members []Member) []sequoiakeyspace.Change {
 	n := max(1, min(len(members), r.Size()/minPart))
+	var changes []sequoiakeyspace.Change
 	for i := range n {
-		from := int(r.From) + i*r.Size()/n
-		to := int(r.From) + (i+1)*r.Size()/n - 1
-		m := members[(int(t.Fence)+1)%len(members)]
-		_ = t.Assign(service, sequoiakeyspace.Key(from), sequoiakeyspace.Key(to), m.Holder(), "")
+		part := r
+		part.From = r.From + sequoiakeyspace.Key(i*r.Size()/n)
+		part.To = r.From + sequoiakeyspace.Key((i+1)*r.Size()/n-1)
+		changes = append(changes, change(service, part, members[(first+i)%len(members)].Holder(), ""))
 	}
+	return changes
 }
 
 // delay returns how long this process waits before a change that any other may make too.
@@ -912,15 +919,13 @@
 	return time.Duration(min(max(rank, 0), 8)) * rankDelay
 }
 
-// Written notes the end of a write. The result is known only if ok or conflict is true; otherwise the table must be
-// read, and the change be made again, before it is known whether it holds.
-func (c *Core) Written(now time.Time, w *Write, revision uint64, ok bool) {
+// Written notes the end of a write. After one that failed the table must be read, and the change be made again until it
+// is known to hold: a write without an answer may still be carried out.
+func (c *Core) Written(now time.Time, ok bool) {
 	c.writing = false
-	if ok {
-		c.SetTable(w.Table, revision)
-		return
+	if !ok {
+		c.nextWrite = now.Add(writeInterval)
 	}
-	c.nextWrite = now.Add(writeInterval)
 }
 
 func compare(a, b string) int {
--- a/internal/sequoiaowner/core_test.go
+++ b/internal/sequoiaowner/core_test.go
@@ -129,7 +129,7 @@
 }
 
 func (f *fleet) write(c *sequoiaowner.Core, w *sequoiaowner.Write, name string) {
-	ok := !f.cut[name] && w.Base == f.currentBase()
+	ok := !f.cut[name]
 	for _, instance := range w.Absent {
 		if _, registered := f.members[instance]; registered {
 			ok = false
@@ -137,13 +137,13 @@
 	}
 	if ok {
 		f.rev++
-		f.table = w.Table
+		f.table = f.table.Clone()
+		w.Apply(f.table)
+		c.SetTable(f.table, f.rev)
 	}
-	c.Written(f.now, w, f.rev, ok)
+	c.Written(f.now, ok)
 }
 
-func (f *fleet) currentBase() uint64 { return f.rev }
-
 // holders returns the instances whose upstreams hold the key now.
 func (f *fleet) holders(key sequoiakeyspace.Key) []string {
 	var names []string
--- a/internal/sequoiaregistry/follow.go
+++ b/internal/sequoiaregistry/follow.go
@@ -23,6 +23,9 @@
 	// Wait is how long a watch waits. A waiting watch counts as one call, and a connection that has gone silent is
 	// noticed at its end.
 	Wait time.Duration
+	// Pause, if set, returns how long the follower waits after changes before it watches again, so that many changes at
+	// about the same time cost one call.
+	Pause func() time.Duration
 	// OnItems gets changes in order. A deleted item has the revision at which it was known to be gone.
 	OnItems func(items []Item)
 	// OnFault is called with the first error of a series, and with nil when the store answers again.
@@ -77,8 +80,8 @@
 	return nil
 }
 
-func (f *Follower) watch(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.Wait+watchGrace)
+func (f *Follower) watch(parent context.Context) error {
+	ctx, cancel := context.WithTimeout(parent, f.Wait+watchGrace)
 	defer cancel()
 	items, revision, err := f.Store.Watch(ctx, f.Prefix, f.after, f.Wait)
 	if err != nil {
@@ -92,8 +95,12 @@
 		}
 	}
 	f.after = max(f.after, revision)
-	if len(items) > 0 {
-		f.OnItems(items)
+	if len(items) == 0 {
+		return nil
+	}
+	f.OnItems(items)
+	if f.Pause != nil {
+		_ = sequoiatimer.Sleep(parent, f.Pause())
 	}
 	return nil
 }
