Take only failed connections as evidence against a process

Ruled out: the store (promises were refused because it answered others), the queue (Busy came from the load that had moved). Now only a lost or silent connection or a failed connect counts.

--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -286,13 +286,22 @@
 		return resp
 	}
 	n.directory.end(instance, nil)
-	if ctx.Err() == nil && n.directory.unreachable(instance) {
-		n.log.Event("process unreachable", "Instance", instance, "RequestID", req.RequestID, "Error", err)
+	if ctx.Err() == nil && showsUnreachable(err, time.Until(req.Deadline)) && n.directory.unreachable(instance) {
+		n.log.Event("process unreachable", "Member", instance, "RequestID", req.RequestID, "Error", err)
 		go n.probe(instance, addr)
 	}
 	return forwardFailed(ctx, err)
 }
 
+// showsUnreachable reports whether a failed request is evidence that the process does not answer. One whose own time ran
+// out is not: the upstream may be slow.
+func showsUnreachable(err error, remaining time.Duration) bool {
+	if errors.Is(err, sequoiapeer.ErrSilent) || errors.Is(err, sequoiapeer.ErrConnectionLost) {
+		return true
+	}
+	return errors.Is(err, sequoiapeer.ErrNotSent) && remaining > 0
+}
+
 func unreachable() *sequoiarouter.Response {
 	return &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonUnreachable, RetryAfter: ownerRetry}
 }
@@ -303,10 +312,10 @@
 	switch {
 	case errors.Is(err, sequoiapeer.ErrNotSent):
 		return unreachable()
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		reason = reasonDeadline
-	case ctx.Err() != nil:
+	case errors.Is(ctx.Err(), context.Canceled):
 		reason = reasonCancelled
+	case errors.Is(err, context.DeadlineExceeded):
+		reason = reasonDeadline
 	}
 	return &sequoiarouter.Response{Outcome: sequoiarouter.Unknown, Reason: reason}
 }
@@ -317,7 +326,7 @@
 	for time.Since(began) < maxUnreachable {
 		_ = sequoiatimer.Sleep(context.Background(), probeInterval)
 		if _, ok := n.balancer.ask(context.Background(), sequoiaowner.Member{Instance: instance, Address: addr}); ok {
-			n.log.Event("process reached again", "Instance", instance, "After", time.Since(began).Milliseconds())
+			n.log.Event("process reached again", "Member", instance, "After", time.Since(began).Milliseconds())
 			break
 		}
 	}
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -375,12 +375,12 @@
 	instance := strings.TrimPrefix(it.Key, memberPrefix)
 	if it.Deleted {
 		n.core.RemoveMember(now, instance, it.Revision)
-		n.log.Event("member gone", "Instance", instance, "Revision", it.Revision)
+		n.log.Event("member gone", "Member", instance, "Revision", it.Revision)
 		return instance == n.id.Instance
 	}
 	var m sequoiaowner.Member
 	if err := json.Unmarshal(it.Value, &m); err != nil || m.Instance != instance {
-		n.log.Event("member rejected", "Instance", instance, "Revision", it.Revision, "Error", err)
+		n.log.Event("member rejected", "Member", instance, "Revision", it.Revision, "Error", err)
 		return false
 	}
 	m.Revision, m.Lease = it.Revision, it.Lease
--- a/internal/sequoianode/peer.go
+++ b/internal/sequoianode/peer.go
@@ -230,7 +230,7 @@
 	}
 	resp, err := n.message(ctx, addr, peerTimeout, &sequoiarouter.Request{Path: pathFetch, Method: http.MethodGet})
 	if err != nil {
-		n.log.Event("table not fetched", "Instance", instance, "Error", err)
+		n.log.Event("table not fetched", "Member", instance, "Error", err)
 		return
 	}
 	n.setPeerTable(resp.LogIndex, resp.Body)
@@ -243,7 +243,7 @@
 	}
 	var r loadReport
 	if err := json.Unmarshal(resp.Body, &r); err != nil {
-		b.n.log.Event("load report rejected", "Instance", m.Instance, "Error", err)
+		b.n.log.Event("load report rejected", "Member", m.Instance, "Error", err)
 		return loadReport{}, false
 	}
 	return r, true
