--- a/internal/sequoiaadmission/load_test.go
+++ b/internal/sequoiaadmission/load_test.go
@@ -52,6 +52,8 @@
 func play(q *sequoiaadmission.Queue, classes []class, d time.Duration, seed uint64) map[string]outcome {
 	random := rand.New(rand.NewPCG(seed, 1))
 	start := time.Unix(0, 0)
+	// clock is the time of the event that is being played: a ticket may start long after it has entered.
+	clock := start
 	var queue events
 	results := map[string]outcome{}
 	add := func(name string, f func(o *outcome)) {
@@ -62,15 +64,14 @@
 	var enter func(c class, first time.Time, again bool) func(now time.Time)
 	enter = func(c class, first time.Time, again bool) func(now time.Time) {
 		return func(now time.Time) {
-			var t *sequoiaadmission.Ticket
-			t = &sequoiaadmission.Ticket{
+			t := &sequoiaadmission.Ticket{
 				Class: c.name, Priority: c.priority, Arrived: now, Objective: now.Add(c.aim), Deadline: first.Add(c.deadline),
 			}
 			if t.Objective.After(t.Deadline) {
 				t.Objective = t.Deadline
 			}
 			t.Start = func(reason string, retryAfter time.Duration) {
-				at := later(now, t, &queue)
+				at := clock
 				if reason != "" {
 					left := t.Deadline.Sub(at)
 					if !again && left > 0 {
@@ -122,11 +123,6 @@
 	return results
 }
 
-// clock is the time of the event that is being played: a ticket may start long after it has entered.
-var clock time.Time
-
-func later(_ time.Time, _ *sequoiaadmission.Ticket, _ *events) time.Time { return clock }
-
 // total returns the value that all callers got over what they were owed.
 func total(results map[string]outcome) float64 {
 	value, owed := 0.0, 0.0
--- a/internal/sequoianode/client_test.go
+++ b/internal/sequoianode/client_test.go
@@ -156,5 +156,4 @@
 		ginkgo.Entry("may have run", sequoiarouter.Response{Outcome: sequoiarouter.Unknown, Reason: reasonConnectionLost}, 502),
 		ginkgo.Entry("ran out of time", sequoiarouter.Response{Outcome: sequoiarouter.Unknown, Reason: reasonDeadline}, 504),
 	)
-
 })
--- /dev/null
+++ b/internal/sequoiaowner/authority.go
@@ -0,0 +1,52 @@
+package sequoiaowner
+
+import (
+	"time"
+)
+
+// Prove notes that the store answered a call sent at the given time, which shows that this process's entry exists.
+func (c *Core) Prove(sent time.Time) {
+	c.verified = true
+	if sent.After(c.proof) {
+		c.proof = sent
+	}
+}
+
+// Doubt notes that the entry of this process may be gone although a lease was renewed, as after a failed call.
+func (c *Core) Doubt() { c.verified = false }
+
+// Verified reports whether the entry of this process is known to exist since the last failed call.
+func (c *Core) Verified() bool { return c.verified }
+
+// AuthorityUntil returns the time at which all grants end without another proof.
+func (c *Core) AuthorityUntil() time.Time {
+	if c.proof.IsZero() {
+		return time.Time{}
+	}
+	end := latest(c.proof.Add(c.authority), c.extended)
+	if limit := c.proof.Add(maxAuthority); end.After(limit) {
+		return limit
+	}
+	return end
+}
+
+// NeedsPromises reports whether the process has keys and has not reached the store for a while, so that it should ask
+// the other members for their promises.
+func (c *Core) NeedsPromises(now time.Time) bool {
+	age := now.Sub(c.proof)
+	return !c.proof.IsZero() && age > promiseAfter && age < maxAuthority && len(c.HeldRanges()) > 0
+}
+
+// Promise returns true if this process does not reach the store either. It then takes no keys over for PromiseTime.
+func (c *Core) Promise(now time.Time) bool {
+	if now.Sub(c.proof) < promiseAfter || c.writing {
+		return false
+	}
+	c.promised = now.Add(PromiseTime + takeoverMargin)
+	return true
+}
+
+// Extend notes that all other members have promised, when asked at the given time.
+func (c *Core) Extend(asked time.Time) {
+	c.extended = latest(c.extended, asked.Add(PromiseTime))
+}
