--- a/internal/sequoiafront/front.go
+++ b/internal/sequoiafront/front.go
@@ -54,15 +54,17 @@
 // InProgress returns the number of requests in progress.
 func (f *Front) InProgress() int { return int(f.inProgress.Load()) }
 
-// Close stops all listeners.
+// Close stops all listeners, within shutdownTime.
 func (f *Front) Close() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
+	defer cancel()
+	var all sync.WaitGroup
 	for _, e := range f.engines {
-		ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
-		_ = e.Shutdown(ctx)
-		cancel()
+		all.Go(func() { _ = e.Shutdown(ctx) })
 	}
+	all.Wait()
 	f.engines = nil
 }
 
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -64,8 +64,11 @@
 	// stopSettle is how long a stopping process rejects requests before it ends, 100 ms: those that are on their way are
 	// answered, and the answers are written.
 	stopSettle = 100 * time.Millisecond
-	// stopMargin is how long before the end of the grace the process ends by itself.
-	stopMargin = 700 * time.Millisecond
+	// stopMargin is how long before the end of the grace the process begins to end by itself, 1.2 s: it rejects requests
+	// for a moment, ends its lease and closes its listeners before it would be killed.
+	stopMargin = 1200 * time.Millisecond
+	// endTimeout bounds the end of the lease, 300 ms; a lease that is not ended runs out.
+	endTimeout = 300 * time.Millisecond
 	// maxBody bounds the body of a request that this process buffers, in bytes.
 	maxBody = 64 << 20
 	// secretBytes is the length of the secret that processes authenticate with.
@@ -429,7 +432,7 @@
 		_ = sequoiatimer.Sleep(ctx, stepInterval/5)
 	}
 	if !n.restarts() {
-		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		ctx, cancel := context.WithTimeout(ctx, endTimeout)
 		defer cancel()
 		if err := n.registration.End(ctx); err != nil {
 			n.log.Event("lease not ended", "Error", err)
