--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -73,27 +73,32 @@
 	}
 }
 
+// rejected is the end of a request that no upstream has had.
+func rejected(reason string, retryAfter time.Duration) *sequoiarouter.Response {
+	return &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reason, RetryAfter: retryAfter}
+}
+
 // serveClient carries out a client's request.
 func (n *Node) serveClient(w http.ResponseWriter, r *http.Request) {
 	began := time.Now()
 	cfg := n.config.Load()
 	if cfg == nil {
-		n.finish(w, r, nil, &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonNoConfiguration, RetryAfter: startRetry}, began)
+		n.finish(w, r, nil, rejected(reasonNoConfiguration, startRetry), began)
 		return
 	}
 	route, ok := cfg.Find(r.Host, r.RequestURI)
 	if !ok {
-		n.finish(w, r, nil, &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonNoRoute}, began)
+		n.finish(w, r, nil, rejected(reasonNoRoute, 0), began)
 		return
 	}
 	req, attrs, err := n.readRequest(r, cfg, route, began)
 	if err != nil {
 		n.log.Event("request rejected", "Host", r.Host, "Path", r.URL.Path, "Error", err)
-		n.finish(w, r, nil, &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonBadRequest}, began)
+		n.finish(w, r, nil, rejected(reasonBadRequest, 0), began)
 		return
 	}
 	if n.outlives(req.Deadline) {
-		n.finish(w, r, req, &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonStopping, RetryAfter: startRetry}, began)
+		n.finish(w, r, req, rejected(reasonStopping, startRetry), began)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
@@ -155,7 +160,7 @@
 	n.retries.begin(req.Service, n.memberCount())
 	a := &attempt{tried: map[string]bool{}}
 	if keyed && !attrs.HasKey {
-		return &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonBadRequest}
+		return rejected(reasonBadRequest, 0)
 	}
 	for hop := range maxHops {
 		var resp *sequoiarouter.Response
@@ -193,7 +198,7 @@
 func (a *attempt) result(ctx context.Context, req *sequoiarouter.Request) *sequoiarouter.Response {
 	req.Target, req.Attempts = a.instance, a.hops
 	if a.last == nil {
-		return &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonNoUpstream, RetryAfter: ownerRetry}
+		return rejected(reasonNoUpstream, ownerRetry)
 	}
 	if a.last.Outcome == sequoiarouter.NotRun && ctx.Err() != nil {
 		a.last.Reason = reasonDeadline
@@ -203,7 +208,8 @@
 
 // again reports whether the request is offered once more. One that may have run is repeated only if it is idempotent.
 func (n *Node) again(
-	ctx context.Context, req *sequoiarouter.Request, route *sequoiaroute.Route, keyed bool, resp *sequoiarouter.Response, a *attempt,
+	ctx context.Context, req *sequoiarouter.Request, route *sequoiaroute.Route, keyed bool,
+	resp *sequoiarouter.Response, a *attempt,
 ) bool {
 	if ctx.Err() != nil || time.Until(req.Deadline) < minRemaining {
 		return false
@@ -250,7 +256,7 @@
 	}
 	n.mu.Unlock()
 	if holder.Zero() {
-		return &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonNoOwner, RetryAfter: ownerRetry}
+		return rejected(reasonNoOwner, ownerRetry)
 	}
 	a.instance = holder.Instance
 	return n.send(ctx, req, holder.Instance)
@@ -277,7 +283,7 @@
 	addr, ok := n.directory.address(instance)
 	if !ok {
 		n.directory.end(instance, nil)
-		return unreachable()
+		return rejected(reasonUnreachable, ownerRetry)
 	}
 	resp, err := n.forwarder.Forward(ctx, addr, req)
 	if err == nil {
@@ -302,16 +308,12 @@
 	return errors.Is(err, sequoiapeer.ErrNotSent) && remaining > 0
 }
 
-func unreachable() *sequoiarouter.Response {
-	return &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonUnreachable, RetryAfter: ownerRetry}
-}
-
 // forwardFailed judges a request that another process has not answered.
 func forwardFailed(ctx context.Context, err error) *sequoiarouter.Response {
 	reason := reasonConnectionLost
 	switch {
 	case errors.Is(err, sequoiapeer.ErrNotSent):
-		return unreachable()
+		return rejected(reasonUnreachable, ownerRetry)
 	case errors.Is(ctx.Err(), context.Canceled):
 		reason = reasonCancelled
 	case errors.Is(err, context.DeadlineExceeded):
@@ -356,7 +358,9 @@
 }
 
 // finish writes the response to the client and logs the request's end. req is nil if the request could not be read.
-func (n *Node) finish(w http.ResponseWriter, r *http.Request, req *sequoiarouter.Request, resp *sequoiarouter.Response, began time.Time) {
+func (n *Node) finish(
+	w http.ResponseWriter, r *http.Request, req *sequoiarouter.Request, resp *sequoiarouter.Response, began time.Time,
+) {
 	status, body := resp.Status, resp.Body
 	h := w.Header()
 	if resp.Outcome == sequoiarouter.Answered {
@@ -380,7 +384,9 @@
 }
 
 // record counts and logs the end of a client's request.
-func (n *Node) record(r *http.Request, req *sequoiarouter.Request, resp *sequoiarouter.Response, status int, took time.Duration) {
+func (n *Node) record(
+	r *http.Request, req *sequoiarouter.Request, resp *sequoiarouter.Response, status int, took time.Duration,
+) {
 	n.metrics.request(resp, status, took)
 	fields := []any{"Outcome", resp.Outcome, "Status", status, "Reason", resp.Reason, "Milliseconds", took.Milliseconds()}
 	if req != nil {
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -428,7 +428,8 @@
 	}
 	// From here on new requests are rejected, so that none begins between the last look and the end.
 	n.endsAt.Store(0)
-	for settled := time.Now().Add(stopSettle); time.Now().Before(limit) && (time.Now().Before(settled) || n.front.InProgress() > 0); {
+	settled := time.Now().Add(stopSettle)
+	for time.Now().Before(limit) && (time.Now().Before(settled) || n.front.InProgress() > 0) {
 		_ = sequoiatimer.Sleep(ctx, stepInterval/5)
 	}
 	if !n.restarts() {
--- a/internal/sequoianode/orders.go
+++ b/internal/sequoianode/orders.go
@@ -37,7 +37,9 @@
 }
 
 // order sends an order to the upstream.
-func (n *Node) order(ctx context.Context, timeout time.Duration, req *sequoiahttp.Request, err error) (*sequoiahttp.Response, error) {
+func (n *Node) order(
+	ctx context.Context, timeout time.Duration, req *sequoiahttp.Request, err error,
+) (*sequoiahttp.Response, error) {
 	if err != nil {
 		return nil, err
 	}
@@ -59,7 +61,8 @@
 	n.metrics.grants.Inc()
 	switch {
 	case !confirmed:
-		n.log.Event("grant not confirmed", "From", g.Range.From, "To", g.Range.To, "Fence", g.Range.Fence, "Fenced", fenced, "Error", err)
+		n.log.Event("grant not confirmed", "From", g.Range.From, "To", g.Range.To, "Fence", g.Range.Fence,
+			"Fenced", fenced, "Error", err)
 	case !held:
 		n.log.Event("keys granted", "From", g.Range.From, "To", g.Range.To, "Fence", g.Range.Fence,
 			"HoldMilliseconds", g.Hold.Milliseconds(), "Handover", g.Range.Handover != "", "Before", had)
@@ -77,6 +80,7 @@
 	n.mu.Lock()
 	n.core.Released(sequoiatimer.BootTime(), r, handover, confirmed)
 	n.mu.Unlock()
-	n.log.Event("keys released", "From", r.Range.From, "To", r.Range.To, "Fence", r.Range.Fence, "Confirmed", confirmed, "Error", err)
+	n.log.Event("keys released", "From", r.Range.From, "To", r.Range.To, "Fence", r.Range.Fence,
+		"Confirmed", confirmed, "Error", err)
 	n.step(ctx)
 }
