Keep the front's test from using up ports of other tests

The new test of the front opened tens of thousands of connections from 127.0.0.1, whose ports collide with those that fleets bind again. The fleet also no longer hides the cause behind the panic.

--- a/internal/sequoiafleet/fleet.go
+++ b/internal/sequoiafleet/fleet.go
@@ -206,7 +206,9 @@
 func (n *Node) Kill() {
 	var closing sync.WaitGroup
 	// One after the other, the one closed last would go on serving while the first closes its listeners.
-	closing.Go(n.Process.Close)
+	if n.Process != nil {
+		closing.Go(n.Process.Close)
+	}
 	closing.Go(n.Upstream.Close)
 	closing.Wait()
 	n.store.Close()
--- a/internal/sequoiafront/front_test.go
+++ b/internal/sequoiafront/front_test.go
@@ -22,17 +22,32 @@
 	ginkgo.RunSpecs(t, "Front")
 }
 
+// Addresses of this package's tests. Many short connections use up ports, which tests of other packages that bind ports
+// of 127.0.0.1 again would then find in use.
+const (
+	serverAddress = "127.0.2.1:0"
+	clientAddress = "127.0.2.2"
+	// leavePause is the time between two connections of a client that leaves at once.
+	leavePause = time.Millisecond
+)
+
+// connect opens a connection from the clients' address.
+func connect(addr netip.AddrPort) (net.Conn, error) {
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(clientAddress)}}
+	return d.Dial("tcp", addr.String())
+}
+
 // listen starts a front that ends with the test.
 func listen(h http.HandlerFunc) netip.AddrPort {
 	f := sequoiafront.New(1 << 20)
 	ginkgo.DeferCleanup(f.Close)
-	addr, err := f.Listen(netip.MustParseAddrPort("127.0.0.1:0"), h)
+	addr, err := f.Listen(netip.MustParseAddrPort(serverAddress), h)
 	Expect(err).NotTo(HaveOccurred())
 	return addr
 }
 
 func dial(addr netip.AddrPort) net.Conn {
-	c, err := net.Dial("tcp", addr.String())
+	c, err := connect(addr)
 	Expect(err).NotTo(HaveOccurred())
 	ginkgo.DeferCleanup(func() { _ = c.Close() })
 	Expect(c.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
@@ -57,10 +72,11 @@
 						return
 					default:
 					}
-					if c, err := net.Dial("tcp", addr.String()); err == nil {
+					if c, err := connect(addr); err == nil {
 						_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 						_ = c.Close()
 					}
+					time.Sleep(leavePause)
 				}
 			})
 		}
@@ -114,7 +130,7 @@
 
 // ask sends one request on a new connection and reads the whole response.
 func ask(addr netip.AddrPort) error {
-	c, err := net.Dial("tcp", addr.String())
+	c, err := connect(addr)
 	if err != nil {
 		return err
 	}
