Say once what the ownership core and the node said several times

One freshness check, one loop over the grants of a range, one list of members that may get keys, one test of an upstream's use, one read of the table and one bound of a store call serve the places that had their own. Removed: options and an entry's lease that nothing used, a branch for a deleted table that no caller reaches, an unused parameter. No change of behaviour.

--- a/internal/sequoianode/balance.go
+++ b/internal/sequoianode/balance.go
@@ -67,9 +67,9 @@
 	n.meter.Decay(meterDecay)
 	held := n.core.HeldRanges()
 	moving := n.core.Moves()
-	u := n.core.Upstream()
+	usable := n.core.Upstream().Usable()
 	n.mu.Unlock()
-	if len(held) == 0 || moving > 0 || u.Leaving || u.Lost || own.Utilization < idleDifference || n.stopping.Load() {
+	if len(held) == 0 || moving > 0 || !usable || own.Utilization < idleDifference || n.stopping.Load() {
 		return
 	}
 	if !b.running.CompareAndSwap(false, true) {
@@ -85,17 +85,17 @@
 func (n *Node) report() loadReport {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	u := n.core.Upstream()
+	held := n.core.HeldRanges()
 	work := 0.0
-	for _, r := range n.core.HeldRanges() {
+	for _, r := range held {
 		work += n.meter.Sum(r.From, r.To)
 	}
 	// A load that decays by f at each interval and grows at a constant rate settles at rate*interval/(1-f).
 	rate := work * (1 - meterDecay) / balanceInterval.Seconds()
 	return loadReport{
 		Utilization: rate / float64(n.queue.Slots()), Slots: n.queue.Slots(),
-		Open: u.ID != "" && !u.Leaving && !u.Lost && !n.stopping.Load() && time.Now().After(n.warm) &&
-			n.core.Verified() && len(n.core.HeldRanges()) < sequoiaowner.MaxRanges,
+		Open: n.core.Upstream().Usable() && !n.stopping.Load() && time.Now().After(n.warm) &&
+			n.core.Verified() && len(held) < sequoiaowner.MaxRanges,
 	}
 }
 
--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -247,14 +247,12 @@
 func (n *Node) sendToOwner(
 	ctx context.Context, req *sequoiarouter.Request, key sequoiakeyspace.Key, a *attempt,
 ) *sequoiarouter.Response {
-	n.mu.Lock()
-	t, _ := n.core.Table()
+	t, _ := n.table()
 	var holder sequoiakeyspace.Holder
 	if t != nil {
 		r, _ := t.Find(req.Service, key)
 		holder = r.Holder
 	}
-	n.mu.Unlock()
 	if holder.Zero() {
 		return rejected(reasonNoOwner, ownerRetry)
 	}
@@ -338,9 +336,7 @@
 // newerTable gets a table that is at least as new as that of the process that refused the request for its key. The one
 // with the older table may be this process or the other. It reports whether the request may be sent again.
 func (n *Node) newerTable(ctx context.Context, instance string, revision uint64) bool {
-	n.mu.Lock()
-	t, known := n.core.Table()
-	n.mu.Unlock()
+	t, known := n.table()
 	switch {
 	case known < revision:
 		n.fetchTable(ctx, instance)
--- a/internal/sequoianode/commit.go
+++ b/internal/sequoianode/commit.go
@@ -57,7 +57,7 @@
 		n.step(ctx)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, sequoiaregistry.CallTimeout)
 	defer cancel()
 	if err := n.readTable(ctx); err != nil {
 		n.log.Event("table not read", "Error", err)
@@ -165,9 +165,7 @@
 }
 
 func (n *Node) commitOnce(proposals []proposal) error {
-	n.mu.Lock()
-	t, base := n.core.Table()
-	n.mu.Unlock()
+	t, base := n.table()
 	if t == nil {
 		return errors.WithStack(errNotWritten)
 	}
@@ -190,7 +188,7 @@
 		return err
 	}
 	change.Puts = []sequoiaregistry.Item{{Key: tableKey, Value: b}}
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), sequoiaregistry.CallTimeout)
 	defer cancel()
 	revision, err := n.store.Commit(ctx, change)
 	n.metrics.tableWrites.Inc()
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -54,8 +54,6 @@
 	orderTimeout = 600 * time.Millisecond
 	// releaseTimeout bounds a release, which is answered when running requests on the keys have ended.
 	releaseTimeout = 1500 * time.Millisecond
-	// storeTimeout bounds one call to the store.
-	storeTimeout = 800 * time.Millisecond
 	// startPause is the pause between attempts to read the secret.
 	startPause = 200 * time.Millisecond
 	// stopNotice is how long a stopping process goes on for the clients, who learn from two readiness checks, one a
@@ -227,7 +225,7 @@
 }
 
 func (n *Node) readSecret(ctx context.Context) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, sequoiaregistry.CallTimeout)
 	defer cancel()
 	it, err := n.store.Get(ctx, secretKey)
 	if !errors.Is(err, sequoiaregistry.ErrNotFound) {
@@ -288,6 +286,13 @@
 	f(n.core)
 }
 
+// table returns the table and its revision; the table is nil until one has been read.
+func (n *Node) table() (*sequoiakeyspace.Table, uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.core.Table()
+}
+
 func (n *Node) memberValue() []byte {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -335,10 +340,6 @@
 }
 
 func (n *Node) takeTable(it sequoiaregistry.Item) {
-	if it.Deleted {
-		n.log.Event("table deleted in the store", "Revision", it.Revision)
-		return
-	}
 	t, err := sequoiakeyspace.Decode(it.Value)
 	if err != nil {
 		n.log.Event("table rejected", "Revision", it.Revision, "Error", err)
@@ -386,7 +387,7 @@
 		n.log.Event("member rejected", "Member", instance, "Revision", it.Revision, "Error", err)
 		return false
 	}
-	m.Revision, m.Lease = it.Revision, it.Lease
+	m.Revision = it.Revision
 	n.core.SetMember(now, m)
 	own := n.member()
 	return instance == n.id.Instance && (m.Process != own.Process || m.Upstream != own.Upstream)
@@ -451,8 +452,7 @@
 func (n *Node) restarts() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	u := n.core.Upstream()
-	return u.ID != "" && !u.Lost && !u.Leaving
+	return n.core.Upstream().Usable()
 }
 
 // mustHandOver reports whether keys of the local upstream wait for new holders.
--- a/internal/sequoianode/peer.go
+++ b/internal/sequoianode/peer.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -86,7 +87,7 @@
 		return n.promise()
 	case req.Path == pathFetch:
 		return n.tableAnswer()
-	case len(req.Path) > len(pathStore) && req.Path[:len(pathStore)] == pathStore:
+	case strings.HasPrefix(req.Path, pathStore+"/"):
 		return n.relay.serve(ctx, req)
 	}
 	return n.notRun(reasonBadRequest, 0)
@@ -139,15 +140,13 @@
 
 func answer(body []byte, err error) *sequoiarouter.Response {
 	if err != nil {
-		return &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonBadRequest}
+		return rejected(reasonBadRequest, 0)
 	}
 	return &sequoiarouter.Response{Outcome: sequoiarouter.Answered, Status: http.StatusOK, Body: body}
 }
 
 func (n *Node) tableAnswer() *sequoiarouter.Response {
-	n.mu.Lock()
-	t, revision := n.core.Table()
-	n.mu.Unlock()
+	t, revision := n.table()
 	if t == nil {
 		return n.notRun(reasonNoOwner, 0)
 	}
@@ -210,9 +209,7 @@
 
 // noteRevision fetches the table of a process whose response shows that it has a newer one.
 func (n *Node) noteRevision(instance string, revision uint64) {
-	n.mu.Lock()
-	_, known := n.core.Table()
-	n.mu.Unlock()
+	_, known := n.table()
 	if revision <= known || !n.fetching.CompareAndSwap(false, true) {
 		return
 	}
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -15,6 +15,7 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiafront"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiahttp"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
@@ -63,7 +64,7 @@
 		n.meterRejected(req, key, reason)
 		return n.notRun(reason, retryAfter)
 	}
-	resp := n.callUpstream(ctx, req, key)
+	resp := n.callUpstream(ctx, req)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	took := n.queue.Done(time.Now(), t, resp.Outcome == sequoiarouter.Answered)
@@ -170,13 +171,13 @@
 }
 
 // callUpstream sends the request to the local upstream and judges the response.
-func (n *Node) callUpstream(ctx context.Context, req *sequoiarouter.Request, key sequoiakeyspace.Key) *sequoiarouter.Response {
+func (n *Node) callUpstream(ctx context.Context, req *sequoiarouter.Request) *sequoiarouter.Response {
 	n.mu.Lock()
 	u := n.core.Upstream()
 	n.mu.Unlock()
 	remaining := time.Until(req.Deadline)
 	if remaining <= 0 {
-		return &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonDeadline}
+		return rejected(reasonDeadline, 0)
 	}
 	h := http.Header(maps.Clone(req.Header))
 	if _, ok := h["User-Agent"]; !ok {
@@ -197,12 +198,12 @@
 	if err != nil {
 		return n.upstreamFailed(ctx, req, err)
 	}
-	n.withCoreAlive()
+	n.withCore(func(c *sequoiaowner.Core) { c.Alive(sequoiatimer.BootTime()) })
 	v := n.dialect.ReadResponse(resp.Status, resp.Header)
 	switch {
 	case v.NotRun || v.WrongUpstream:
 		n.log.Event("upstream refused a request", "RequestID", req.RequestID, "Status", resp.Status, "Key", req.Key)
-		return &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonUpstreamRefused, RetryAfter: ownerRetry}
+		return rejected(reasonUpstreamRefused, ownerRetry)
 	case !v.Signed && resp.Status < http.StatusMultipleChoices:
 		n.log.Event("upstream's response has no signature", "RequestID", req.RequestID, "Status", resp.Status)
 		return &sequoiarouter.Response{Outcome: sequoiarouter.Unknown, Reason: reasonUpstreamFailed}
@@ -215,14 +216,12 @@
 	if ctx.Err() == nil {
 		n.log.Event("upstream failed", "RequestID", req.RequestID, "NotSent", sequoiahttp.NotSent(err), "Error", err)
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			n.mu.Lock()
-			n.core.UpstreamLost()
-			n.mu.Unlock()
+			n.withCore(func(c *sequoiaowner.Core) { c.UpstreamLost() })
 			n.memberChanged()
 		}
 	}
 	if sequoiahttp.NotSent(err) {
-		return &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonUnreachable, RetryAfter: ownerRetry}
+		return rejected(reasonUnreachable, ownerRetry)
 	}
 	reason := reasonConnectionLost
 	switch {
@@ -234,12 +233,6 @@
 	return &sequoiarouter.Response{Outcome: sequoiarouter.Unknown, Reason: reason}
 }
 
-func (n *Node) withCoreAlive() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.core.Alive(sequoiatimer.BootTime())
-}
-
 func (n *Node) serveReady(w http.ResponseWriter, r *http.Request) {
 	status := http.StatusServiceUnavailable
 	if r.URL.Path == n.dialect.ReadyPath && n.ready.Load() && !n.stopping.Load() && n.config.Load() != nil {
--- a/internal/sequoiaowner/authority.go
+++ b/internal/sequoiaowner/authority.go
@@ -1,8 +1,6 @@
 package sequoiaowner
 
-import (
-	"time"
-)
+import "time"
 
 // Prove notes that the store answered a call sent at the given time, which shows that this process's entry exists.
 func (c *Core) Prove(sent time.Time) {
@@ -18,12 +16,15 @@
 // Verified reports whether the entry of this process is known to exist since the last failed call.
 func (c *Core) Verified() bool { return c.verified }
 
+// fresh reports whether the last proof is so recent that the store is likely to answer.
+func (c *Core) fresh(now time.Time) bool { return c.verified && now.Sub(c.proof) <= freshProof }
+
 // AuthorityUntil returns the time at which all grants end without another proof.
 func (c *Core) AuthorityUntil() time.Time {
 	if c.proof.IsZero() {
 		return time.Time{}
 	}
-	end := latest(c.proof.Add(c.authority), c.extended)
+	end := latest(c.proof.Add(DefaultAuthority), c.extended)
 	if limit := c.proof.Add(maxAuthority); end.After(limit) {
 		return limit
 	}
--- a/internal/sequoiaowner/core.go
+++ b/internal/sequoiaowner/core.go
@@ -72,9 +72,8 @@
 	// Process names one life of the process.
 	Process  string
 	Upstream Upstream
-	// Revision and Lease are the store's. They are not encoded.
+	// Revision is the store's. It is not encoded.
 	Revision uint64 `json:"-"`
-	Lease    uint64 `json:"-"`
 }
 
 // Upstream is what a process says of the upstream beside it.
@@ -89,15 +88,16 @@
 	Lost bool
 }
 
+// Usable reports whether the upstream may get keys and requests.
+func (u Upstream) Usable() bool { return u.ID != "" && !u.Leaving && !u.Lost }
+
 // Holder returns the upstream as the table names it.
 func (m Member) Holder() sequoiakeyspace.Holder {
 	return sequoiakeyspace.Holder{Instance: m.Instance, Upstream: m.Upstream.ID, Born: m.Upstream.Born}
 }
 
 // Usable reports whether the member's upstream may get keys and requests.
-func (m Member) Usable() bool {
-	return m.Upstream.ID != "" && !m.Upstream.Leaving && !m.Upstream.Lost
-}
+func (m Member) Usable() bool { return m.Upstream.Usable() }
 
 // Actions are what the core wants done.
 type Actions struct {
@@ -109,8 +109,6 @@
 // Core is the state of one process's ownership. It is not safe for concurrent use.
 type Core struct {
 	instance  string
-	authority time.Duration
-	hold      time.Duration
 	heartbeat time.Duration
 	meter     *sequoiakeyspace.Meter
 
@@ -138,16 +136,6 @@
 // Option changes a Core under construction.
 type Option func(*Core)
 
-// WithAuthority sets how long a process may grant keys after its last proof.
-func WithAuthority(d time.Duration) Option {
-	return func(c *Core) { c.authority = d }
-}
-
-// WithHold sets the duration of a grant.
-func WithHold(d time.Duration) Option {
-	return func(c *Core) { c.hold = d }
-}
-
 // WithHeartbeat sets the interval of the local upstream's announcements.
 func WithHeartbeat(d time.Duration) Option {
 	return func(c *Core) { c.heartbeat = d }
@@ -162,7 +150,7 @@
 // is suspended.
 func New(instance string, now time.Time, opts ...Option) *Core {
 	c := &Core{
-		instance: instance, authority: DefaultAuthority, hold: defaultHold, heartbeat: defaultHeartbeat, started: now, alive: now,
+		instance: instance, heartbeat: defaultHeartbeat, started: now, alive: now,
 		meter:   sequoiakeyspace.NewMeter(),
 		members: map[string]Member{}, absent: map[string]time.Time{}, addresses: map[string]netip.AddrPort{}, keyed: map[string]bool{},
 		grants: map[sequoiakeyspace.Range]*grant{}, changed: now,
--- a/internal/sequoiaowner/grants.go
+++ b/internal/sequoiaowner/grants.go
@@ -124,25 +124,25 @@
 	return 0
 }
 
-// uncertain reports whether a grant of some of the keys was sent without an answer and may still be applied, after a
-// release too.
-func (c *Core) uncertain(now time.Time, part sequoiakeyspace.Range) bool {
+// anyGrant reports whether a grant of some of the keys, with their fence, meets a condition.
+func (c *Core) anyGrant(part sequoiakeyspace.Range, meets func(g *grant) bool) bool {
 	for key, g := range c.grants {
-		if key.Fence == part.Fence && overlap(key, part) && g.unconfirmed.After(now) {
+		if key.Fence == part.Fence && overlap(key, part) && meets(g) {
 			return true
 		}
 	}
 	return false
 }
 
+// uncertain reports whether a grant of some of the keys was sent without an answer and may still be applied, after a
+// release too.
+func (c *Core) uncertain(now time.Time, part sequoiakeyspace.Range) bool {
+	return c.anyGrant(part, func(g *grant) bool { return g.unconfirmed.After(now) })
+}
+
 // granting reports whether a grant of some of the keys is being sent.
 func (c *Core) granting(part sequoiakeyspace.Range) bool {
-	for key, g := range c.grants {
-		if key.Fence == part.Fence && overlap(key, part) && g.inFlight {
-			return true
-		}
-	}
-	return false
+	return c.anyGrant(part, func(g *grant) bool { return g.inFlight })
 }
 
 // silence is how long the local upstream may show no sign of life. Renewals of grants are answered by one that holds
@@ -171,12 +171,12 @@
 			g = c.adopt(now, key)
 			c.grants[key] = g
 		}
-		hold := time.Duration(float64(min(c.hold, end.Sub(now))) * (1 - drift))
+		hold := time.Duration(float64(min(defaultHold, end.Sub(now))) * (1 - drift))
 		if g.inFlight || g.refused || c.upstream.Lost || hold < minHold || now.Before(g.next) {
 			continue
 		}
 		g.inFlight = true
-		g.latest = latest(g.latest, now.Add(c.hold))
+		g.latest = latest(g.latest, now.Add(defaultHold))
 		a.Grants = append(a.Grants, Grant{Range: r, Hold: hold, Sent: now})
 	}
 	maps.DeleteFunc(c.grants, func(key sequoiakeyspace.Range, g *grant) bool {
@@ -221,12 +221,12 @@
 		g.until = latest(g.until, order.Sent.Add(order.Hold))
 		g.next = order.Sent.Add(renewInterval)
 	default:
-		g.unconfirmed = latest(g.unconfirmed, order.Sent.Add(c.hold))
+		g.unconfirmed = latest(g.unconfirmed, order.Sent.Add(defaultHold))
 		g.next = now.Add(retryInterval)
 	}
 }
 
-// Refused reports whether the upstream refused a grant because of a higher fence, so that the table is out of date.
+// refused returns a range whose grant the upstream because of a higher fence, so that the table is out of date.
 func (c *Core) refused() *sequoiakeyspace.Range {
 	for key, g := range c.grants {
 		if !g.refused {
--- a/internal/sequoiaowner/moves.go
+++ b/internal/sequoiaowner/moves.go
@@ -26,25 +26,22 @@
 // dropMoves ends moves whose keys are no longer this instance's.
 func (c *Core) dropMoves() {
 	c.moves = slices.DeleteFunc(c.moves, func(m *move) bool {
-		r, ok := c.rangeOf(m.part)
+		r, ok := c.table.Find(c.service(), m.part.From)
 		return !ok || r.Holder != m.part.Holder || r.Fence != m.part.Fence
 	})
 }
 
-func (c *Core) rangeOf(part sequoiakeyspace.Range) (sequoiakeyspace.Range, bool) {
-	return c.table.Find(c.service(), part.From)
-}
-
 // Moves returns the number of ranges on their way.
 func (c *Core) Moves() int { return len(c.moves) }
 
 // BeginMove starts to move a part of one of the local upstream's ranges. It reports whether the move began.
 func (c *Core) BeginMove(now time.Time, from, to sequoiakeyspace.Key, dest Member, reason string) bool {
-	i := slices.IndexFunc(c.HeldRanges(), func(r sequoiakeyspace.Range) bool { return r.Contains(from) && r.Contains(to) })
-	if i < 0 || !dest.Usable() || now.Sub(c.proof) > freshProof || !c.verified {
+	held := c.HeldRanges()
+	i := slices.IndexFunc(held, func(r sequoiakeyspace.Range) bool { return r.Contains(from) && r.Contains(to) })
+	if i < 0 || !dest.Usable() || !c.fresh(now) {
 		return false
 	}
-	r := c.HeldRanges()[i]
+	r := held[i]
 	r.From, r.To = from, to
 	if c.uncertain(now, r) || c.granting(r) {
 		return false
@@ -62,7 +59,7 @@
 	}
 	others := c.usable(u.Service)
 	held := c.HeldRanges()
-	if len(others) == 0 || len(held) == 0 || !u.Lost && (now.Sub(c.proof) > freshProof || !c.verified) {
+	if len(others) == 0 || len(held) == 0 || !u.Lost && !c.fresh(now) {
 		return
 	}
 	total := 0.0
@@ -99,6 +96,15 @@
 	return out
 }
 
+// candidates returns the members whose upstreams may get keys of a service: the others, then this process's own.
+func (c *Core) candidates(service string) []Member {
+	members := c.usable(service)
+	if me, ok := c.members[c.instance]; ok && me.Upstream.Service == service && me.Usable() {
+		members = append(members, me)
+	}
+	return members
+}
+
 func (c *Core) stepMoves(now time.Time, a *Actions) {
 	ready := false
 	c.moves = slices.DeleteFunc(c.moves, func(m *move) bool {
@@ -122,15 +128,10 @@
 
 // ended reports whether no grant that was ever sent for the keys of a move still runs.
 func (c *Core) ended(now time.Time, m *move) bool {
-	if now.Before(c.started.Add(c.hold)) {
+	if now.Before(c.started.Add(defaultHold)) {
 		return false
 	}
-	for key, g := range c.grants {
-		if key.Fence == m.part.Fence && overlap(key, m.part) && g.latest.After(now) {
-			return false
-		}
-	}
-	return true
+	return !c.anyGrant(m.part, func(g *grant) bool { return g.latest.After(now) })
 }
 
 // Released notes the end of a release call. confirmed is false if there was no answer.
--- a/internal/sequoiaowner/plan.go
+++ b/internal/sequoiaowner/plan.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
@@ -38,7 +39,7 @@
 
 // plan returns the change of the table that is due, if any.
 func (c *Core) plan(now time.Time) *Write {
-	if c.table == nil || !c.verified || now.Sub(c.proof) > freshProof {
+	if c.table == nil || !c.fresh(now) {
 		return nil
 	}
 	if w := c.planRenewal(); w != nil {
@@ -54,7 +55,7 @@
 // life on the same instance and address has ended, so its keys wait for nothing.
 func (c *Core) planRenewal() *Write {
 	u := c.upstream
-	if u.ID == "" || u.Lost || u.Leaving || c.stopping || !c.keyed[u.Service] {
+	if !u.Usable() || c.stopping || !c.keyed[u.Service] {
 		return nil
 	}
 	w := &Write{Reason: ReasonRestart}
@@ -79,11 +80,8 @@
 		if len(c.table.Services[service]) > 0 {
 			continue
 		}
-		members := c.usable(service)
-		if me, ok := c.members[c.instance]; ok && me.Upstream.Service == service && me.Usable() {
-			members = append(members, me)
-			slices.SortFunc(members, func(a, b Member) int { return compare(a.Instance, b.Instance) })
-		}
+		members := c.candidates(service)
+		slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Instance, b.Instance) })
 		if len(members) == 0 || now.Sub(c.changed) < settleTime+c.delay() {
 			continue
 		}
@@ -101,7 +99,7 @@
 	if now.Before(c.promised) {
 		return nil
 	}
-	wait := c.authority
+	wait := DefaultAuthority
 	if now.Sub(c.started) < maxAuthority+takeoverMargin {
 		wait = maxAuthority
 	}
@@ -112,10 +110,7 @@
 			continue
 		}
 		for service, ranges := range c.table.Services {
-			members := c.usable(service)
-			if me, ok := c.members[c.instance]; ok && me.Upstream.Service == service && me.Usable() {
-				members = append(members, me)
-			}
+			members := c.candidates(service)
 			if len(members) == 0 {
 				continue
 			}
@@ -177,13 +172,3 @@
 		c.nextWrite = now.Add(writeInterval)
 	}
 }
-
-func compare(a, b string) int {
-	if a < b {
-		return -1
-	}
-	if a > b {
-		return 1
-	}
-	return 0
-}
--- a/internal/sequoiaregistry/registration.go
+++ b/internal/sequoiaregistry/registration.go
@@ -14,8 +14,8 @@
 	leaseTime = 2500 * time.Millisecond
 	// keepInterval is the time between renewals of the lease, 1 s. A renewal costs a tenth of a read.
 	keepInterval = time.Second
-	// callTimeout bounds one call to the store, 800 ms: a slow store answers within some 250 ms.
-	callTimeout = 800 * time.Millisecond
+	// CallTimeout bounds one call to the store, 800 ms: a slow store answers within some 250 ms.
+	CallTimeout = 800 * time.Millisecond
 	// registerPause is the pause after a failed call.
 	registerPause = 150 * time.Millisecond
 )
@@ -165,7 +165,7 @@
 }
 
 func (g *Registration) call(ctx context.Context, f func(ctx context.Context) error) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
 	return f(ctx)
 }
