Read clients' connections in the front instead of in nbio's event loops

If a handler closes a connection, because the write to a client that left fails, while the loop still has an event for it, and a new connection gets the descriptor, the loop closes the new one after it has read its request. The request is then cancelled while its upstream works on it.

Ruled out: an end by "Connection: close" (nbhttp closes only when the client asked for it), deadlines of nbhttp (120 s), errors of the parser, the end of the process (1.2 s after SIGTERM; it goes on for 2.3 s). nbhttp's blocking mode goes on after bytes that are no request, so the front reads a connection itself and gives the bytes to nbhttp's parser. Bytes that are no request now get 400, or 413 if they are too many, after the responses to the requests before them.

Test: "answers every request while other connections come and go" now has clients that reset while a response is written, and uploads.

A request whose client is gone is now logged with the cause.

--- a/internal/sequoiafront/front.go
+++ b/internal/sequoiafront/front.go
@@ -3,7 +3,6 @@
 package sequoiafront
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"net/netip"
@@ -11,41 +10,45 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
-
-	"github.com/sequoiaspring/sequoiaspring/internal/sequoiapoller"
 )
 
 // Limits of the front.
 const (
 	// maxPipelined bounds the requests that one connection may have outstanding.
-	maxPipelined  = 64
-	maxConns      = 20000
-	maxWriteQueue = 32 << 20 // bytes
-	shutdownTime  = time.Second
+	maxPipelined = 64
+	maxConns     = 20000
+	shutdownTime = time.Second
 	// maxHead bounds what a request may have besides its body, in bytes.
 	maxHead = 64 << 10
+	// readBuffer is the size of a connection's buffer, 4 KB: most requests fit, and each idle connection holds one.
+	readBuffer = 4 << 10
 	// keepalive is how long a connection may be idle, 120 s: longer than the idle timeouts that operators configure,
 	// so that a client does not send a request on a connection that is being closed.
 	keepalive = 120 * time.Second
+	// writeTimeout bounds a write to a client that does not read, 30 s: longer than clients wait for a response.
+	writeTimeout = 30 * time.Second
+	// acceptPause is the pause after a failed accept, 20 ms: the process may have no descriptors left.
+	acceptPause = 20 * time.Millisecond
 )
 
 // Front is a set of listeners that share the count of requests in progress.
 type Front struct {
 	maxBody    int
-	conns      sync.Map // *nbhttp.Parser to *callerConn
 	inProgress atomic.Int64
+	serving    sync.WaitGroup
 
-	mu      sync.Mutex
-	engines []*nbhttp.Engine
+	mu        sync.Mutex
+	closed    bool
+	listeners []net.Listener
+	conns     map[*callerConn]struct{}
 }
 
 // New returns a Front that rejects bodies above maxBody bytes.
 func New(maxBody int) *Front {
-	return &Front{maxBody: maxBody}
+	return &Front{maxBody: maxBody, conns: map[*callerConn]struct{}{}}
 }
 
 // Add changes the count of requests in progress, for requests that come from elsewhere.
@@ -54,21 +57,31 @@
 // InProgress returns the number of requests in progress.
 func (f *Front) InProgress() int { return int(f.inProgress.Load()) }
 
-// Close stops all listeners, within shutdownTime.
+// Close stops all listeners, closes the connections and waits until their handlers return, for shutdownTime at most.
 func (f *Front) Close() {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
-	defer cancel()
-	var all sync.WaitGroup
-	for _, e := range f.engines {
-		all.Go(func() { _ = e.Shutdown(ctx) })
+	f.closed = true
+	for _, ln := range f.listeners {
+		_ = ln.Close()
+	}
+	for c := range f.conns {
+		_ = c.Close()
+	}
+	f.mu.Unlock()
+	served := make(chan struct{})
+	go func() {
+		f.serving.Wait()
+		close(served)
+	}()
+	timeout := time.NewTimer(shutdownTime)
+	defer timeout.Stop()
+	select {
+	case <-served:
+	case <-timeout.C:
 	}
-	all.Wait()
-	f.engines = nil
 }
 
-// quietLibrary keeps nbio's own lines about starts and stops out of the process's log, which has JSON lines only.
+// quietLibrary keeps nbio's own lines out of the process's log, which has JSON lines only.
 var quietLibrary = sync.OnceFunc(func() { logging.SetLevel(logging.LevelError) })
 
 // Listen serves h on addr and returns the bound address.
@@ -80,93 +93,57 @@
 	}
 	bound, err := netip.ParseAddrPort(ln.Addr().String())
 	if err != nil {
+		_ = ln.Close()
 		return netip.AddrPort{}, err
 	}
+	// The engine is never started: its event loops look a connection up by its descriptor, so that an event of a
+	// connection that a handler has closed ends a new one with the same descriptor. Its blocking mode goes on after
+	// bytes that are no request. So the front reads each connection itself and leaves the rest to nbhttp.
 	e := nbhttp.NewEngine(nbhttp.Config{
-		Network: "tcp", Addrs: []string{bound.String()}, Handler: h, OnRequest: f.prepare, MaxLoad: maxConns,
-		ReadLimit: f.maxBody + maxHead, MaxHTTPBodySize: f.maxBody, MaxWriteBufferSize: maxWriteQueue,
-		KeepaliveTime: keepalive, IOMod: nbhttp.IOModNonBlocking, SupportServerOnly: true,
-		Listen: func(string, string) (net.Listener, error) { return ln, nil },
+		Handler: h, OnRequest: prepare, ReadLimit: f.maxBody + maxHead, MaxHTTPBodySize: f.maxBody, KeepaliveTime: keepalive,
+		SupportServerOnly: true, ServerExecutor: func(job func()) { go job() },
 	})
-	loops := sequoiapoller.New(e.Engine, func(c *nbio.Conn, b []byte) { c.DataHandler()(c, b) })
-	if err := e.Start(); err != nil {
-		_ = ln.Close()
-		return netip.AddrPort{}, errors.Wrapf(err, "listen on %s", addr)
-	}
 	f.mu.Lock()
-	f.engines = append(f.engines, e)
+	f.listeners = append(f.listeners, ln)
 	f.mu.Unlock()
-	if err := loops.AwaitStart(); err != nil {
-		return netip.AddrPort{}, errors.Wrapf(err, "listen on %s", addr)
-	}
+	go f.accept(ln, e)
 	return bound, nil
 }
 
-// callerConn runs the requests of one connection in order. nbhttp would run the close callback of a connection only
-// after its running handler, so a disconnection would not cancel a request; with an executor of its own it does.
-type callerConn struct {
-	ctx    context.Context
-	cancel context.CancelFunc
-
-	mu      sync.Mutex
-	jobs    []func()
-	running bool
-}
-
-// prepare is called by nbhttp before a request is queued. It gives the request the connection's context.
-func (f *Front) prepare(w http.ResponseWriter, r *http.Request) {
-	parser := w.(*nbhttp.Response).Parser
-	v, ok := f.conns.Load(parser)
-	if !ok {
-		c := &callerConn{}
-		c.ctx, c.cancel = context.WithCancel(context.Background())
-		f.conns.Store(parser, c)
-		parser.Execute = func(job func()) bool {
-			f.inProgress.Add(1)
-			if c.execute(parser.Conn, func() {
-				defer f.inProgress.Add(-1)
-				job()
-			}) {
-				return true
-			}
-			f.inProgress.Add(-1)
-			return false
+func (f *Front) accept(ln net.Listener, e *nbhttp.Engine) {
+	for {
+		conn, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
 		}
-		parser.OnClose(func(parser *nbhttp.Parser, _ error) {
-			c.cancel()
-			f.conns.Delete(parser)
-		})
-		v = c
+		c := newCallerConn(f, conn, e)
+		if !f.register(c) {
+			_ = conn.Close()
+			continue
+		}
+		go c.read()
 	}
-	*r = *r.WithContext(v.(*callerConn).ctx)
 }
 
-func (c *callerConn) execute(conn net.Conn, job func()) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.jobs) >= maxPipelined {
-		_ = conn.Close()
+// register returns false if the front is closed or full.
+func (f *Front) register(c *callerConn) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed || len(f.conns) >= maxConns {
 		return false
 	}
-	c.jobs = append(c.jobs, job)
-	if !c.running {
-		c.running = true
-		go c.run()
-	}
+	f.conns[c] = struct{}{}
+	f.serving.Add(1)
 	return true
 }
 
-func (c *callerConn) run() {
-	for {
-		c.mu.Lock()
-		if len(c.jobs) == 0 {
-			c.running = false
-			c.mu.Unlock()
-			return
-		}
-		job := c.jobs[0]
-		c.jobs = c.jobs[1:]
-		c.mu.Unlock()
-		job()
-	}
+func (f *Front) unregister(c *callerConn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.conns, c)
+	f.serving.Done()
 }
--- a/internal/sequoiafront/front_test.go
+++ b/internal/sequoiafront/front_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,14 +29,17 @@
 // of 127.0.0.1 again would then find in use.
 const (
 	serverAddress = "127.0.2.1:0"
-	clientAddress = "127.0.2.2"
-	// leavePause is the time between two connections of a client that leaves at once.
-	leavePause = time.Millisecond
+	// These are the last parts of the clients' addresses.
+	clientAddress = 3
+	askerAddress  = 10
+	leaverAddress = 30
+	// churnTime is how long connections come and go, 5 s: enough for some of them to fail when descriptors are mixed up.
+	churnTime = 5 * time.Second
 )
 
-// connect opens a connection from the clients' address.
-func connect(addr netip.AddrPort) (net.Conn, error) {
-	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(clientAddress)}}
+// connect opens a connection from 127.0.2.from.
+func connect(addr netip.AddrPort, from int) (net.Conn, error) {
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 2, byte(from))}}
 	return d.Dial("tcp", addr.String())
 }
 
@@ -47,7 +53,7 @@
 }
 
 func dial(addr netip.AddrPort) net.Conn {
-	c, err := connect(addr)
+	c, err := connect(addr, clientAddress)
 	Expect(err).NotTo(HaveOccurred())
 	ginkgo.DeferCleanup(func() { _ = c.Close() })
 	Expect(c.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
@@ -56,47 +62,42 @@
 
 var _ = ginkgo.Describe("Front", func() {
 	// Guards against a connection that is cut because another one with the same descriptor has just been closed. Clients
-	// that leave at once and clients that wait use new connections all the time.
+	// that leave while a response is written to them, and clients that upload, make nbio's event loops do that.
 	ginkgo.It("answers every request while other connections come and go", func() {
+		large := make([]byte, 200<<10)
 		addr := listen(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
 			time.Sleep(2 * time.Millisecond)
-			sequoiafront.WriteBody(w, r, http.StatusOK, []byte("whole"))
+			body := []byte("whole")
+			if r.URL.Path == "/large" {
+				body = large
+			}
+			sequoiafront.WriteBody(w, r, http.StatusOK, body)
 		})
-		stop := make(chan struct{})
-		var leaving, asking sync.WaitGroup
-		for range 4 {
-			leaving.Go(func() {
-				for {
-					select {
-					case <-stop:
-						return
-					default:
-					}
-					if c, err := connect(addr); err == nil {
-						_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-						_ = c.Close()
-					}
-					time.Sleep(leavePause)
-				}
-			})
+		ctx, cancel := context.WithTimeout(context.Background(), churnTime)
+		defer cancel()
+		var all sync.WaitGroup
+		for i := range 8 {
+			all.Go(func() { leave(ctx, addr, leaverAddress+i) })
 		}
-		var mu sync.Mutex
-		var failed []error
 		for range 4 {
-			asking.Go(func() {
-				for range 300 {
-					if err := ask(addr); err != nil {
-						mu.Lock()
-						failed = append(failed, err)
-						mu.Unlock()
+			all.Go(func() { upload(ctx, addr) })
+		}
+		var asked, failed atomic.Int64
+		for i := range 6 {
+			all.Go(func() {
+				for ctx.Err() == nil {
+					asked.Add(1)
+					if err := ask(addr, askerAddress+i); err != nil {
+						ginkgo.GinkgoWriter.Println(err)
+						failed.Add(1)
 					}
 				}
 			})
 		}
-		asking.Wait()
-		close(stop)
-		leaving.Wait()
-		Expect(failed).To(BeEmpty())
+		all.Wait()
+		Expect(asked.Load()).To(BeNumerically(">", 100))
+		Expect(failed.Load()).To(BeZero(), "of %d", asked.Load())
 	})
 
 	ginkgo.It("cancels a request whose client has gone", func() {
@@ -126,11 +127,61 @@
 		_, _ = io.WriteString(c, "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n")
 		Consistently(served, "300ms").ShouldNot(Receive())
 	})
+
+	ginkgo.It("answers a request before bytes that are no request, and then rejects those", func() {
+		addr := listen(func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(20 * time.Millisecond)
+			sequoiafront.WriteBody(w, r, http.StatusOK, []byte("whole"))
+		})
+		c := dial(addr)
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\nnonsense\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		b := bufio.NewReader(c)
+		for _, status := range []int{http.StatusOK, http.StatusBadRequest} {
+			resp, err := http.ReadResponse(b, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.StatusCode).To(Equal(status))
+			_, err = io.Copy(io.Discard, resp.Body)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		_, err = b.ReadByte()
+		Expect(err).To(MatchError(io.EOF))
+	})
 })
 
+// leave sends requests and resets each connection at about the time at which the response is written.
+func leave(ctx context.Context, addr netip.AddrPort, from int) {
+	for ctx.Err() == nil {
+		c, err := connect(addr, from)
+		if err != nil {
+			continue
+		}
+		_, _ = io.WriteString(c, "GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+		time.Sleep(1500*time.Microsecond + time.Duration(rand.IntN(1500))*time.Microsecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+}
+
+// upload sends large requests on one connection.
+func upload(ctx context.Context, addr netip.AddrPort) {
+	c, err := connect(addr, clientAddress)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	go func() { _, _ = io.Copy(io.Discard, c) }()
+	body := make([]byte, 500<<10)
+	for ctx.Err() == nil {
+		if _, err := fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(body), body); err != nil {
+			return
+		}
+	}
+}
+
 // ask sends one request on a new connection and reads the whole response.
-func ask(addr netip.AddrPort) error {
-	c, err := connect(addr)
+func ask(addr netip.AddrPort, from int) error {
+	c, err := connect(addr, from)
 	if err != nil {
 		return err
 	}
--- a/internal/sequoiafront/write.go
+++ b/internal/sequoiafront/write.go
@@ -30,7 +30,7 @@
 		return
 	}
 	var b strings.Builder
-	b.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " \r\n")
+	b.WriteString(head(status))
 	if r.Close {
 		header.Set("Connection", "close")
 	}
@@ -44,3 +44,8 @@
 		_ = conn.Close()
 	}
 }
+
+// head returns the first line of a response.
+func head(status int) string {
+	return "HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\n"
+}
--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -106,6 +106,8 @@
 	resp := n.carryOut(ctx, req, attrs, route, cfg.Services[req.Service].Keyed)
 	if r.Context().Err() != nil {
 		n.metrics.cancelled.Inc()
+		n.log.Event("client gone", "RequestID", req.RequestID, "Route", req.Route, "Target", req.Target,
+			"Milliseconds", time.Since(began).Milliseconds(), "Error", context.Cause(r.Context()))
 		return
 	}
 	n.finish(w, r, req, resp, began)
