Need no promise of a process that has ended

A process that ends now tells the other members so.

What is still refused then are keys of upstreams that leave during the outage, and requests beyond the slots of the two upstreams that are left after it.

A process that is killed in an outage says nothing; that is open.

--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -434,6 +434,7 @@
 	for time.Now().Before(limit) && (time.Now().Before(settled) || n.front.InProgress() > 0) {
 		_ = sequoiatimer.Sleep(ctx, stepInterval/5)
 	}
+	n.announceEnd(ctx)
 	if !n.restarts() {
 		ctx, cancel := context.WithTimeout(ctx, endTimeout)
 		defer cancel()
--- a/internal/sequoianode/peer.go
+++ b/internal/sequoianode/peer.go
@@ -31,6 +31,8 @@
 	pathFetch = "/fetch"
 	// pathPromise asks for the promise to take no keys over.
 	pathPromise = "/promise"
+	// pathEnd says that the process named as the key, on the instance in the body, ends and takes no keys over.
+	pathEnd = "/end"
 	// pathStore is a call to the store on behalf of a process that does not reach it. The store's path follows.
 	pathStore = "/store"
 )
@@ -77,6 +79,9 @@
 		return n.servePropose(ctx, req)
 	case req.Path == pathPromise:
 		return n.promise()
+	case req.Path == pathEnd:
+		n.withCore(func(c *sequoiaowner.Core) { c.Ended(string(req.Body), req.Key) })
+		return answer(nil, nil)
 	case req.Path == pathFetch:
 		return n.serveFetch(req)
 	case strings.HasPrefix(req.Path, pathStore+"/"):
@@ -103,12 +108,7 @@
 	}
 	defer n.asking.Store(false)
 	n.mu.Lock()
-	var others []sequoiaowner.Member
-	for instance, m := range n.core.Members() {
-		if instance != n.id.Instance {
-			others = append(others, m)
-		}
-	}
+	others := n.core.Promisers()
 	n.mu.Unlock()
 	asked := sequoiatimer.BootTime()
 	var mu sync.Mutex
@@ -133,6 +133,28 @@
 	_ = sequoiatimer.Sleep(ctx, promisePause)
 }
 
+// announceEnd tells the other members that they need no promise of this process any more. In an outage of the store its
+// entry stays, and without this their authority would end with the first process that is restarted.
+func (n *Node) announceEnd(ctx context.Context) {
+	n.mu.Lock()
+	ends := n.core.MayEnd(sequoiatimer.BootTime())
+	members := n.core.Promisers()
+	n.mu.Unlock()
+	if !ends {
+		return
+	}
+	var all sync.WaitGroup
+	for _, m := range members {
+		all.Go(func() {
+			req := &sequoiarouter.Request{Path: pathEnd, Method: http.MethodPost, Key: n.process, Body: []byte(n.id.Instance)}
+			if _, err := n.message(ctx, m.Address, peerTimeout, req); err != nil {
+				n.metrics.messagesLost.Inc()
+			}
+		})
+	}
+	all.Wait()
+}
+
 func answer(body []byte, err error) *sequoiarouter.Response {
 	if err != nil {
 		return rejected(reasonBadRequest, 0)
--- a/internal/sequoiaowner/authority.go
+++ b/internal/sequoiaowner/authority.go
@@ -42,13 +42,40 @@
 // takeover that has been sent may be carried out although there was no answer; a write that changes the holder of this
 // process's own keys takes nothing over.
 func (c *Core) Promise(now time.Time) bool {
-	if now.Sub(c.proof) < promiseAfter || c.takingOver || now.Sub(c.tookOver) < takeoverSettle {
+	if c.MayEnd(now) {
+		return true
+	}
+	if now.Sub(c.proof) < promiseAfter || !c.settled(now) {
 		return false
 	}
 	c.promised = now.Add(PromiseTime + takeoverMargin)
 	return true
 }
 
+// settled reports whether no takeover of this process may still be carried out.
+func (c *Core) settled(now time.Time) bool {
+	return !c.takingOver && now.Sub(c.tookOver) >= takeoverSettle
+}
+
+// MayEnd reports whether the process is stopping and will never take keys over, so that the other members may count on it
+// after its end. Its successor on the instance takes nothing over from the members that it does not know.
+func (c *Core) MayEnd(now time.Time) bool { return c.stopping && c.settled(now) }
+
+// Ended notes that a process has ended and has taken nothing over that may still be carried out.
+func (c *Core) Ended(instance, process string) { c.gone[instance] = process }
+
+// Promisers returns the members whose promises are needed. A member whose process has ended needs to give none, until
+// another process is registered on its instance.
+func (c *Core) Promisers() []Member {
+	var members []Member
+	for instance, m := range c.members {
+		if instance != c.instance && (m.Process == "" || c.gone[instance] != m.Process) {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
 // Extend notes that all other members have promised, when asked at the given time.
 func (c *Core) Extend(asked time.Time) {
 	c.extended = latest(c.extended, asked.Add(PromiseTime))
--- a/internal/sequoiaowner/core.go
+++ b/internal/sequoiaowner/core.go
@@ -137,6 +137,8 @@
 	takingOver bool
 	tookOver   time.Time
 	stopping   bool
+	// gone has the processes that have said that they end, by instance.
+	gone map[string]string
 }
 
 // Option changes a Core under construction.
@@ -158,7 +160,7 @@
 	c := &Core{
 		instance: instance, heartbeat: defaultHeartbeat, started: now, alive: now,
 		meter:   sequoiakeyspace.NewMeter(),
-		members: map[string]Member{}, absent: map[string]time.Time{}, addresses: map[string]netip.AddrPort{}, keyed: map[string]bool{},
+		members: map[string]Member{}, absent: map[string]time.Time{}, addresses: map[string]netip.AddrPort{}, keyed: map[string]bool{}, gone: map[string]string{},
 		grants: map[sequoiakeyspace.Range]*grant{}, changed: now,
 	}
 	for _, o := range opts {
@@ -253,7 +255,8 @@
 	}
 }
 
-// Stop makes the process give its keys away, because it is about to end and its upstream has ended or will.
+// Stop makes the process give its keys away, because it is about to end and its upstream has ended or will. It takes
+// nothing over any more.
 func (c *Core) Stop() { c.stopping = true }
 
 // Step returns what is to be done now.
--- a/internal/sequoiaowner/core_test.go
+++ b/internal/sequoiaowner/core_test.go
@@ -338,6 +338,47 @@
 		Expect(a.Promise(f.now.Add(3 * time.Second))).To(BeTrue())
 	})
 
+	// Guards against an outage in which the first planned restart ends the authority of all others: the entry of the ended
+	// process stays in the store, and its successor is not registered before the outage ends.
+	ginkgo.It("needs no promise of a process that has ended, until its successor is registered", func() {
+		f := newFleet("a", "b", "c")
+		a := f.cores["a"]
+		for i, name := range []string{"a", "b", "c"} {
+			a.SetMember(f.now, sequoiaowner.Member{Instance: name, Process: "p1-" + name, Revision: uint64(100 + i)})
+		}
+		names := func() (names []string) {
+			for _, m := range a.Promisers() {
+				names = append(names, m.Instance)
+			}
+			return names
+		}
+		Expect(names()).To(ConsistOf("b", "c"))
+		a.Ended("b", "p0-b")
+		Expect(names()).To(ConsistOf("b", "c"), "an earlier process of the instance")
+		a.Ended("b", "p1-b")
+		Expect(names()).To(ConsistOf("c"))
+		a.SetMember(f.now, sequoiaowner.Member{Instance: "b", Process: "p2-b", Revision: 200})
+		Expect(names()).To(ConsistOf("b", "c"))
+	})
+
+	ginkgo.It("takes nothing over once it stops, and promises that while it still reaches the store", func() {
+		f := newFleet("a", "b")
+		f.run(15 * time.Second)
+		a := f.cores["a"]
+		Expect(a.MayEnd(f.now)).To(BeFalse())
+		a.Stop()
+		Expect(a.Promise(f.now)).To(BeTrue())
+		Expect(a.MayEnd(f.now)).To(BeTrue())
+		a.RemoveMember(f.now, "b", f.rev+1)
+		for range 200 {
+			f.now = f.now.Add(100 * time.Millisecond)
+			a.Prove(f.now)
+			if w := a.Step(f.now).Write; w != nil {
+				Expect(w.Absent).To(BeEmpty())
+			}
+		}
+	})
+
 	ginkgo.It("writes nothing until the time to which it has been put off", func() {
 		f := newFleet("a", "b")
 		f.run(15 * time.Second)
--- a/internal/sequoiaowner/plan.go
+++ b/internal/sequoiaowner/plan.go
@@ -96,7 +96,7 @@
 
 // planTakeover assigns the keys of members that have been missing for the duration of their authority.
 func (c *Core) planTakeover(now time.Time) *Write {
-	if now.Before(c.promised) {
+	if now.Before(c.promised) || c.stopping {
 		return nil
 	}
 	wait := DefaultAuthority
