Use one piece of code where the change wrote it again

Found by reading the whole change; behaviour stays as it is.

- Headers that concern one connection: sequoiaproxy and sequoianode had the same list.
It is in sequoiafront, which both call.
- A bounded wait for goroutines stood in Logger.Close, Events.Close and Front.Close: sequoiatimer.Await.
- The wait for a change of ownership stood twice: awaitOwnership.
A request whose keys are granted no longer looks its key up a second time.
- The question to all members stood twice: askAll.
- The counters are made and registered by one function, as the gauges are.
- newerTable checked what updateSince checks; commitOnce had two ways to the same call; the front waited for its handlers in two places.
- The instances that the table names are listed when the table changes, not at each look at ownership, 20 times a second.
- Table.Held was used by one test only, which asks Instances now.

--- a/internal/sequoiafront/conn.go
+++ b/internal/sequoiafront/conn.go
@@ -68,20 +68,21 @@
 	c.cancel(err)
 	_ = c.Close()
 	c.parser.CloseAndClean(err)
+	c.awaitJobs()
+}
+
+// awaitJobs returns once no handler runs.
+func (c *callerConn) awaitJobs() {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	for c.running {
 		c.done.Wait()
 	}
-	c.mu.Unlock()
 }
 
 // reject answers bytes that are no request, after the responses to the requests before them.
 func (c *callerConn) reject(err error) {
-	c.mu.Lock()
-	for c.running {
-		c.done.Wait()
-	}
-	c.mu.Unlock()
+	c.awaitJobs()
 	status := http.StatusBadRequest
 	if errors.Is(err, nbhttp.ErrTooLong) {
 		status = http.StatusRequestEntityTooLarge
--- a/internal/sequoiafront/front.go
+++ b/internal/sequoiafront/front.go
@@ -13,6 +13,8 @@
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
 
 // Limits of the front.
@@ -68,17 +70,7 @@
 		_ = c.Close()
 	}
 	f.mu.Unlock()
-	served := make(chan struct{})
-	go func() {
-		f.serving.Wait()
-		close(served)
-	}()
-	timeout := time.NewTimer(shutdownTime)
-	defer timeout.Stop()
-	select {
-	case <-served:
-	case <-timeout.C:
-	}
+	sequoiatimer.Await(&f.serving, shutdownTime)
 }
 
 // quietLibrary keeps nbio's own lines out of the process's log, which has JSON lines only.
--- a/internal/sequoiakeyspace/table.go
+++ b/internal/sequoiakeyspace/table.go
@@ -90,17 +90,15 @@
 	return sort.Search(len(ranges), func(i int) bool { return ranges[i].To >= key })
 }
 
-// Held returns the ranges of all services whose holder is on the instance, by service.
-func (t *Table) Held(instance string) map[string][]Range {
-	held := map[string][]Range{}
-	for name, ranges := range t.Services {
+// Instances returns the instances that hold keys.
+func (t *Table) Instances() map[string]bool {
+	instances := map[string]bool{}
+	for _, ranges := range t.Services {
 		for _, r := range ranges {
-			if r.Holder.Instance == instance {
-				held[name] = append(held[name], r)
-			}
+			instances[r.Holder.Instance] = true
 		}
 	}
-	return held
+	return instances
 }
 
 // Spread assigns all keys of a service in equal parts, in the order of the holders, each with a fence of its own.
--- a/internal/sequoialog/events.go
+++ b/internal/sequoialog/events.go
@@ -110,13 +110,5 @@
 func (e *Events) Close() {
 	e.summary.Cancel()
 	close(e.stop)
-	done := make(chan struct{})
-	go func() {
-		e.written.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-time.After(closeTimeout):
-	}
+	sequoiatimer.Await(&e.written, closeTimeout)
 }
--- a/internal/sequoialog/logger.go
+++ b/internal/sequoialog/logger.go
@@ -216,15 +216,7 @@
 		l.summary.Cancel()
 		close(l.done)
 	})
-	written := make(chan struct{})
-	go func() {
-		l.writer.Wait()
-		close(written)
-	}()
-	select {
-	case <-written:
-	case <-time.After(closeTimeout):
-	}
+	sequoiatimer.Await(&l.writer, closeTimeout)
 }
 
 func (l *Logger) stamp(d *Decision) {
--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"net/netip"
-	"net/textproto"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -56,21 +54,9 @@
 	minRemaining = 15 * time.Millisecond
 )
 
-// hopHeaders concern one connection only.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
-}
-
 func removeHopHeaders(h http.Header) {
-	for _, v := range h["Connection"] {
-		for name := range strings.SplitSeq(v, ",") {
-			delete(h, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
-		}
-	}
-	for _, name := range hopHeaders {
-		delete(h, name)
-	}
+	named := sequoiafront.NamedByConnection(h)
+	maps.DeleteFunc(h, func(name string, _ []string) bool { return sequoiafront.HopByHop(name) || named[name] })
 }
 
 // rejected is the end of a request that no upstream has had.
@@ -338,15 +324,12 @@
 // newerTable gets a table that is at least as new as that of the process that refused the request for its key. The one
 // with the older table may be this process or the other. It reports whether the request may be sent again.
 func (n *Node) newerTable(ctx context.Context, instance string, revision uint64) bool {
-	t, known := n.table()
-	switch {
-	case known < revision:
+	if _, known := n.table(); known < revision {
 		n.fetchTable(ctx, instance)
 		return true
-	case known > revision && t != nil:
-		if u, ok := n.updateSince(revision); ok {
-			n.sendUpdate(context.WithoutCancel(ctx), u, []string{instance})
-		}
+	}
+	if u, ok := n.updateSince(revision); ok {
+		n.sendUpdate(context.WithoutCancel(ctx), u, []string{instance})
 	}
 	return sequoiatimer.Sleep(ctx, tableWait) == nil
 }
@@ -365,7 +348,7 @@
 	h := w.Header()
 	if resp.Outcome == sequoiarouter.Answered {
 		for name, values := range resp.Header {
-			if !slices.Contains(hopHeaders, name) {
+			if !sequoiafront.HopByHop(name) {
 				h[name] = values
 			}
 		}
--- a/internal/sequoianode/commit.go
+++ b/internal/sequoianode/commit.go
@@ -210,20 +210,18 @@
 		}
 		return errors.Wrap(err, "write the table")
 	}
-	d := delta{Base: base, Revision: revision, Changes: made}
+	u := update{Revision: revision, Table: b}
 	n.mu.Lock()
 	n.core.SetTable(t, revision)
 	if !spread {
+		d := delta{Base: base, Revision: revision, Changes: made}
 		n.history.add(d)
+		u = update{Revision: revision, Deltas: []delta{d}}
 	}
 	n.notify()
 	n.mu.Unlock()
-	if spread {
-		n.sendUpdate(context.Background(), update{Revision: revision, Table: b}, n.directory.instances())
-		return nil
-	}
 	// Nobody watches the table in the store, where each change would cost a call of every process. One that misses a change
 	// learns from the next response that there is a newer table.
-	n.sendUpdate(context.Background(), update{Revision: revision, Deltas: []delta{d}}, n.directory.instances())
+	n.sendUpdate(context.Background(), u, n.directory.instances())
 	return nil
 }
--- a/internal/sequoianode/metrics.go
+++ b/internal/sequoianode/metrics.go
@@ -36,32 +36,16 @@
 			Name: "sequoia_request_seconds", Help: "Time from a client's request to its response.",
 			Buckets: []float64{.005, .01, .025, .05, .1, .2, .3, .4, .6, .8, 1, 1.5, 3},
 		}, []string{"outcome"}),
-		cancelled: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "sequoia_requests_cancelled_total", Help: "Requests whose client closed its connection.",
-		}),
-		retries: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "sequoia_retries_total", Help: "Requests sent to an upstream once more.",
-		}),
-		retriesDenied: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "sequoia_retries_denied_total", Help: "Retries that the budget did not allow.",
-		}),
-		grants: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "sequoia_grants_total", Help: "Grants and renewals sent to the local upstream.",
-		}),
-		tableWrites: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "sequoia_table_writes_total", Help: "Attempts to change the table of keys.",
-		}),
-		storeFaults: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "sequoia_store_lost_total", Help: "Times at which the store was lost.",
-		}),
 	}
-	m.relayed = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "sequoia_store_relayed_total", Help: "Calls to the store that another process made.",
-	})
-	m.messagesLost = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "sequoia_table_messages_lost_total", Help: "Changes of the table that another process did not take.",
-	})
-	m.registry.MustRegister(m.relayed, m.messagesLost, m.requests, m.latency, m.cancelled, m.retries, m.retriesDenied, m.grants, m.tableWrites, m.storeFaults)
+	m.registry.MustRegister(m.requests, m.latency)
+	m.cancelled = m.counter("sequoia_requests_cancelled_total", "Requests whose client closed its connection.")
+	m.retries = m.counter("sequoia_retries_total", "Requests sent to an upstream once more.")
+	m.retriesDenied = m.counter("sequoia_retries_denied_total", "Retries that the budget did not allow.")
+	m.grants = m.counter("sequoia_grants_total", "Grants and renewals sent to the local upstream.")
+	m.tableWrites = m.counter("sequoia_table_writes_total", "Attempts to change the table of keys.")
+	m.storeFaults = m.counter("sequoia_store_lost_total", "Times at which the store was lost.")
+	m.relayed = m.counter("sequoia_store_relayed_total", "Calls to the store that another process made.")
+	m.messagesLost = m.counter("sequoia_table_messages_lost_total", "Changes of the table that another process did not take.")
 	m.gauge("sequoia_running", "Requests at the local upstream.", func() float64 { return float64(n.load().Running) })
 	m.gauge("sequoia_waiting", "Requests that wait for the local upstream.", func() float64 { return float64(n.load().Waiting) })
 	m.gauge("sequoia_table_revision", "Revision of the table of keys.", func() float64 {
@@ -80,6 +64,12 @@
 	return m
 }
 
+func (m *metrics) counter(name, help string) prometheus.Counter {
+	c := prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
+	m.registry.MustRegister(c)
+	return c
+}
+
 func (m *metrics) gauge(name, help string, f func() float64) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, f))
 }
--- a/internal/sequoianode/peer.go
+++ b/internal/sequoianode/peer.go
@@ -111,20 +111,7 @@
 	others := n.core.Promisers()
 	n.mu.Unlock()
 	asked := sequoiatimer.BootTime()
-	var mu sync.Mutex
-	missing := map[string]string{}
-	var all sync.WaitGroup
-	for _, m := range others {
-		all.Go(func() {
-			req := &sequoiarouter.Request{Path: pathPromise, Method: http.MethodPost}
-			if _, err := n.message(ctx, m.Address, peerTimeout, req); err != nil {
-				mu.Lock()
-				defer mu.Unlock()
-				missing[m.Instance] = err.Error()
-			}
-		})
-	}
-	all.Wait()
+	missing := n.askAll(ctx, others, &sequoiarouter.Request{Path: pathPromise, Method: http.MethodPost})
 	complete := len(missing) == 0
 	if complete {
 		n.withCore(func(c *sequoiaowner.Core) { c.Extend(asked) })
@@ -143,16 +130,29 @@
 	if !ends {
 		return
 	}
+	failed := n.askAll(ctx, members, &sequoiarouter.Request{
+		Path: pathEnd, Method: http.MethodPost, Key: n.process, Body: []byte(n.id.Instance),
+	})
+	n.metrics.messagesLost.Add(float64(len(failed)))
+}
+
+// askAll sends a message to members and waits for the answers. It returns the errors by instance.
+func (n *Node) askAll(ctx context.Context, members []sequoiaowner.Member, req *sequoiarouter.Request) map[string]string {
+	var mu sync.Mutex
+	failed := map[string]string{}
 	var all sync.WaitGroup
 	for _, m := range members {
+		own := *req
 		all.Go(func() {
-			req := &sequoiarouter.Request{Path: pathEnd, Method: http.MethodPost, Key: n.process, Body: []byte(n.id.Instance)}
-			if _, err := n.message(ctx, m.Address, peerTimeout, req); err != nil {
-				n.metrics.messagesLost.Inc()
+			if _, err := n.message(ctx, m.Address, peerTimeout, &own); err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				failed[m.Instance] = err.Error()
 			}
 		})
 	}
 	all.Wait()
+	return failed
 }
 
 func answer(body []byte, err error) *sequoiarouter.Response {
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -98,27 +98,44 @@
 
 // awaitGrant waits until the local upstream holds the key, if it is about to. It returns nil once it does.
 func (n *Node) awaitGrant(ctx context.Context, service string, key sequoiakeyspace.Key) *sequoiarouter.Response {
-	ctx, cancel := context.WithTimeout(ctx, grantWait)
+	reason := ""
+	decided := n.awaitOwnership(ctx, grantWait, func() bool {
+		if _, holds := n.core.Holds(sequoiatimer.BootTime(), service, key); holds {
+			return true
+		}
+		if !n.core.Mine(service, key) {
+			reason = reasonNotOwner
+		} else if !n.core.Granting() {
+			reason = reasonNoOwner
+		}
+		return reason != ""
+	})
+	switch {
+	case !decided:
+		return n.notRun(reasonNoOwner, ownerRetry)
+	case reason != "":
+		return n.notRun(reason, ownerRetry)
+	}
+	return nil
+}
+
+// awaitOwnership waits until met returns true, which is called with mu held, at first and after each change of ownership.
+// It returns false if the time runs out.
+func (n *Node) awaitOwnership(ctx context.Context, limit time.Duration, met func() bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for {
 		n.mu.Lock()
-		_, holds := n.core.Holds(sequoiatimer.BootTime(), service, key)
-		mine := n.core.Mine(service, key)
-		usable := n.core.Granting()
+		ok := met()
 		changed := n.changed
 		n.mu.Unlock()
-		switch {
-		case holds:
-			return nil
-		case !mine:
-			return n.notRun(reasonNotOwner, ownerRetry)
-		case !usable:
-			return n.notRun(reasonNoOwner, ownerRetry)
+		if ok {
+			return true
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return n.notRun(reasonNoOwner, ownerRetry)
+			return false
 		}
 	}
 }
--- a/internal/sequoianode/update.go
+++ b/internal/sequoianode/update.go
@@ -150,22 +150,10 @@
 
 // awaitRevision waits for an update that is on its way. It reports whether this process has the revision.
 func (n *Node) awaitRevision(ctx context.Context, revision uint64) bool {
-	ctx, cancel := context.WithTimeout(ctx, updateWait)
-	defer cancel()
-	for {
-		n.mu.Lock()
+	return n.awaitOwnership(ctx, updateWait, func() bool {
 		_, known := n.core.Table()
-		changed := n.changed
-		n.mu.Unlock()
-		if known >= revision {
-			return true
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return false
-		}
-	}
+		return known >= revision
+	})
 }
 
 // noteRevision fetches the table of a process whose response shows that it has a newer one.
--- a/internal/sequoiaowner/core.go
+++ b/internal/sequoiaowner/core.go
@@ -120,6 +120,8 @@
 	absent    map[string]time.Time
 	addresses map[string]netip.AddrPort
 	table     *sequoiakeyspace.Table
+	// named has the instances that the table names.
+	named     map[string]bool
 	revision  uint64
 	keyed     map[string]bool
 	upstream  Upstream
@@ -216,6 +218,7 @@
 		return false
 	}
 	c.table, c.revision = t, revision
+	c.named = t.Instances()
 	c.nextWrite = time.Time{}
 	c.dropMoves()
 	return true
@@ -290,18 +293,12 @@
 	if c.table == nil {
 		return
 	}
-	named := map[string]bool{}
-	for _, ranges := range c.table.Services {
-		for _, r := range ranges {
-			named[r.Holder.Instance] = true
-		}
-	}
-	for instance := range named {
+	for instance := range c.named {
 		_, registered := c.members[instance]
 		_, known := c.absent[instance]
 		if !registered && !known {
 			c.absent[instance] = now
 		}
 	}
-	maps.DeleteFunc(c.absent, func(instance string, _ time.Time) bool { return !named[instance] })
+	maps.DeleteFunc(c.absent, func(instance string, _ time.Time) bool { return !c.named[instance] })
 }
--- a/internal/sequoiaproxy/upstream.go
+++ b/internal/sequoiaproxy/upstream.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiafront"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiahttp"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
 )
@@ -114,29 +115,14 @@
 	return ""
 }
 
-// hopByHop are the headers that concern one connection only. Host and Content-Length are written anew, and Expect has
-// been dealt with by the front.
-var hopByHop = map[string]struct{}{
-	"Connection": {}, "Keep-Alive": {}, "Proxy-Connection": {}, "Proxy-Authenticate": {}, "Proxy-Authorization": {},
-	"Te": {}, "Trailer": {}, "Transfer-Encoding": {}, "Upgrade": {}, "Host": {}, "Content-Length": {}, "Expect": {},
-}
-
-// passedHeader copies the headers that may cross the proxy. Headers of this system are set by it alone, also under
+// passedHeader copies the headers that may cross the proxy. Host is written anew. Headers of this system are set by it alone, also under
 // spellings with underscores, which some servers treat alike.
 func passedHeader(in map[string][]string) http.Header {
-	named := map[string]struct{}{}
-	for _, v := range in["Connection"] {
-		for _, name := range strings.Split(v, ",") {
-			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = struct{}{}
-		}
-	}
+	named := sequoiafront.NamedByConnection(in)
 	out := make(http.Header, len(in)+6)
 	for k, vs := range in {
 		c := http.CanonicalHeaderKey(k)
-		if _, drop := hopByHop[c]; drop {
-			continue
-		}
-		if _, drop := named[c]; drop || reserved(c) {
+		if c == "Host" || sequoiafront.HopByHop(c) || named[c] || reserved(c) {
 			continue
 		}
 		out[c] = append(out[c], vs...)
--- a/internal/sequoiatimer/sleep.go
+++ b/internal/sequoiatimer/sleep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 )
 
@@ -16,3 +17,18 @@
 		return ctx.Err()
 	}
 }
+
+// Await waits for a group for at most d of real time. Goroutines that have not ended by then go on.
+func Await(group *sync.WaitGroup, d time.Duration) {
+	ended := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(ended)
+	}()
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ended:
+	case <-t.C:
+	}
+}
