Stop routing requests to services that operators have removed

Cause: SetConfiguration only added and changed services, so a service that a configuration left out kept its owners and was still served. Read in the code; the tests show it. Change: the table marks such a service as withdrawn. Its keys keep their owners and epochs, so that a service that is configured again continues with them, but no request is routed to it or run. Ruled out: removing the assignments, because a service that comes back before the grants of its old owners have ended would have two owners for a key. Besides, Table.Assign of the key space no longer uses up a fence if it assigns nothing. Tests: three, each failed before.

--- a/internal/sequoiakeyspace/table.go
+++ b/internal/sequoiakeyspace/table.go
@@ -119,18 +119,18 @@
 }
 
 // Assign assigns a range of keys, including both ends, to a holder under a new fence. It splits the ranges that reach
-// beyond these keys. It changes no range of a service that has none, and returns ErrEmptyRange if to is less than
+// beyond these keys. It changes nothing for a service that has no ranges, and returns ErrEmptyRange if to is less than
 // from.
 func (t *Table) Assign(service string, from, to Key, h Holder, handover string) error {
 	if to < from {
 		return errors.Wrapf(ErrEmptyRange, "keys %d to %d", from, to)
 	}
-	t.Fence++
 	ranges := t.Services[service]
 	first, last := findIndex(ranges, from), findIndex(ranges, to)
 	if first == len(ranges) {
 		return nil
 	}
+	t.Fence++
 	// At most three ranges replace the overlapping ones. Doing this in place avoids a copy of the slice for each of the
 	// many changes after the restart of an upstream: only the ranges that follow are moved.
 	parts := make([]Range, 0, 3)
--- a/internal/sequoiakeyspace/table_test.go
+++ b/internal/sequoiakeyspace/table_test.go
@@ -174,6 +174,14 @@
 		}
 	})
 
+	ginkgo.It("uses no fence if it assigns nothing", func() {
+		table := sequoiakeyspace.NewTable()
+		table.Spread("s", []sequoiakeyspace.Holder{holder("a")})
+		before := table.Fence
+		Expect(table.Assign("unknown", 0, 1, holder("b"), "")).To(Succeed())
+		Expect(table.Fence).To(Equal(before))
+	})
+
 	ginkgo.It("rejects an empty range", func() {
 		t := sequoiakeyspace.NewTable()
 		Expect(t.Assign("s", 2, 1, holder("a"), "")).To(MatchError(sequoiakeyspace.ErrEmptyRange))
--- a/internal/sequoiarouter/admit.go
+++ b/internal/sequoiarouter/admit.go
@@ -63,7 +63,7 @@
 		return
 	}
 	s := r.snapshot.Table.Service(w.req.Service)
-	if s == nil {
+	if s == nil || s.Withdrawn {
 		r.refuse(w, ReasonServiceUnknown, sequoiatable.Assignment{})
 		return
 	}
--- a/internal/sequoiarouter/route.go
+++ b/internal/sequoiarouter/route.go
@@ -59,7 +59,7 @@
 		return Target{}, r.respond(NotRun, ReasonNoTable, none)
 	}
 	s := r.snapshot.Table.Service(req.Service)
-	if s == nil {
+	if s == nil || s.Withdrawn {
 		return Target{}, r.respond(NotRun, ReasonServiceUnknown, none)
 	}
 	key, keyed := effectiveKey(s, req)
--- a/internal/sequoiarouter/router_test.go
+++ b/internal/sequoiarouter/router_test.go
@@ -96,6 +96,17 @@
 var keys = sequoiacontrol.KeySet{Service: "dispatch", Shards: []uint32{0}}
 
 var _ = ginkgo.Describe("Admission", func() {
+	ginkgo.It("neither routes nor runs requests for a service that is withdrawn", func() {
+		r := newRouter(4)
+		t := table()
+		publish(r, start, apply(t, 1, Change{SetConfiguration: &SetConfiguration{
+			Base: t.Configuration.Revision, Services: []ServiceConfig{{Name: "parts", Shards: 1}},
+		}}), 1)
+		expectResponse(admit(r, start, request("a")), sequoiarouter.NotRun, sequoiarouter.ReasonServiceUnknown)
+		_, resp := r.Route(start, request("b"), nil)
+		Expect(resp).To(HaveField("Reason", sequoiarouter.ReasonServiceUnknown))
+	})
+
 	ginkgo.It("runs only one of two concurrent copies of a request", func() {
 		r := newRouter(4)
 		first, second := admit(r, start, request("a")), admit(r, start, request("a"))
--- a/internal/sequoiatable/entry.go
+++ b/internal/sequoiatable/entry.go
@@ -192,4 +192,7 @@
 	Shards uint32
 	// Divided is true if each upstream of the service serves only the keys that its process owns.
 	Divided bool
+	// Withdrawn is true if the service is no longer configured. Its keys keep their owners and epochs, so that a service
+	// that is configured again continues with them, but no request is routed to it. It is set by the table only.
+	Withdrawn bool `cbor:",omitempty"`
 }
--- a/internal/sequoiatable/table.go
+++ b/internal/sequoiatable/table.go
@@ -125,7 +125,7 @@
 	return &Table{services: map[string]*ServiceTable{}, members: map[IncarnationID]*MemberState{}}
 }
 
-// Service returns the assignments of a service, nil if it was never configured.
+// Service returns the assignments of a service, nil if it was never configured. They remain if the service is withdrawn.
 func (t *Table) Service(name string) *ServiceTable {
 	return t.services[name]
 }
@@ -304,7 +304,13 @@
 		}
 	}
 	b.next.Configuration = Configuration{Revision: b.entry.Index, Document: c.Document, Operator: c.Operator}
+	for name, s := range b.next.services {
+		if !s.Withdrawn {
+			b.mutableService(name).Withdrawn = true
+		}
+	}
 	for _, s := range c.Services {
+		s.Withdrawn = false
 		if b.next.services[s.Name] == nil {
 			b.setService(newServiceTable(s))
 			continue
--- a/internal/sequoiatable/table_test.go
+++ b/internal/sequoiatable/table_test.go
@@ -73,4 +73,24 @@
 		_, refused, _ := t.Apply(nextEntry(t, 2, Change{SetConfiguration: &SetConfiguration{Base: 0}}))
 		Expect(refused[0].Err).To(MatchError(ErrStaleConfiguration))
 	})
+
+	// Guards against a service that operators have removed and that is still served.
+	ginkgo.It("marks a service that a configuration leaves out as withdrawn, and keeps its owners", func() {
+		t := tableWithTwoMembers()
+		before := t.Service("dispatch").Shard(3)
+		t = mustApply(t, 2, Change{SetConfiguration: &SetConfiguration{
+			Base: t.Configuration.Revision, Services: []ServiceConfig{{Name: "parts", Shards: 1}},
+		}})
+		Expect(t.Service("dispatch").Withdrawn).To(BeTrue())
+		Expect(t.Service("dispatch").Shard(3)).To(Equal(before))
+		Expect(t.Service("parts").Withdrawn).To(BeFalse())
+		decoded, err := DecodeCheckpoint(t.Encode(1 << 20))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(decoded.Service("dispatch").Withdrawn).To(BeTrue())
+		t = mustApply(t, 2, Change{SetConfiguration: &SetConfiguration{
+			Base: t.Configuration.Revision, Services: []ServiceConfig{{Name: "dispatch", Shards: 8, Divided: true}},
+		}})
+		Expect(t.Service("dispatch").Withdrawn).To(BeFalse())
+		Expect(t.Service("dispatch").Shard(3)).To(Equal(before))
+	})
 })
