--- a/internal/sequoianode/commit.go
+++ b/internal/sequoianode/commit.go
@@ -30,13 +30,27 @@
 	proposeTimeout = 900 * time.Millisecond
 )
 
-// isStaleWrite reports whether a write failed because the table had changed in the meantime.
-func isStaleWrite(err error) bool {
-	return errors.Is(err, sequoiaregistry.ErrConflict) || errors.Is(err, errNotWritten)
-}
+// Errors of a write of the table.
+var (
+	// errNotWritten reports that the table does not contain the proposed changes.
+	errNotWritten = errors.New("the table does not contain the change")
+	// errTableChanged reports that the table changed during each attempt to write it.
+	errTableChanged = errors.New("the table changed during each attempt to write it")
+)
 
-// errNotWritten reports that the table does not contain the proposed changes.
-var errNotWritten = errors.New("the table does not contain the change")
+// writeResult returns the meaning of a write's error for the ownership state machine.
+func writeResult(err error) sequoiaowner.WriteResult {
+	switch {
+	case err == nil:
+		return sequoiaowner.WriteApplied
+	case errors.Is(err, sequoiaregistry.ErrConflict):
+		return sequoiaowner.WriteConflict
+	case errors.Is(err, errNotWritten), errors.Is(err, errTableChanged), errors.Is(err, sequoiaregistry.ErrRefused),
+		errors.Is(err, sequoiaregistry.ErrLeaseEnded):
+		return sequoiaowner.WriteRefused
+	}
+	return sequoiaowner.WriteInDoubt
+}
 
 // proposal is a pending write for the next commit. done receives its result.
 type proposal struct {
@@ -50,9 +64,9 @@
 func (n *Node) writeTable(ctx context.Context, w *sequoiaowner.Write) {
 	err := n.propose(ctx, w)
 	n.withCore(func(c *sequoiaowner.Core) {
-		now := sequoiatimer.BootTime()
-		c.WriteDone(now, err == nil)
-		if err != nil && !isStaleWrite(err) {
+		now, result := sequoiatimer.BootTime(), writeResult(err)
+		c.WriteDone(now, result)
+		if result == sequoiaowner.WriteInDoubt || errors.Is(err, sequoiaregistry.ErrRefused) {
 			c.DelayWrites(now.Add(storeRetryDelay))
 		}
 		n.notifyOwnershipChanged()
@@ -149,17 +163,52 @@
 	proposals := n.proposals
 	n.proposals = nil
 	n.mu.Unlock()
+	n.commitProposals(proposals)
+}
+
+// commitProposals writes the proposals together. If the table is the one that the write was based on and a condition
+// fails nevertheless, it is a condition of a takeover; the other proposals are then written without the takeovers.
+func (n *Node) commitProposals(proposals []proposal) {
 	var err error
 	for range maxCommitAttempts {
+		_, base := n.table()
 		if err = n.commitOnce(proposals); !errors.Is(err, sequoiaregistry.ErrConflict) {
 			break
 		}
+		if _, revision := n.table(); revision == base {
+			n.commitWithoutTakeovers(proposals, err)
+			return
+		}
+		err = errors.WithStack(errTableChanged)
 	}
 	for _, p := range proposals {
-		if err == nil {
-			err = n.verifyWritten(p.write)
+		if err != nil {
+			p.done <- err
+			continue
+		}
+		p.done <- n.verifyWritten(p.write)
+	}
+}
+
+// commitWithoutTakeovers rejects the takeovers among the proposals with err and writes the others.
+func (n *Node) commitWithoutTakeovers(proposals []proposal, err error) {
+	var others []proposal
+	for _, p := range proposals {
+		if len(p.write.Absent) > 0 {
+			p.done <- err
+		} else {
+			others = append(others, p)
+		}
+	}
+	switch {
+	case len(others) == 0:
+	case len(others) == len(proposals):
+		// No takeover is the cause, so the table in the store is not the one that was read: it will be read again.
+		for _, p := range others {
+			p.done <- errors.WithStack(errTableChanged)
 		}
-		p.done <- err
+	default:
+		n.commitProposals(others)
 	}
 }
 
@@ -189,8 +238,9 @@
 	for _, p := range proposals {
 		applied = append(applied, p.write.Apply(t)...)
 		spread = spread || p.write.Spread != ""
-		for _, instance := range p.write.Absent {
-			tx.Expected[memberPrefix+instance] = 0
+		for _, a := range p.write.Absent {
+			tx.Expected[memberPrefix+a.Instance] = 0
+			tx.Expected[registrationPrefix+a.Instance] = a.Registration
 		}
 	}
 	if len(applied) == 0 && !spread {
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -4,16 +4,12 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"encoding/json"
 	"net/http"
 	"net/netip"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaadmission"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiafront"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiahttp"
@@ -29,9 +25,10 @@
 
 // Keys in the store.
 const (
-	memberPrefix = "Sequoia/Member/"
-	tableKey     = "Sequoia/Table"
-	secretKey    = "Sequoia/Secret"
+	memberPrefix       = "Sequoia/Member/"
+	registrationPrefix = "Sequoia/Registration/"
+	tableKey           = "Sequoia/Table"
+	secretKey          = "Sequoia/Secret"
 )
 
 const (
@@ -210,83 +207,6 @@
 	return nil
 }
 
-// secret returns the shared secret of the deployment, retrying until the store is available. The first process to start
-// generates the secret and writes it to the store, which only processes of the deployment can read.
-func (n *Node) secret(ctx context.Context) ([]byte, error) {
-	failing := false
-	for {
-		secret, err := n.readSecret(ctx)
-		if err == nil {
-			return secret, nil
-		}
-		if ctx.Err() != nil {
-			return nil, errors.Wrap(ctx.Err(), "read the secret")
-		}
-		if !failing {
-			failing = true
-			n.log.Event("store unavailable", "Purpose", "Secret", "Error", err)
-		}
-		_ = sequoiatimer.Sleep(ctx, secretRetryPause)
-	}
-}
-
-// readSecret reads the secret from the store and creates it if there is none.
-func (n *Node) readSecret(ctx context.Context) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, sequoiaregistry.CallTimeout)
-	defer cancel()
-	it, err := n.store.Get(ctx, secretKey)
-	if !errors.Is(err, sequoiaregistry.ErrNotFound) {
-		return it.Value, err
-	}
-	put := sequoiaregistry.Item{Key: secretKey, Value: []byte(randomID(secretBytes))}
-	tx := sequoiaregistry.Transaction{Expected: map[string]uint64{secretKey: 0}, Puts: []sequoiaregistry.Item{put}}
-	if _, err := n.store.Commit(ctx, tx); err != nil && !errors.Is(err, sequoiaregistry.ErrConflict) {
-		return nil, err
-	}
-	it, err = n.store.Get(ctx, secretKey)
-	return it.Value, err
-}
-
-// startStoreSync registers the process in the store and starts watching the members and the configuration.
-func (n *Node) startStoreSync(ctx context.Context) {
-	n.registration = &sequoiaregistry.Registration{
-		Store: n.store, Key: memberPrefix + n.settings.Instance, Value: n.encodedOwnMember, Now: sequoiatimer.BootTime,
-		ReadTable:    n.readTable,
-		OnConfirmed:  func(sent time.Time) { n.withCore(func(c *sequoiaowner.Core) { c.ConfirmRegistration(sent) }) },
-		OnCallFailed: func() { n.withCore(func(c *sequoiaowner.Core) { c.MarkRegistrationUnconfirmed() }) },
-		Confirmed: func() (ok bool) {
-			n.withCore(func(c *sequoiaowner.Core) { ok = c.RegistrationConfirmed() })
-			return ok
-		},
-		OnRegistered: func(revision, lease uint64) {
-			n.log.Event("registered in the store", "Revision", revision, "Lease", lease)
-		},
-		OnError: n.storeFaultHandler("registration"),
-	}
-	n.registration.Start(ctx)
-	members := &sequoiaregistry.Watcher{
-		Store: n.store, Prefix: memberPrefix, Wait: memberWatchTimeout, OnItems: n.onStoreItems, OnError: n.storeFaultHandler("members"),
-		BatchDelay: func() time.Duration { return min(maxWatchPause, time.Duration(n.memberCount())*watchPausePerMember) },
-	}
-	go members.Run(ctx)
-	configuration := &sequoiaregistry.Watcher{
-		Store: n.store, Prefix: n.dialect.ConfigurationKey, Wait: configurationWatchTimeout, OnItems: n.onStoreItems, OnError: n.storeFaultHandler("configuration"),
-	}
-	go configuration.Run(ctx)
-}
-
-// storeFaultHandler returns a callback that logs the loss and the recovery of store access for the given purpose.
-func (n *Node) storeFaultHandler(purpose string) func(err error) {
-	return func(err error) {
-		if err != nil {
-			n.metrics.storeFaults.Inc()
-			n.log.Event("store lost", "Purpose", purpose, "Error", err)
-			return
-		}
-		n.log.Event("store regained", "Purpose", purpose)
-	}
-}
-
 func (n *Node) withCore(f func(c *sequoiaowner.Core)) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -300,129 +220,12 @@
 	return n.core.Table()
 }
 
-func (n *Node) encodedOwnMember() []byte {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	b, err := json.Marshal(n.ownMember())
-	if err != nil {
-		panic(err) // Every value of the type can be encoded.
-	}
-	return b
-}
-
-// ownMember returns the registration entry of this process. The caller must hold mu.
-func (n *Node) ownMember() sequoiaowner.Member {
-	u := n.core.Upstream()
-	u.Lost = u.Lost || n.stopping.Load()
-	return sequoiaowner.Member{
-		Instance: n.settings.Instance, Address: n.settings.Forward, Domain: n.settings.Domain, Process: n.processID, Upstream: u,
-	}
-}
-
-// onStoreItems applies changes that the watches received from the store.
-func (n *Node) onStoreItems(items []sequoiaregistry.Item) {
-	rewrite := false
-	n.mu.Lock()
-	now := sequoiatimer.BootTime()
-	for _, it := range items {
-		switch {
-		case it.Key == n.dialect.ConfigurationKey:
-			n.applyConfiguration(it)
-		case strings.HasPrefix(it.Key, memberPrefix):
-			rewrite = n.applyMember(now, it) || rewrite
-		}
-	}
-	n.directory.setMembers(n.core.Members())
-	n.notifyOwnershipChanged()
-	n.mu.Unlock()
-	if rewrite {
-		n.registration.Changed()
-	}
-}
-
 // notifyOwnershipChanged wakes all goroutines in awaitOwnership. The caller must hold mu.
 func (n *Node) notifyOwnershipChanged() {
 	close(n.ownershipChanged)
 	n.ownershipChanged = make(chan struct{})
 }
 
-// applyTable decodes a table from the store and applies it. The caller must hold mu.
-func (n *Node) applyTable(it sequoiaregistry.Item) {
-	t, err := sequoiakeyspace.Decode(it.Value)
-	if err != nil {
-		n.log.Event("table rejected", "Revision", it.Revision, "Error", err)
-		return
-	}
-	if n.core.SetTable(t, it.Revision) {
-		n.log.Event("table changed", "Revision", it.Revision, "Fence", t.Fence)
-	}
-}
-
-// applyConfiguration applies a configuration from the store if it is newer than the current one. The caller must hold
-// mu.
-func (n *Node) applyConfiguration(it sequoiaregistry.Item) {
-	if it.Deleted {
-		return
-	}
-	cfg, err := n.dialect.ReadConfiguration(it.Value)
-	if err != nil {
-		n.log.Event("configuration rejected", "Revision", it.Revision, "Error", err)
-		return
-	}
-	if old := n.config.Load(); old != nil && cfg.Version <= old.Version {
-		return
-	}
-	cfg.Sort()
-	n.config.Store(cfg)
-	var keyed []string
-	for name, s := range cfg.Services {
-		if s.Keyed {
-			keyed = append(keyed, name)
-		}
-	}
-	n.core.SetKeyedServices(keyed)
-	n.log.Event("configuration in force", "Version", cfg.Version, "Revision", it.Revision)
-}
-
-// applyMember applies a change of a member's entry. It returns true if the entry of this process must be written again.
-// The caller must hold mu.
-func (n *Node) applyMember(now time.Time, it sequoiaregistry.Item) bool {
-	instance := strings.TrimPrefix(it.Key, memberPrefix)
-	if it.Deleted {
-		n.core.RemoveMember(now, instance, it.Revision)
-		n.log.Event("member gone", "Member", instance, "Revision", it.Revision)
-		return instance == n.settings.Instance
-	}
-	var m sequoiaowner.Member
-	if err := json.Unmarshal(it.Value, &m); err != nil || m.Instance != instance {
-		n.log.Event("member rejected", "Member", instance, "Revision", it.Revision, "Error", err)
-		return false
-	}
-	m.Revision = it.Revision
-	n.core.SetMember(now, m)
-	own := n.ownMember()
-	return instance == n.settings.Instance && (m.Process != own.Process || m.Upstream != own.Upstream)
-}
-
-// readTable reads the table from the store and applies it.
-func (n *Node) readTable(ctx context.Context) error {
-	it, err := n.store.Get(ctx, tableKey)
-	if errors.Is(err, sequoiaregistry.ErrNotFound) {
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		n.core.SetTable(sequoiakeyspace.NewTable(), 0)
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.applyTable(it)
-	n.notifyOwnershipChanged()
-	return nil
-}
-
 // stop shuts down gracefully: it fails readiness checks so that clients switch to other processes, hands over the keys
 // and waits for requests in progress.
 func (n *Node) stop(ctx context.Context) {
--- a/internal/sequoianode/orders.go
+++ b/internal/sequoianode/orders.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiahttp"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaregistry"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
 
@@ -34,6 +36,49 @@
 	if a.Write != nil {
 		go n.writeTable(ctx, a.Write)
 	}
+	if a.Observe {
+		go n.observe(ctx)
+	}
+}
+
+// observe reads the members from the store for the ownership state machine, because one of them seems to be missing.
+func (n *Node) observe(ctx context.Context) {
+	o, err := n.readObservation(ctx)
+	n.mu.Lock()
+	_, wasRegistered := n.core.Members()[n.settings.Instance]
+	n.core.ObservationDone(sequoiatimer.BootTime(), o)
+	rewrite := n.membersChanged(wasRegistered)
+	n.mu.Unlock()
+	if o != nil && rewrite {
+		n.registration.Changed()
+	}
+	n.log.Event("members read", "Members", memberCountOf(o), "Error", err)
+}
+
+func memberCountOf(o *sequoiaowner.Observation) int {
+	if o == nil {
+		return 0
+	}
+	return len(o.Members)
+}
+
+// readObservation reads the registration records and then the members.
+func (n *Node) readObservation(ctx context.Context) (*sequoiaowner.Observation, error) {
+	ctx, cancel := context.WithTimeout(ctx, sequoiaregistry.CallTimeout)
+	defer cancel()
+	records, _, err := n.store.List(ctx, registrationPrefix)
+	if err != nil {
+		return nil, err
+	}
+	items, revision, err := n.store.List(ctx, memberPrefix)
+	if err != nil {
+		return nil, err
+	}
+	o := &sequoiaowner.Observation{Registrations: map[string]uint64{}, Members: n.decodeMembers(items), Revision: revision}
+	for _, it := range records {
+		o.Registrations[strings.TrimPrefix(it.Key, registrationPrefix)] = it.Revision
+	}
+	return o, nil
 }
 
 // sendCommand sends a grant or release request to the upstream. err is the error from building the request, which is
--- a/internal/sequoianode/peer.go
+++ b/internal/sequoianode/peer.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -29,10 +30,11 @@
 	pathPropose = "/propose"
 	// pathFetch returns a table update. The request's key is the sender's table revision.
 	pathFetch = "/fetch"
-	// pathPromise asks the process to promise that it takes over no keys.
+	// pathPromise asks the process to promise that it takes over no keys. The request's key is the asking instance. The
+	// response carries the process ID and the revision of the table.
 	pathPromise = "/promise"
-	// pathEnd announces that a process exits and takes over no keys. The request's key is the process ID, and the body
-	// is its instance.
+	// pathEnd announces that a process exits and takes over no keys. The request's key is the process ID, the body is its
+	// instance, and headerRevision is the revision of its table.
 	pathEnd = "/end"
 	// pathStore relays a store call for a process that cannot reach the store. It is followed by the path of the call.
 	pathStore = "/store"
@@ -45,6 +47,9 @@
 	promiseInterval = 400 * time.Millisecond
 )
 
+// headerRevision is the header of a message that carries the revision of the sender's table.
+const headerRevision = "Revision"
+
 // reasonStoreReached means that the process gives no promise, because it reaches the store or because one of its own
 // takeover writes may still be applied.
 const reasonStoreReached = "StoreReached"
@@ -80,10 +85,9 @@
 	case req.Path == pathPropose:
 		return n.servePropose(ctx, req)
 	case req.Path == pathPromise:
-		return n.servePromise()
+		return n.servePromise(req)
 	case req.Path == pathEnd:
-		n.withCore(func(c *sequoiaowner.Core) { c.MarkProcessEnded(string(req.Body), req.Key) })
-		return okResponse(nil, nil)
+		return n.serveEnd(req)
 	case req.Path == pathFetch:
 		return n.serveFetch(req)
 	case strings.HasPrefix(req.Path, pathStore+"/"):
@@ -93,13 +97,30 @@
 }
 
 // servePromise handles the promise request of a process that has lost the store.
-func (n *Node) servePromise() *sequoiarouter.Response {
+func (n *Node) servePromise(req *sequoiarouter.Request) *sequoiarouter.Response {
 	n.mu.Lock()
-	promised := n.core.Promise(sequoiatimer.BootTime())
+	promised := n.core.Promise(sequoiatimer.BootTime(), req.Key)
+	_, revision := n.core.Table()
 	n.mu.Unlock()
 	if !promised {
 		return n.notRunResponseWithLoad(reasonStoreReached, 0)
 	}
+	resp := okResponse([]byte(n.processID), nil)
+	resp.LogIndex = revision
+	return resp
+}
+
+// serveEnd handles the message of a process that exits.
+func (n *Node) serveEnd(req *sequoiarouter.Request) *sequoiarouter.Response {
+	revision := uint64(0)
+	if values := req.Header[headerRevision]; len(values) > 0 {
+		var err error
+		if revision, err = strconv.ParseUint(values[0], 10, 64); err != nil {
+			n.log.Event("end of a process rejected", "Member", string(req.Body), "Error", err)
+			return n.notRunResponseWithLoad(reasonBadRequest, 0)
+		}
+	}
+	n.withCore(func(c *sequoiaowner.Core) { c.MarkProcessEnded(string(req.Body), req.Key, revision) })
 	return okResponse(nil, nil)
 }
 
@@ -114,12 +135,17 @@
 	others := n.core.RequiredPromisers()
 	n.mu.Unlock()
 	askedAt := sequoiatimer.BootTime()
-	missing := n.broadcastAndWait(ctx, others, &sequoiarouter.Request{Path: pathPromise, Method: http.MethodPost})
-	complete := len(missing) == 0
-	if complete {
-		n.withCore(func(c *sequoiaowner.Core) { c.ExtendAuthority(askedAt) })
+	responses, missing := n.broadcastAndWait(ctx, others, &sequoiarouter.Request{
+		Path: pathPromise, Method: http.MethodPost, Key: n.settings.Instance,
+	})
+	promises := map[string]sequoiaowner.Promised{}
+	for instance, resp := range responses {
+		promises[instance] = sequoiaowner.Promised{Process: string(resp.Body), Revision: resp.LogIndex}
+		n.fetchIfNewer(instance, resp.LogIndex)
 	}
-	n.log.Event("asked for promises while the store is lost", "Members", len(others), "Missing", missing, "Extended", complete)
+	extended := false
+	n.withCore(func(c *sequoiaowner.Core) { extended = c.ExtendAuthority(askedAt, promises) })
+	n.log.Event("asked for promises while the store is lost", "Members", len(others), "Missing", missing, "Extended", extended)
 	_ = sequoiatimer.Sleep(ctx, promiseInterval)
 }
 
@@ -128,35 +154,43 @@
 // process is restarted.
 func (n *Node) announceExit(ctx context.Context) {
 	n.mu.Lock()
-	takeoversStopped := n.core.TakeoversStopped(sequoiatimer.BootTime())
+	takeoversStopped := n.core.TakeoversStopped()
 	members := n.core.RequiredPromisers()
+	_, revision := n.core.Table()
 	n.mu.Unlock()
 	if !takeoversStopped {
 		return
 	}
-	failed := n.broadcastAndWait(ctx, members, &sequoiarouter.Request{
+	_, failed := n.broadcastAndWait(ctx, members, &sequoiarouter.Request{
 		Path: pathEnd, Method: http.MethodPost, Key: n.processID, Body: []byte(n.settings.Instance),
+		Header: map[string][]string{headerRevision: {strconv.FormatUint(revision, 10)}},
 	})
 	n.metrics.messagesLost.Add(float64(len(failed)))
 }
 
-// broadcastAndWait sends a message to members and waits for the responses. It returns the errors by instance.
-func (n *Node) broadcastAndWait(ctx context.Context, members []sequoiaowner.Member, req *sequoiarouter.Request) map[string]string {
+// broadcastAndWait sends a message to members and waits for the responses. It returns the responses and the errors by
+// instance.
+func (n *Node) broadcastAndWait(
+	ctx context.Context, members []sequoiaowner.Member, req *sequoiarouter.Request,
+) (responses map[string]*sequoiarouter.Response, failed map[string]string) {
 	var mu sync.Mutex
-	failed := map[string]string{}
+	responses, failed = map[string]*sequoiarouter.Response{}, map[string]string{}
 	var wg sync.WaitGroup
 	for _, m := range members {
 		msg := *req
 		wg.Go(func() {
-			if _, err := n.sendMessage(ctx, m.Address, peerTimeout, &msg); err != nil {
-				mu.Lock()
-				defer mu.Unlock()
+			resp, err := n.sendMessage(ctx, m.Address, peerTimeout, &msg)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
 				failed[m.Instance] = err.Error()
+				return
 			}
+			responses[m.Instance] = resp
 		})
 	}
 	wg.Wait()
-	return failed
+	return responses, failed
 }
 
 // okResponse returns a response with the body, or a rejection if encoding the body failed.
--- a/internal/sequoianode/relay.go
+++ b/internal/sequoianode/relay.go
@@ -7,6 +7,9 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiapeer"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaregistry"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
 )
@@ -37,16 +40,26 @@
 
 // exchange makes a store call, directly or through another process.
 func (r *relay) exchange(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+	mayHaveRun := false
 	if r.recentlyFailed() {
-		if status, respBody, ok := r.callThroughPeer(ctx, method, path, body); ok {
+		var status int
+		var respBody []byte
+		var err error
+		if status, respBody, mayHaveRun, err = r.callThroughPeer(ctx, method, path, body); err == nil {
 			return status, respBody, nil
 		}
 	}
 	status, respBody, err := r.direct(ctx, method, path, body)
 	r.recordResult(ctx, err != nil || storeRefused(status))
+	if err == nil && mayHaveRun && storeRefused(status) {
+		return 0, nil, errors.WithStack(errRelayInDoubt)
+	}
 	return status, respBody, err
 }
 
+// errRelayInDoubt reports a call that the store refused, but that another process may have made before.
+var errRelayInDoubt = errors.New("the store refused the call, which another process may have made before")
+
 // storeRefused reports whether the status means that the store refused to serve this instance.
 func storeRefused(status int) bool {
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
@@ -70,25 +83,31 @@
 	}
 }
 
-// callThroughPeer asks other processes to make the call. ok is false if none of them returned the store's response.
-func (r *relay) callThroughPeer(ctx context.Context, method, path string, body []byte) (status int, respBody []byte, ok bool) {
+// errNoPeer reports a call that no other process made.
+var errNoPeer = errors.New("no other process made the call to the store")
+
+// callThroughPeer asks other processes to make the call. It returns an error if none of them returned the store's
+// response; mayHaveRun is then true if one of them may have made a call that changes something.
+func (r *relay) callThroughPeer(
+	ctx context.Context, method, path string, body []byte,
+) (status int, respBody []byte, mayHaveRun bool, err error) {
 	deadline, bounded := ctx.Deadline()
 	if !bounded {
-		return 0, nil, false
+		return 0, nil, false, errNoPeer
 	}
 	for _, addr := range r.node.directory.randomPeers(maxRelayPeers) {
 		req := &sequoiarouter.Request{Path: pathStore + path, Method: method, Body: body}
 		resp, err := r.node.sendMessage(ctx, addr, time.Until(deadline), req)
 		if err == nil {
 			r.node.metrics.relayed.Inc()
-			return resp.Status, resp.Body, true
+			return resp.Status, resp.Body, false, nil
 		}
-		if method != http.MethodGet || ctx.Err() != nil {
-			// The other process may have made the call, so no further process is asked.
+		mayHaveRun = method != http.MethodGet && !errors.Is(err, sequoiapeer.ErrNotSent)
+		if mayHaveRun || ctx.Err() != nil {
 			break
 		}
 	}
-	return 0, nil, false
+	return 0, nil, mayHaveRun, errNoPeer
 }
 
 // serve makes a store call on behalf of another process.
--- /dev/null
+++ b/internal/sequoianode/sync.go
@@ -0,0 +1,257 @@
+package sequoianode
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaregistry"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
+)
+
+// secret returns the shared secret of the deployment, retrying until the store is available. The first process to start
+// generates the secret and writes it to the store, which only processes of the deployment can read.
+func (n *Node) secret(ctx context.Context) ([]byte, error) {
+	failing := false
+	for {
+		secret, err := n.readSecret(ctx)
+		if err == nil {
+			return secret, nil
+		}
+		if ctx.Err() != nil {
+			return nil, errors.Wrap(ctx.Err(), "read the secret")
+		}
+		if !failing {
+			failing = true
+			n.log.Event("store unavailable", "Purpose", "Secret", "Error", err)
+		}
+		_ = sequoiatimer.Sleep(ctx, secretRetryPause)
+	}
+}
+
+// readSecret reads the secret from the store and creates it if there is none.
+func (n *Node) readSecret(ctx context.Context) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, sequoiaregistry.CallTimeout)
+	defer cancel()
+	it, err := n.store.Get(ctx, secretKey)
+	if !errors.Is(err, sequoiaregistry.ErrNotFound) {
+		return it.Value, err
+	}
+	put := sequoiaregistry.Item{Key: secretKey, Value: []byte(randomID(secretBytes))}
+	tx := sequoiaregistry.Transaction{Expected: map[string]uint64{secretKey: 0}, Puts: []sequoiaregistry.Item{put}}
+	if _, err := n.store.Commit(ctx, tx); err != nil && !errors.Is(err, sequoiaregistry.ErrConflict) {
+		return nil, err
+	}
+	it, err = n.store.Get(ctx, secretKey)
+	return it.Value, err
+}
+
+// startStoreSync registers the process in the store and starts watching the members and the configuration.
+func (n *Node) startStoreSync(ctx context.Context) {
+	members := &sequoiaregistry.Watcher{
+		Store: n.store, Prefix: memberPrefix, Wait: memberWatchTimeout, Now: sequoiatimer.BootTime,
+		OnItems: n.onStoreItems, OnListed: n.onMembersListed, OnError: n.storeFaultHandler("members"),
+		OnCurrent:  func(sent time.Time) { n.withCore(func(c *sequoiaowner.Core) { c.ConfirmView(sent) }) },
+		BatchDelay: func() time.Duration { return min(maxWatchPause, time.Duration(n.memberCount())*watchPausePerMember) },
+	}
+	configuration := &sequoiaregistry.Watcher{
+		Store: n.store, Prefix: n.dialect.ConfigurationKey, Wait: configurationWatchTimeout, Now: sequoiatimer.BootTime,
+		OnItems: n.onStoreItems, OnError: n.storeFaultHandler("configuration"),
+	}
+	n.registration = n.newRegistration(func() {
+		members.Refresh()
+		configuration.Refresh()
+	})
+	n.registration.Start(ctx)
+	go members.Run(ctx)
+	go configuration.Run(ctx)
+}
+
+// newRegistration returns the registration of this process, which calls regained when the store is reached again.
+func (n *Node) newRegistration(regained func()) *sequoiaregistry.Registration {
+	logFault := n.storeFaultHandler("registration")
+	return &sequoiaregistry.Registration{
+		Store: n.store, Key: memberPrefix + n.settings.Instance, RecordKey: registrationPrefix + n.settings.Instance,
+		Process: n.processID, Value: n.encodedOwnMember, Now: sequoiatimer.BootTime, ReadTable: n.readTable,
+		OnConfirmed:  func(sent time.Time) { n.withCore(func(c *sequoiaowner.Core) { c.ConfirmRegistration(sent) }) },
+		OnCallFailed: func() { n.withCore(func(c *sequoiaowner.Core) { c.MarkRegistrationUnconfirmed() }) },
+		Confirmed: func() (ok bool) {
+			n.withCore(func(c *sequoiaowner.Core) { ok = c.RegistrationConfirmed() })
+			return ok
+		},
+		OnRegistered: func(revision, lease uint64) {
+			n.withCore(func(c *sequoiaowner.Core) { c.MarkRegistered(sequoiatimer.BootTime(), lease) })
+			n.log.Event("registered in the store", "Revision", revision, "Lease", lease)
+		},
+		OnError: func(err error) {
+			logFault(err)
+			if err == nil {
+				regained()
+			}
+		},
+	}
+}
+
+// storeFaultHandler returns a callback that logs the loss and the recovery of store access for the given purpose.
+func (n *Node) storeFaultHandler(purpose string) func(err error) {
+	return func(err error) {
+		if err != nil {
+			n.metrics.storeFaults.Inc()
+			n.log.Event("store lost", "Purpose", purpose, "Error", err)
+			return
+		}
+		n.log.Event("store regained", "Purpose", purpose)
+	}
+}
+
+func (n *Node) encodedOwnMember() []byte {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	b, err := json.Marshal(n.ownMember())
+	if err != nil {
+		panic(err) // Every value of the type can be encoded.
+	}
+	return b
+}
+
+// ownMember returns the registration entry of this process. The caller must hold mu.
+func (n *Node) ownMember() sequoiaowner.Member {
+	u := n.core.Upstream()
+	u.Lost = u.Lost || n.stopping.Load()
+	return sequoiaowner.Member{
+		Instance: n.settings.Instance, Address: n.settings.Forward, Domain: n.settings.Domain, Process: n.processID, Upstream: u,
+	}
+}
+
+// onStoreItems applies changes that the watches received from the store.
+func (n *Node) onStoreItems(items []sequoiaregistry.Item) {
+	rewrite := false
+	n.mu.Lock()
+	now := sequoiatimer.BootTime()
+	for _, it := range items {
+		switch {
+		case it.Key == n.dialect.ConfigurationKey:
+			n.applyConfiguration(it)
+		case strings.HasPrefix(it.Key, memberPrefix):
+			rewrite = n.applyMember(now, it) || rewrite
+		}
+	}
+	n.directory.setMembers(n.core.Members())
+	n.notifyOwnershipChanged()
+	n.mu.Unlock()
+	if rewrite {
+		n.registration.Changed()
+	}
+}
+
+// onMembersListed applies a list of all members.
+func (n *Node) onMembersListed(items []sequoiaregistry.Item, revision uint64) {
+	members := n.decodeMembers(items)
+	n.mu.Lock()
+	_, wasRegistered := n.core.Members()[n.settings.Instance]
+	n.core.SetMembers(sequoiatimer.BootTime(), members, revision)
+	rewrite := n.membersChanged(wasRegistered)
+	n.mu.Unlock()
+	if rewrite {
+		n.registration.Changed()
+	}
+}
+
+// membersChanged applies a change of the members to what depends on them. It reports whether this process's entry has
+// disappeared or is outdated, so that it must be written again. The caller must hold mu.
+func (n *Node) membersChanged(wasRegistered bool) bool {
+	n.directory.setMembers(n.core.Members())
+	n.notifyOwnershipChanged()
+	m, registered := n.core.Members()[n.settings.Instance]
+	if !registered {
+		return wasRegistered
+	}
+	own := n.ownMember()
+	return m.Process != own.Process || m.Upstream != own.Upstream
+}
+
+// applyTable decodes a table from the store and applies it. The caller must hold mu.
+func (n *Node) applyTable(it sequoiaregistry.Item) {
+	t, err := sequoiakeyspace.Decode(it.Value)
+	if err != nil {
+		n.log.Event("table rejected", "Revision", it.Revision, "Error", err)
+		return
+	}
+	if n.core.SetTable(t, it.Revision) {
+		n.log.Event("table changed", "Revision", it.Revision, "Fence", t.Fence)
+	}
+}
+
+// applyMember applies a change of a member's entry. It returns true if the entry of this process must be written again.
+// The caller must hold mu.
+func (n *Node) applyMember(now time.Time, it sequoiaregistry.Item) bool {
+	instance := strings.TrimPrefix(it.Key, memberPrefix)
+	if it.Deleted {
+		n.core.RemoveMember(now, instance, it.Revision)
+		n.log.Event("member gone", "Member", instance, "Revision", it.Revision)
+		return instance == n.settings.Instance
+	}
+	m, err := decodeMember(it)
+	if err != nil {
+		n.log.Event("member rejected", "Member", instance, "Revision", it.Revision, "Error", err)
+		return false
+	}
+	n.core.SetMember(now, m)
+	own := n.ownMember()
+	return instance == n.settings.Instance && (m.Process != own.Process || m.Upstream != own.Upstream)
+}
+
+// errMember reports a member entry that cannot be read.
+var errMember = errors.New("malformed member entry")
+
+// decodeMember decodes a member's entry.
+func decodeMember(it sequoiaregistry.Item) (sequoiaowner.Member, error) {
+	m := sequoiaowner.Member{}
+	if err := json.Unmarshal(it.Value, &m); err != nil {
+		return m, errors.Wrap(errMember, err.Error())
+	}
+	if m.Instance != strings.TrimPrefix(it.Key, memberPrefix) {
+		return m, errors.Wrapf(errMember, "the entry %s is of instance %q", it.Key, m.Instance)
+	}
+	m.Revision = it.Revision
+	return m, nil
+}
+
+// decodeMembers decodes the entries of all members. An entry that cannot be read shows that its instance is not missing,
+// but the upstream cannot be used.
+func (n *Node) decodeMembers(items []sequoiaregistry.Item) map[string]sequoiaowner.Member {
+	members := map[string]sequoiaowner.Member{}
+	for _, it := range items {
+		m, err := decodeMember(it)
+		if err != nil {
+			n.log.Event("member rejected", "Member", it.Key, "Revision", it.Revision, "Error", err)
+			m = sequoiaowner.Member{Instance: strings.TrimPrefix(it.Key, memberPrefix), Revision: it.Revision}
+		}
+		members[m.Instance] = m
+	}
+	return members
+}
+
+// readTable reads the table from the store and applies it.
+func (n *Node) readTable(ctx context.Context) error {
+	it, err := n.store.Get(ctx, tableKey)
+	if errors.Is(err, sequoiaregistry.ErrNotFound) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.core.SetTable(sequoiakeyspace.NewTable(), 0)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.applyTable(it)
+	n.notifyOwnershipChanged()
+	return nil
+}
--- a/internal/sequoiaowner/authority.go
+++ b/internal/sequoiaowner/authority.go
@@ -1,6 +1,9 @@
 package sequoiaowner
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // ConfirmRegistration records that the store answered a call sent at the given time, which confirms this process's
 // member entry.
@@ -24,51 +27,82 @@
 	return c.registrationConfirmed && now.Sub(c.confirmedAt) <= maxConfirmationAge
 }
 
-// AuthorityUntil returns the time at which all grants end unless the registration is confirmed again.
+// MarkRegistered records that this process's entry was written under a lease.
+func (c *Core) MarkRegistered(now time.Time, lease uint64) {
+	if lease != c.lease {
+		c.lease, c.joinedAt = lease, now
+	}
+}
+
+// ConfirmView records that a call to the store, sent at the given time, returned all members or all changes of them up
+// to then.
+func (c *Core) ConfirmView(sent time.Time) { c.viewedAt = later(c.viewedAt, sent) }
+
+// AuthorityUntil returns the time at which all grants end unless the registration is confirmed again. Promises extend
+// it only as long as every member that this process does not know of still waits before it takes over keys.
 func (c *Core) AuthorityUntil() time.Time {
 	if c.confirmedAt.IsZero() {
 		return time.Time{}
 	}
-	end := later(c.confirmedAt.Add(DefaultAuthority), c.extendedUntil)
-	if limit := c.confirmedAt.Add(maxAuthority); end.After(limit) {
-		return limit
+	extended := c.extendedUntil
+	for _, limit := range []time.Time{c.confirmedAt.Add(maxAuthority), c.viewedAt.Add(joinWait)} {
+		if extended.After(limit) {
+			extended = limit
+		}
 	}
-	return end
+	return later(c.confirmedAt.Add(DefaultAuthority), extended)
+}
+
+// registered reports whether this process's own entry is among the members that it knows.
+func (c *Core) registered() bool {
+	_, ok := c.members[c.instance]
+	return ok
 }
 
 // NeedsPromises reports whether the process holds keys and has not reached the store for a while, so that it should ask
 // the other members for promises.
 func (c *Core) NeedsPromises(now time.Time) bool {
 	age := now.Sub(c.confirmedAt)
-	return !c.confirmedAt.IsZero() && age > promiseAfter && age < maxAuthority && len(c.HeldRanges()) > 0
+	return !c.confirmedAt.IsZero() && age > promiseAfter && age < maxAuthority && c.registered() && len(c.HeldRanges()) > 0
 }
 
 // Promise returns true if this process cannot reach the store either; it then takes over no keys for PromiseTime. It
-// returns false while a takeover write without a response may still be applied. A pending write that reassigns only
-// this process's own keys is not a takeover and does not prevent a promise.
-func (c *Core) Promise(now time.Time) bool {
-	if c.TakeoversStopped(now) {
+// returns false while a takeover from the asking instance may still be applied; an empty name stands for any instance.
+// A process that has not read the table since its start gives no promise.
+func (c *Core) Promise(now time.Time, instance string) bool {
+	if c.mayTakeOver(instance) {
+		return false
+	}
+	if c.stopping {
 		return true
 	}
-	if now.Sub(c.confirmedAt) < promiseAfter || !c.noTakeoverPending(now) {
+	if c.table == nil || c.confirmedAt.IsZero() || now.Sub(c.confirmedAt) < promiseAfter {
 		return false
 	}
 	c.promisedUntil = now.Add(PromiseTime + takeoverMargin)
 	return true
 }
 
-// noTakeoverPending reports whether no takeover write of this process may still be applied.
-func (c *Core) noTakeoverPending(now time.Time) bool {
-	return !c.takeoverInFlight && now.Sub(c.lastFailedTakeover) >= takeoverInDoubtTime
+// mayTakeOver reports whether a takeover from an instance, or from any if the name is empty, is being written or may
+// still be applied.
+func (c *Core) mayTakeOver(instance string) bool {
+	names := func(absent []Absence) bool {
+		return slices.ContainsFunc(absent, func(a Absence) bool { return instance == "" || a.Instance == instance })
+	}
+	return c.writing != nil && names(c.writing.Absent) ||
+		slices.ContainsFunc(c.inDoubt, func(d doubt) bool { return names(d.absent) })
 }
 
 // TakeoversStopped reports whether the process is stopping and will never take over keys again, so that the other
-// members may rely on that after it exits. Its successor on the instance takes over no keys of members that it has
-// never seen until maxAuthority after its own start.
-func (c *Core) TakeoversStopped(now time.Time) bool { return c.stopping && c.noTakeoverPending(now) }
+// members may rely on that after it exits. Its successor on the instance waits after it has registered.
+func (c *Core) TakeoversStopped() bool { return c.stopping && !c.mayTakeOver("") }
 
-// MarkProcessEnded records that a process has exited and that none of its takeover writes may still be applied.
-func (c *Core) MarkProcessEnded(instance, process string) { c.endedProcesses[instance] = process }
+// MarkProcessEnded records that a process has exited and that none of its takeovers may still be applied. revision is
+// the revision of the table that it had.
+func (c *Core) MarkProcessEnded(instance, process string, revision uint64) {
+	c.endedProcesses[instance] = process
+	c.latestRevision = max(c.latestRevision, revision)
+}
 
 // RequiredPromisers returns the members whose promises are needed. A member whose process has exited is left out until
 // another process registers on its instance.
@@ -82,7 +116,28 @@
 	return members
 }
 
-// ExtendAuthority records that all other members promised when asked at the given time.
-func (c *Core) ExtendAuthority(asked time.Time) {
+// Promised is the promise of one process.
+type Promised struct {
+	Process string
+	// Revision is the revision of the process's table. It shows a takeover that this process has not heard of.
+	Revision uint64
+}
+
+// ExtendAuthority records the promises, by instance, that other members gave when asked at the given time. It reports
+// whether they extend the authority: all members must have promised, each by the process that is registered, and none
+// may have a newer table. A process whose own entry is known to be missing needs to register again first.
+func (c *Core) ExtendAuthority(asked time.Time, promises map[string]Promised) bool {
+	for _, p := range promises {
+		c.latestRevision = max(c.latestRevision, p.Revision)
+	}
+	if !c.registered() || c.revision < c.latestRevision {
+		return false
+	}
+	for _, m := range c.RequiredPromisers() {
+		if p, ok := promises[m.Instance]; !ok || p.Process != m.Process {
+			return false
+		}
+	}
 	c.extendedUntil = later(c.extendedUntil, asked.Add(PromiseTime))
+	return true
 }
--- a/internal/sequoiaowner/core.go
+++ b/internal/sequoiaowner/core.go
@@ -3,19 +3,22 @@
 //
 // The table of key ranges is one value in the platform's store, changed only by compare-and-swap. A process grants the
 // keys that the table assigns to its local upstream, and only while it has authority: for a fixed time after it sent
-// the last call that the store answered and that confirms its member entry. Grants never outlast the authority. A
-// takeover checks, in the same write that reassigns the keys, that the old owner's entry is missing; once the entry has
-// been missing for that time, the old owner holds no keys.
+// the last call that the store answered and that confirms its member entry. Grants never outlast the authority.
+//
+// Each process has a registration record beside its entry, under no lease, which every write of the entry rewrites. A
+// process takes keys over if it has read that record and then seen in an answer of the store that the entry is missing,
+// has waited for as long as an authority lasts, and writes on the condition that the record has not changed. The owner
+// then had no entry since that answer, so its last confirmation was sent before it.
 //
 // While no process reaches the store, none can take keys over. A process that loses the store therefore keeps its
 // authority if all other members promise that they have lost the store too and will take over no keys for a limited
-// time. A member that joined after the last confirmation is not asked, so a process that started recently waits longer
-// before it takes over keys.
+// time. A member that the process does not know of is not asked, so a process waits after it has registered before it
+// takes over keys.
 package sequoiaowner
 
 import (
-	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
@@ -47,6 +50,13 @@
 	minGrantDuration = 300 * time.Millisecond
 	// takeoverMargin covers the clock difference between two processes over the authority's duration.
 	takeoverMargin = 300 * time.Millisecond
+	// joinWait is how long a process waits after it has registered under a new lease before it takes over keys. A member
+	// that does not know of the process, and so does not ask for its promise, has lost its authority by then. It exceeds
+	// maxAuthority by less than the age of the oldest view of the members, so that in an outage a view rarely ends an
+	// authority earlier.
+	joinWait = 16 * time.Second
+	// joinMargin covers the clock difference between two processes over joinWait, at 2%.
+	joinMargin = 400 * time.Millisecond
 	// staggerInterval separates the attempts of several processes to make the same change.
 	staggerInterval = 700 * time.Millisecond
 	// settleTime is how long a service's members must be unchanged before its keys are first assigned to them.
@@ -57,9 +67,6 @@
 	maxMissedAnnouncements = 3
 	// defaultHeartbeat is the interval of an upstream's announcements.
 	defaultHeartbeat = time.Second
-	// takeoverInDoubtTime is how long a takeover write that got no response may still be applied. A call times out after
-	// 800 ms, and a slow store answers what it has received within about 250 ms.
-	takeoverInDoubtTime = 2 * time.Second
 	// writeRetryDelay is the delay after a failed write of the table.
 	writeRetryDelay = 150 * time.Millisecond
 	// maxConfirmationAge is the age of the last confirmation up to which a move may begin. After that the store may be
@@ -111,6 +118,8 @@
 	Grants   []Grant
 	Releases []Release
 	Write    *Write
+	// Observe asks the caller to read an Observation from the store and to pass it to ObservationDone.
+	Observe bool
 }
 
 // Core is the ownership state of one process. It is not safe for concurrent use.
@@ -121,7 +130,7 @@
 
 	members          map[string]Member
 	membersChangedAt time.Time
-	missingSince     map[string]time.Time
+	presence         presence
 	lastAddresses    map[string]netip.AddrPort
 	table            *sequoiakeyspace.Table
 	// tableInstances is the set of instances that hold keys in the table.
@@ -137,14 +146,20 @@
 	registrationConfirmed bool
 	grants                map[sequoiakeyspace.Range]*grant
 	moves                 []*move
-	writing               bool
-	nextWrite             time.Time
-	// takeoverInFlight is true while a takeover is being written; lastFailedTakeover is when the last one failed.
-	takeoverInFlight   bool
-	lastFailedTakeover time.Time
-	stopping           bool
+	// lease is the lease of this process's entry, and joinedAt is when the entry was first written under it.
+	lease    uint64
+	joinedAt time.Time
+	// viewedAt is a time up to which the members are known completely.
+	viewedAt time.Time
+	// writing is the write in progress, and inDoubt holds takeovers that may still be applied.
+	writing   *Write
+	inDoubt   []doubt
+	nextWrite time.Time
+	stopping  bool
 	// endedProcesses holds the processes that reported their end, by instance.
 	endedProcesses map[string]string
+	// latestRevision is the highest revision of the table that another process is known to have.
+	latestRevision uint64
 }
 
 // Option configures a Core.
@@ -166,7 +181,7 @@
 	c := &Core{
 		instance: instance, heartbeat: defaultHeartbeat, started: now, lastSeen: now,
 		meter:   sequoiakeyspace.NewMeter(),
-		members: map[string]Member{}, missingSince: map[string]time.Time{}, lastAddresses: map[string]netip.AddrPort{}, keyedServices: map[string]bool{}, endedProcesses: map[string]string{},
+		members: map[string]Member{}, presence: newPresence(), lastAddresses: map[string]netip.AddrPort{}, keyedServices: map[string]bool{}, endedProcesses: map[string]string{},
 		grants: map[sequoiakeyspace.Range]*grant{}, membersChangedAt: now,
 	}
 	for _, o := range opts {
@@ -183,33 +198,6 @@
 	}
 }
 
-// SetMember records a member's entry in the store.
-func (c *Core) SetMember(now time.Time, m Member) {
-	old, known := c.members[m.Instance]
-	if known && old.Revision > m.Revision {
-		return
-	}
-	if !known || old.Upstream != m.Upstream {
-		c.membersChangedAt = now
-	}
-	c.members[m.Instance] = m
-	c.lastAddresses[m.Instance] = m.Address
-	delete(c.missingSince, m.Instance)
-}
-
-// RemoveMember records that a member's entry was removed. A process whose own entry was removed is unconfirmed until it
-// registers again.
-func (c *Core) RemoveMember(now time.Time, instance string, revision uint64) {
-	if m, known := c.members[instance]; !known || m.Revision > revision {
-		return
-	}
-	delete(c.members, instance)
-	c.membersChangedAt = now
-	if instance == c.instance {
-		c.registrationConfirmed = false
-	}
-}
-
 // Members returns the registered members by instance. The map must not be changed.
 func (c *Core) Members() map[string]Member { return c.members }
 
@@ -224,6 +212,7 @@
 	c.table, c.revision = t, revision
 	c.tableInstances = t.Instances()
 	c.nextWrite = time.Time{}
+	c.inDoubt = slices.DeleteFunc(c.inDoubt, func(d doubt) bool { return d.revision < revision })
 	c.dropStaleMoves()
 	return true
 }
@@ -277,32 +266,21 @@
 	if a.Write == nil {
 		a.Write = c.plan(now)
 	}
-	if a.Write != nil {
-		if c.writing || now.Before(c.nextWrite) || c.table == nil {
-			a.Write = nil
-		} else {
-			c.writing = true
-			c.takeoverInFlight = len(a.Write.Absent) > 0
-		}
+	if c.writing != nil || now.Before(c.nextWrite) || c.table == nil {
+		a.Write = nil
+	} else {
+		c.writing = a.Write
 	}
+	a.Observe = c.startObservation(now)
 	return a
 }
 
-// updateLiveness records since when key-holding members have been missing, and whether the local upstream has timed
-// out.
+// updateLiveness records whether the local upstream has timed out, and which members seem to be missing.
 func (c *Core) updateLiveness(now time.Time) {
 	if c.upstream.ID != "" && now.Sub(c.lastSeen) > c.upstreamTimeout() {
 		c.upstream.Lost = true
 	}
-	if c.table == nil {
-		return
-	}
-	for instance := range c.tableInstances {
-		_, registered := c.members[instance]
-		_, known := c.missingSince[instance]
-		if !registered && !known {
-			c.missingSince[instance] = now
-		}
+	if c.table != nil {
+		c.updateMissing(now)
 	}
-	maps.DeleteFunc(c.missingSince, func(instance string, _ time.Time) bool { return !c.tableInstances[instance] })
 }
--- /dev/null
+++ b/internal/sequoiaowner/model_search_test.go
@@ -0,0 +1,190 @@
+package sequoiaowner_test
+
+import (
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+)
+
+const (
+	// maxFaultDuration and maxFaultStart bound the faults of a simulated day.
+	maxFaultDuration = 12 * time.Second
+	maxFaultStart    = 20 * time.Second
+	// recoveryTime is how long after the last fault each key must be served again: the wait after a registration, the
+	// wait for an authority and that of one process for another.
+	recoveryTime = 24 * time.Second
+)
+
+// play plays a day with faults and returns its first failure: a key with two owners, or one that is not served again once
+// the faults are over.
+func play(n int, faults []fault) (*world, error) {
+	w := newWorld(n, faults)
+	if err := w.play(modelWarmUp + maxFaultStart + maxFaultDuration + recoveryTime); err != nil {
+		return w, err
+	}
+	eventsLost := slices.ContainsFunc(faults, func(f fault) bool { return f.kind == faultDisorder })
+	if keys := w.unserved(); len(keys) > 0 && !eventsLost {
+		return w, errors.Errorf("keys %v are not served %v after the last fault", keys, recoveryTime)
+	}
+	return w, nil
+}
+
+// drawFaults draws the faults of a day. Most begin near the begin or the end of an earlier one, since a fault that hits
+// while another one is being repaired is more likely to show something.
+func drawFaults(t *rapid.T, n int) []fault {
+	tenths := func(name string, least, most time.Duration) time.Duration {
+		return time.Duration(rapid.IntRange(int(least/modelStep), int(most/modelStep)).Draw(t, name)) * modelStep
+	}
+	var faults []fault
+	for range rapid.IntRange(1, 6).Draw(t, "faults") {
+		f := fault{
+			kind: rapid.SampledFrom(faultKinds).Draw(t, "kind"), process: rapid.IntRange(0, n-1).Draw(t, "process"),
+			delay: tenths("delay", modelStep, 6*time.Second),
+		}
+		f.d = tenths("for", modelStep, rapid.SampledFrom([]time.Duration{time.Second, 4 * time.Second, maxFaultDuration}).Draw(t, "up to"))
+		f.at = tenths("at", 0, maxFaultStart)
+		if len(faults) > 0 {
+			near := faults[len(faults)-1]
+			switch rapid.IntRange(0, 3).Draw(t, "near") {
+			case 0:
+				f.at = near.at + near.d + tenths("after", 0, 1500*time.Millisecond)
+			case 1:
+				f.at = near.at + near.d + tenths("after", 0, 1500*time.Millisecond)
+				f.kind, f.process = near.kind, near.process
+			case 2:
+				f.at = near.at + tenths("within", 0, 4*time.Second)
+			}
+			f.at = min(f.at, maxFaultStart)
+		}
+		faults = append(faults, f)
+	}
+	return faults
+}
+
+// playAll plays days at the same time and returns the first failure in their order.
+func playAll(n int, days [][]fault) error {
+	failures := make([]error, len(days))
+	var next atomic.Int64
+	var wg sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		wg.Go(func() {
+			for i := int(next.Add(1)) - 1; i < len(days); i = int(next.Add(1)) - 1 {
+				if w, err := play(n, days[i]); err != nil {
+					failures[i] = errors.Errorf("%v\n%v\n%s", err, days[i], strings.Join(w.trace, "\n"))
+				}
+			}
+		})
+	}
+	wg.Wait()
+	for _, err := range failures {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// blindness is a set of faults of the process that takes keys over, so that it misses events.
+func blindness(at time.Duration) [][]fault {
+	silent := fault{kind: faultSilentWatch, at: at, d: maxFaultDuration}
+	refused := func(d time.Duration) fault { return fault{kind: faultRefused, at: at, d: d} }
+	return [][]fault{{silent}, {silent, refused(3 * time.Second)}, {silent, refused(4 * time.Second)}}
+}
+
+// lostTwice returns days on which the second of two processes is lost, returns and is lost again, while the first one
+// misses what happens. The times run over those at which the entry expires, is written again and expires again.
+func lostTwice() [][]fault {
+	const step = 100 * time.Millisecond
+	var days [][]fault
+	for _, first := range []string{faultCutFromStore, faultIsolated, faultFreeze} {
+		for _, second := range []string{faultCutFromStore, faultIsolated, faultFreeze, faultKill, faultGone} {
+			for d := 2700 * time.Millisecond; d <= 4200*time.Millisecond; d += step {
+				for _, gap := range []time.Duration{2 * step, 5 * step, 8 * step, 11 * step} {
+					day := []fault{
+						{kind: first, process: 1, at: step, d: d},
+						{kind: second, process: 1, at: step + d + gap, d: maxFaultDuration},
+					}
+					days = append(days, day)
+					for _, at := range []time.Duration{26 * step, 28 * step} {
+						for _, b := range blindness(at) {
+							days = append(days, slices.Concat(day, b))
+						}
+					}
+				}
+			}
+		}
+	}
+	return days
+}
+
+// cutInTurn returns days on which the second of two processes is cut from the store and the first one is, too, at about
+// the time when it has seen that the entry of the second one is missing. It returns to the store while the second one
+// still relies on its promise.
+func cutInTurn() [][]fault {
+	const step = 100 * time.Millisecond
+	var days [][]fault
+	for _, kind := range []string{faultCutFromStore, faultRefused} {
+		for at := 24 * step; at <= 34*step; at += step {
+			for d := time.Second; d <= 6*time.Second; d += 2 * step {
+				days = append(days, []fault{
+					{kind: faultCutFromStore, process: 1, at: step, d: maxFaultDuration}, {kind: kind, at: at, d: d},
+				})
+			}
+		}
+	}
+	return days
+}
+
+// lapseAndLoss returns days on which leases end early, all in a short outage or that of one process, and this process does
+// not reach the store again.
+func lapseAndLoss() [][]fault {
+	const step = 100 * time.Millisecond
+	var days [][]fault
+	for _, kind := range []string{faultCutFromStore, faultIsolated, faultFreeze, faultKill} {
+		for d := step; d <= 3*time.Second; d += 2 * step {
+			for at := time.Duration(0); at <= 10*step; at += step {
+				days = append(days, []fault{
+					{kind: faultLapse, process: -1, at: 5 * step, d: d}, {kind: kind, process: 1, at: at, d: maxFaultDuration},
+				}, []fault{
+					{kind: faultRevoke, process: 1, at: 5 * step, d: d}, {kind: kind, process: 1, at: at, d: maxFaultDuration},
+				})
+			}
+		}
+	}
+	return days
+}
+
+var _ = ginkgo.Describe("Model of ownership", func() {
+	ginkgo.It("never gives a key two owners, whatever faults overlap", func() {
+		rapid.Check(ginkgo.GinkgoT(), func(t *rapid.T) {
+			n := rapid.IntRange(2, 3).Draw(t, "processes")
+			faults := drawFaults(t, n)
+			if w, err := play(n, faults); err != nil {
+				t.Fatalf("%v\n%v\n%s", err, faults, strings.Join(w.trace, "\n"))
+			}
+		})
+	})
+
+	// Guards against a takeover whose wait is counted from a loss after which the owner has registered again. It broke
+	// exclusive ownership on simulated days with a freeze, an outage in which leases lapsed, and cuts (register-again,
+	// seed 12).
+	ginkgo.It("never gives a key two owners if an owner returns and is lost again while its successor misses it", func() {
+		Expect(playAll(2, lostTwice())).To(Succeed())
+	})
+
+	ginkgo.It("never gives a key two owners if two processes are cut from the store in turn", func() {
+		Expect(playAll(2, cutInTurn())).To(Succeed())
+	})
+
+	ginkgo.It("never gives a key two owners if leases end early and an owner is lost", func() {
+		Expect(playAll(2, lapseAndLoss())).To(Succeed())
+	})
+})
--- a/internal/sequoiaowner/plan.go
+++ b/internal/sequoiaowner/plan.go
@@ -19,14 +19,14 @@
 	ReasonTakeover = "Takeover"
 )
 
-// Write is a table change. It is valid only if the members listed in Absent are not registered.
+// Write is a table change. It is valid only while the conditions in Absent hold.
 type Write struct {
 	// Changes are the proposed assignments. Spread, if set, is the service whose keys are assigned to Holders for the
 	// first time.
 	Changes sequoiakeyspace.Changes
 	Spread  string
 	Holders []sequoiakeyspace.Holder
-	Absent  []string
+	Absent  []Absence
 	Reason  string
 }
 
@@ -95,54 +95,6 @@
 	return nil
 }
 
-// planTakeover reassigns the keys of members that have been missing for as long as their authority may last.
-func (c *Core) planTakeover(now time.Time) *Write {
-	if now.Before(c.promisedUntil) || c.stopping {
-		return nil
-	}
-	wait := DefaultAuthority
-	if now.Sub(c.started) < maxAuthority+takeoverMargin {
-		wait = maxAuthority
-	}
-	wait += takeoverMargin + c.staggerDelay()
-	w := &Write{Reason: ReasonTakeover}
-	for _, instance := range slices.Sorted(maps.Keys(c.missingSince)) {
-		if now.Sub(c.missingSince[instance]) < wait && !c.addressReused(instance) {
-			continue
-		}
-		for service, ranges := range c.table.Services {
-			members := c.candidates(service)
-			if len(members) == 0 {
-				continue
-			}
-			for _, r := range ranges {
-				if r.Holder.Instance == instance {
-					w.Changes = append(w.Changes, divideRange(len(w.Changes), service, r, members)...)
-					w.Absent = append(w.Absent, instance)
-				}
-			}
-		}
-	}
-	if len(w.Changes) == 0 {
-		return nil
-	}
-	slices.Sort(w.Absent)
-	w.Absent = slices.Compact(w.Absent)
-	return w
-}
-
-// addressReused reports whether another instance has the address of a missing one. The platform reuses an address only
-// after its machine is gone, so nothing at the old instance holds keys.
-func (c *Core) addressReused(instance string) bool {
-	address, known := c.lastAddresses[instance]
-	for other, m := range c.members {
-		if known && other != instance && m.Address == address {
-			return true
-		}
-	}
-	return false
-}
-
 // minPartSize is the smallest number of keys per part when a lost range is divided.
 const minPartSize = 256
 
@@ -166,17 +118,42 @@
 	return time.Duration(min(max(rank, 0), 8)) * staggerInterval
 }
 
-// WriteDone records the result of a write. After a failed write the table must be read and the change repeated until it
-// is known to be applied: a write without a response may still be applied.
-func (c *Core) WriteDone(now time.Time, ok bool) {
-	c.writing = false
-	if !ok {
-		c.nextWrite = now.Add(writeRetryDelay)
-		if c.takeoverInFlight {
-			c.lastFailedTakeover = now
-		}
+// WriteResult is the result of a write of the table.
+type WriteResult int
+
+// Results of a write.
+const (
+	// WriteApplied means that the table contains the changes.
+	WriteApplied WriteResult = iota
+	// WriteConflict means that a condition of the write does not hold, so that it will never be applied.
+	WriteConflict
+	// WriteRefused means that the write was not executed for another reason and will never be applied.
+	WriteRefused
+	// WriteInDoubt means that the write may have been applied, or may be applied later while its conditions hold.
+	WriteInDoubt
+)
+
+// doubt is a takeover that may be applied as long as the table has the given revision.
+type doubt struct {
+	absent   []Absence
+	revision uint64
+}
+
+// WriteDone records the result of the write that Step returned last. Unless it was applied, the table must be read and
+// the change is proposed again.
+func (c *Core) WriteDone(now time.Time, result WriteResult) {
+	w := c.writing
+	c.writing = nil
+	if w == nil || result == WriteApplied {
+		return
+	}
+	c.nextWrite = now.Add(writeRetryDelay)
+	switch {
+	case result == WriteConflict:
+		c.dropAbsences(w.Absent)
+	case result == WriteInDoubt && len(w.Absent) > 0:
+		c.inDoubt = append(c.inDoubt, doubt{w.Absent, c.revision})
 	}
-	c.takeoverInFlight = false
 }
 
 // DelayWrites prevents writes from starting before the given time. SetTable ends the delay.
--- a/internal/sequoiaregistry/follow.go
+++ b/internal/sequoiaregistry/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,41 +29,83 @@
 	BatchDelay func() time.Duration
 	// OnItems receives changes in order. A deleted item has the revision at which its deletion was observed.
 	OnItems func(items []Item)
+	// OnListed, if set, receives all items in place of OnItems when they are listed, with the revision of the list. Items
+	// that are not among them and are older have been deleted.
+	OnListed func(items []Item, revision uint64)
+	// OnCurrent, if set, is called after OnItems with the time of Now before the call, up to which all changes have been
+	// received.
+	OnCurrent func(sent time.Time)
+	// Now returns the time of a clock that keeps running while the instance is suspended.
+	Now func() time.Time
 	// OnError is called with the first of a series of errors, and with nil when a call succeeds again.
 	OnError func(err error)
 
 	// known maps the keys of the current items to their revisions; after is the revision from which to watch.
-	known map[string]uint64
-	after uint64
+	known   map[string]uint64
+	after   uint64
+	listed  bool
+	failing bool
+
+	// interrupt cancels the call in progress.
+	mu        sync.Mutex
+	interrupt context.CancelFunc
 }
 
-// Run watches the prefix until ctx ends. It lists all items again if the store has discarded events that the
-// watcher has not received.
+// Run watches the prefix until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
-	failing := false
-	listed := false
 	for ctx.Err() == nil {
-		var err error
-		if !listed {
-			err = w.list(ctx)
-			listed = err == nil
-		} else {
-			err = w.watch(ctx)
-			listed = !errors.Is(err, ErrCompacted)
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		if (err != nil) != failing {
-			failing = err != nil
-			w.OnError(err)
-		}
-		if err != nil && !errors.Is(err, ErrCompacted) {
+		pollCtx, cancel := context.WithCancel(ctx)
+		w.setInterrupt(cancel)
+		err := w.Poll(pollCtx)
+		interrupted := pollCtx.Err() != nil
+		cancel()
+		if err != nil && !interrupted && !errors.Is(err, ErrCompacted) {
 			_ = sequoiatimer.Sleep(ctx, watchRetryDelay)
 		}
 	}
 }
 
+func (w *Watcher) setInterrupt(cancel context.CancelFunc) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.interrupt = cancel
+}
+
+// Refresh makes Run repeat the call in progress. Use it when the store is reached again: a call that was sent while the
+// store was lost may never get a response.
+func (w *Watcher) Refresh() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.interrupt != nil {
+		w.interrupt()
+	}
+}
+
+// Poll makes one watch call and reports what it returned through the callbacks. It lists all items instead in the first
+// call, and if the store has discarded events that the watcher has not received.
+func (w *Watcher) Poll(ctx context.Context) error {
+	var err error
+	sent := w.Now()
+	if !w.listed {
+		err = w.list(ctx)
+		w.listed = err == nil
+	} else {
+		err = w.watch(ctx)
+		w.listed = !errors.Is(err, ErrCompacted)
+	}
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if err == nil && w.OnCurrent != nil {
+		w.OnCurrent(sent)
+	}
+	if (err != nil) != w.failing {
+		w.failing = err != nil
+		w.OnError(err)
+	}
+	return err
+}
+
 func (w *Watcher) list(ctx context.Context) error {
 	items, revision, err := w.Store.List(ctx, w.Prefix)
 	if err != nil {
@@ -72,6 +115,11 @@
 	for _, it := range items {
 		present[it.Key] = it.Revision
 	}
+	if w.OnListed != nil {
+		w.known, w.after = present, revision
+		w.OnListed(items, revision)
+		return nil
+	}
 	for key := range w.known {
 		if _, ok := present[key]; !ok {
 			items = append(items, Item{Key: key, Revision: revision, Deleted: true})
--- a/internal/sequoiaregistry/registration.go
+++ b/internal/sequoiaregistry/registration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -10,20 +11,25 @@
 )
 
 const (
-	// leaseTTL is how long an entry outlives the last renewal of its lease. It tolerates one lost renewal.
-	leaseTTL = 2500 * time.Millisecond
-	// renewInterval is the time between renewals of the lease. A renewal costs a tenth of a read.
-	renewInterval = time.Second
+	// LeaseTTL is how long an entry outlives the last renewal of its lease. It tolerates one lost renewal.
+	LeaseTTL = 2500 * time.Millisecond
+	// RenewInterval is the time between renewals of the lease. A renewal costs a tenth of a read.
+	RenewInterval = time.Second
 	// CallTimeout bounds one call to the store. A slow store responds within about 250 ms.
 	CallTimeout = 800 * time.Millisecond
-	// registerRetryDelay is the delay before the next attempt after a failed call.
-	registerRetryDelay = 150 * time.Millisecond
+	// RegisterRetryDelay is the delay before the next attempt after a failed call.
+	RegisterRetryDelay = 150 * time.Millisecond
 )
 
 // Registration keeps the entry of one process in the store, under a lease, while the process runs.
 type Registration struct {
 	Store Store
 	Key   string
+	// RecordKey is the key of the registration record. It is under no lease, and every write of the entry rewrites it, so
+	// that an unchanged record shows that the entry has not been written since.
+	RecordKey string
+	// Process identifies this run of the process; it is the content of the record.
+	Process string
 	// Value returns the content of the entry.
 	Value func() []byte
 	// Now returns the time of a clock that keeps running while the instance is suspended.
@@ -44,28 +50,48 @@
 	// OnError is called with the first of a series of errors, and with nil when a call succeeds again.
 	OnError func(err error)
 
-	changed chan struct{}
+	// changed is true if the entry must be written again, and wake ends the wait for the next renewal.
+	changed atomic.Bool
+	wake    chan struct{}
 	lease   uint64
+	// record is the last known revision of the registration record, zero if there is none.
+	record  uint64
 	written bool
 	failing bool
+	cancel  context.CancelFunc
+	done    chan struct{}
 }
 
 // Start registers the process and renews its lease in the background until ctx ends.
 func (g *Registration) Start(ctx context.Context) {
-	g.changed = make(chan struct{}, 1)
-	go g.run(ctx)
+	g.wake, g.done = make(chan struct{}, 1), make(chan struct{})
+	ctx, g.cancel = context.WithCancel(ctx)
+	go func() {
+		defer close(g.done)
+		g.run(ctx)
+	}()
 }
 
 // Changed schedules another write of the entry. Call it when the result of Value has changed.
 func (g *Registration) Changed() {
+	g.changed.Store(true)
 	select {
-	case g.changed <- struct{}{}:
+	case g.wake <- struct{}{}:
 	default:
 	}
 }
 
-// Deregister ends the lease, which removes the entry.
+// ChangePending reports whether another write of the entry is scheduled.
+func (g *Registration) ChangePending() bool { return g.changed.Load() }
+
+// Deregister stops the renewals and ends the lease, which removes the entry.
 func (g *Registration) Deregister(ctx context.Context) error {
+	g.cancel()
+	select {
+	case <-g.done:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	if g.lease == 0 {
 		return nil
 	}
@@ -74,31 +100,40 @@
 
 func (g *Registration) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := g.ensureRegistered(ctx)
-		if (err != nil) != g.failing && ctx.Err() == nil {
-			g.failing = err != nil
-			g.OnError(err)
-		}
-		if err != nil {
-			g.OnCallFailed()
-			if errors.Is(err, ErrLeaseEnded) {
-				g.lease, g.written = 0, false
-			}
-			_ = sequoiatimer.Sleep(ctx, registerRetryDelay)
+		if err := g.Renew(ctx); err != nil {
+			_ = sequoiatimer.Sleep(ctx, RegisterRetryDelay)
 			continue
 		}
 		g.awaitRenewal(ctx)
 	}
 }
 
+// Renew makes one attempt to register the process and renew its lease, and reports the result through the callbacks.
+func (g *Registration) Renew(ctx context.Context) error {
+	if g.changed.Swap(false) {
+		g.written = false
+	}
+	err := g.ensureRegistered(ctx)
+	if (err != nil) != g.failing && ctx.Err() == nil {
+		g.failing = err != nil
+		g.OnError(err)
+	}
+	if err != nil {
+		g.OnCallFailed()
+		if errors.Is(err, ErrLeaseEnded) {
+			g.lease, g.written = 0, false
+		}
+	}
+	return err
+}
+
 func (g *Registration) awaitRenewal(ctx context.Context) {
-	t := time.NewTimer(renewInterval)
+	t := time.NewTimer(RenewInterval)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
 	case <-t.C:
-	case <-g.changed:
-		g.written = false
+	case <-g.wake:
 	}
 }
 
@@ -128,25 +163,46 @@
 
 func (g *Registration) newLease(ctx context.Context) error {
 	return g.call(ctx, func(ctx context.Context) error {
-		lease, err := g.Store.NewLease(ctx, leaseTTL)
+		lease, err := g.Store.NewLease(ctx, LeaseTTL)
 		g.lease = lease
 		return err
 	})
 }
 
+// write writes the entry and the registration record. The condition on the record keeps a write whose response was lost
+// from being applied after a later one, whose entry would then be under the lease of the earlier one.
 func (g *Registration) write(ctx context.Context) error {
 	return g.call(ctx, func(ctx context.Context) error {
-		put := Item{Key: g.Key, Value: g.Value(), Lease: g.lease}
-		revision, err := g.Store.Commit(ctx, Transaction{Puts: []Item{put}})
+		tx := Transaction{
+			Expected: map[string]uint64{g.RecordKey: g.record},
+			Puts:     []Item{{Key: g.Key, Value: g.Value(), Lease: g.lease}, {Key: g.RecordKey, Value: []byte(g.Process)}},
+		}
+		revision, err := g.Store.Commit(ctx, tx)
+		if errors.Is(err, ErrConflict) {
+			if err := g.readRecord(ctx); err != nil {
+				return err
+			}
+			tx.Expected = map[string]uint64{g.RecordKey: g.record}
+			revision, err = g.Store.Commit(ctx, tx)
+		}
 		if err != nil {
 			return err
 		}
-		g.written = true
+		g.written, g.record = true, revision
 		g.OnRegistered(revision, g.lease)
 		return nil
 	})
 }
 
+func (g *Registration) readRecord(ctx context.Context) error {
+	it, err := g.Store.Get(ctx, g.RecordKey)
+	if err != nil && !errors.Is(err, ErrNotFound) {
+		return err
+	}
+	g.record = it.Revision
+	return nil
+}
+
 // verify reads the entry and the table, then confirms the entry as of the time before the reads.
 func (g *Registration) verify(ctx context.Context) error {
 	sent := g.Now()
