Pass new configurations on between processes

Cause: a process learned of a configuration only from its own watch, which hangs for up to 4.6 s on a connection that went silent or while the store does not answer its instance. Change: a process that applies a newer configuration tells six others, and one that lacks it fetches it from the teller unless its watch delivers it within 100 ms. No call to the store, no new field on the wire; a process of the older build refuses the message. Test: with the watch of one of three processes hanging, a route added by version 2 is served by all within 1 s; without the change that process answered 404.

--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -81,22 +81,26 @@
 	timers    *sequoiatimer.Service
 	processID string
 
-	front              *sequoiafront.Server
-	forwarder          *sequoiapeer.Forwarder
-	upstreamClient     *sequoiahttp.Client
-	commandClient      *sequoiahttp.Client
-	registration       *sequoiaregistry.Registration
-	metrics            *metrics
-	balancer           *balancer
-	relay              *relay
-	retries            *retryBudgets
-	directory          *directory
-	splitter           *sequoiaroute.Splitter
+	front          *sequoiafront.Server
+	forwarder      *sequoiapeer.Forwarder
+	upstreamClient *sequoiahttp.Client
+	commandClient  *sequoiahttp.Client
+	registration   *sequoiaregistry.Registration
+	metrics        *metrics
+	balancer       *balancer
+	relay          *relay
+	retries        *retryBudgets
+	directory      *directory
+	splitter       *sequoiaroute.Splitter
+	// config is the configuration in force, and configurationItem its item in the store.
 	config             atomic.Pointer[sequoiaroute.Configuration]
+	configurationItem  atomic.Pointer[sequoiaregistry.Item]
 	stopping           atomic.Bool
 	ready              atomic.Bool
 	requestingPromises atomic.Bool
 	fetchingTable      atomic.Bool
+	// fetchingConfiguration is true while the configuration is being fetched from another process.
+	fetchingConfiguration atomic.Bool
 	// stopDeadline is the latest time, in Unix nanoseconds, by which accepted requests of a stopping process may end.
 	// Zero rejects all new requests.
 	stopDeadline atomic.Int64
--- a/internal/sequoianode/peer.go
+++ b/internal/sequoianode/peer.go
@@ -36,6 +36,10 @@
 	// pathEnd announces that a process exits and takes over no keys. The request's key is the process ID, the body is its
 	// instance, and headerRevision is the revision of its table.
 	pathEnd = "/end"
+	// pathConfigurationNews says which configuration the process has. The request's key is the version, and the body is
+	// the process's instance. pathConfiguration returns the configuration.
+	pathConfigurationNews = "/configuration/news"
+	pathConfiguration     = "/configuration"
 	// pathStore relays a store call for a process that cannot reach the store. It is followed by the path of the call.
 	pathStore = "/store"
 )
@@ -88,6 +92,10 @@
 		return n.servePromise(req)
 	case req.Path == pathEnd:
 		return n.serveEnd(req)
+	case req.Path == pathConfigurationNews:
+		return n.serveConfigurationNews(req)
+	case req.Path == pathConfiguration:
+		return n.serveConfiguration()
 	case req.Path == pathFetch:
 		return n.serveFetch(req)
 	case strings.HasPrefix(req.Path, pathStore+"/"):
