--- a/internal/sequoianode/orders.go
+++ b/internal/sequoianode/orders.go
@@ -48,18 +48,12 @@
 	_, wasRegistered := n.core.Members()[n.settings.Instance]
 	n.core.ObservationDone(sequoiatimer.BootTime(), o)
 	rewrite := n.membersChanged(wasRegistered)
+	members := len(n.core.Members())
 	n.mu.Unlock()
 	if o != nil && rewrite {
 		n.registration.Changed()
 	}
-	n.log.Event("members read", "Members", memberCountOf(o), "Error", err)
-}
-
-func memberCountOf(o *sequoiaowner.Observation) int {
-	if o == nil {
-		return 0
-	}
-	return len(o.Members)
+	n.log.Event("members read", "Members", members, "Error", err)
 }
 
 // readObservation reads the registration records and then the members.
--- a/internal/sequoiaowner/core.go
+++ b/internal/sequoiaowner/core.go
@@ -181,7 +181,8 @@
 	c := &Core{
 		instance: instance, heartbeat: defaultHeartbeat, started: now, lastSeen: now,
 		meter:   sequoiakeyspace.NewMeter(),
-		members: map[string]Member{}, presence: newPresence(), lastAddresses: map[string]netip.AddrPort{}, keyedServices: map[string]bool{}, endedProcesses: map[string]string{},
+		members: map[string]Member{}, presence: newPresence(), lastAddresses: map[string]netip.AddrPort{},
+		keyedServices: map[string]bool{}, endedProcesses: map[string]string{},
 		grants: map[sequoiakeyspace.Range]*grant{}, membersChangedAt: now,
 	}
 	for _, o := range opts {
