Limit what a response may cost, whatever a server sends

Cause: the head of a response was read without any limit, and a body into a buffer that io.ReadAll doubles. A server that sends bytes without end (status line, header line, header fields, informational responses, a body) fills the memory of the process until the deadline. Change: 64 KiB for the heads of all responses that are read for one request, 8 MiB for a body as before, at most twice that from the network for chunk headers, and 32 MiB for all bodies that a client reads at the same time. A body is read into pieces, the large ones reused; one that belongs to another request is discarded while it is read; an announced length above the limit fails at once. The connection is closed, and the error says that the request was sent, so the caller gets 502 and no retry unless the request is idempotent. Ruled out: a smaller body limit (4 MiB kept the doubling buffer below the bound, but answers of 4 to 8 MiB were served until now).

--- /dev/null
+++ b/internal/sequoiahttp/endless_test.go
@@ -0,0 +1,194 @@
+package sequoiahttp
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const (
+	// maxPeakBytes is the most memory that one endless response may cost.
+	maxPeakBytes = 16 << 20
+	// endlessPiece is how much of an endless response is written at once.
+	endlessPiece = 16 << 10
+)
+
+// endlessServer responds to each request with a beginning and then a piece again and again, until the client closes.
+type endlessServer struct {
+	addr   netip.AddrPort
+	closed chan struct{}
+}
+
+func newEndlessServer(beginning, piece string) *endlessServer {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	ginkgo.DeferCleanup(ln.Close)
+	s := &endlessServer{addr: ln.Addr().(*net.TCPAddr).AddrPort(), closed: make(chan struct{}, 100)}
+	// Writing a string would copy it each time, in the process whose memory is measured.
+	pieces := []byte(strings.Repeat(piece, 1+endlessPiece/len(piece)))
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c, beginning, pieces)
+		}
+	}()
+	return s
+}
+
+func (s *endlessServer) serve(c net.Conn, beginning string, pieces []byte) {
+	defer func() {
+		_ = c.Close()
+		s.closed <- struct{}{}
+	}()
+	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+		return
+	}
+	_, err := io.WriteString(c, beginning)
+	for err == nil {
+		_, err = c.Write(pieces)
+	}
+}
+
+// peakMemory returns the most heap memory in use during f, beyond that before it.
+func peakMemory(f func()) uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	before, peak := m.HeapAlloc, m.HeapAlloc
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f()
+	}()
+	for {
+		select {
+		case <-done:
+			return peak - before
+		case <-time.After(time.Millisecond):
+			runtime.ReadMemStats(&m)
+			peak = max(peak, m.HeapAlloc)
+		}
+	}
+}
+
+// Guards against a server in trouble whose bytes without end fill the memory of the process. Without limits on the head
+// one request allocated 560 MB and more within its first second.
+var _ = ginkgo.Describe("An endless response", func() {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	ginkgo.DescribeTable("fails its request as one that may have run, and costs little memory",
+		func(beginning, piece string) {
+			s := newEndlessServer(beginning, piece)
+			c := New(WithResponsesUntilClose())
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			var err error
+			peak := peakMemory(func() {
+				_, err = c.Do(ctx, s.addr, &Request{
+					Method: http.MethodGet, Path: "/", Matches: func(h http.Header) bool { return h.Get("Late") == "" },
+				})
+			})
+			Expect(err).To(HaveOccurred())
+			Expect(NotSent(err)).To(BeFalse())
+			Expect(ctx.Err()).NotTo(HaveOccurred(), "it was not stopped by a limit")
+			Expect(peak).To(BeNumerically("<", maxPeakBytes))
+			Eventually(s.closed, "2s").Should(Receive(), "the connection stays open")
+		},
+		ginkgo.Entry("status line", "HTTP/1.1 200 ", "OK "),
+		ginkgo.Entry("no line at all", "", "x"),
+		ginkgo.Entry("header line", ok+"Name: ", "value "),
+		ginkgo.Entry("header fields", ok, "Name: value\r\n"),
+		ginkgo.Entry("informational responses", "", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"),
+		ginkgo.Entry("body with a length", ok+"Content-Length: 99999999999\r\n\r\n", "x"),
+		ginkgo.Entry("body in chunks", ok+"Transfer-Encoding: chunked\r\n\r\n", "10\r\n0123456789abcdef\r\n"),
+		ginkgo.Entry("body in one chunk", ok+"Transfer-Encoding: chunked\r\n\r\nfffffffff\r\n", "x"),
+		ginkgo.Entry("chunk extension", ok+"Transfer-Encoding: chunked\r\n\r\n1;", "name=value;"),
+		ginkgo.Entry("chunk extensions", ok+"Transfer-Encoding: chunked\r\n\r\n", "1;"+strings.Repeat("e", 1000)+"\r\nx\r\n"),
+		ginkgo.Entry("trailer", ok+"Transfer-Encoding: chunked\r\n\r\n0\r\n", "Name: value\r\n"),
+		ginkgo.Entry("body until the close", ok+"\r\n", "x"),
+		ginkgo.Entry("late responses", "", ok+"Late: 1\r\nContent-Length: 4\r\n\r\nlate"),
+		ginkgo.Entry("body of a late response", ok+"Late: 1\r\nContent-Length: 99999999999\r\n\r\n", "x"),
+	)
+
+	ginkgo.It("leaves memory for others when many arrive at once", func() {
+		s := newEndlessServer(ok+"Transfer-Encoding: chunked\r\n\r\nfffffffff\r\n", "x")
+		const requests = 40
+		c := New(WithMaxBuffered(4 << 20))
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		failed := make(chan error, requests)
+		peak := peakMemory(func() {
+			for range requests {
+				go func() {
+					_, err := c.Do(ctx, s.addr, &Request{Method: http.MethodGet, Path: "/"})
+					failed <- err
+				}()
+			}
+			for range requests {
+				Expect(<-failed).To(HaveOccurred())
+			}
+		})
+		Expect(ctx.Err()).NotTo(HaveOccurred())
+		Expect(peak).To(BeNumerically("<", maxPeakBytes))
+	})
+
+	ginkgo.It("returns the buffer's share when a response has been read", func() {
+		body := strings.Repeat("x", 300<<10)
+		s := newServerWith(ok + "Content-Length: 307200\r\n\r\n" + body)
+		c := New(WithMaxBuffered(1 << 20))
+		for range 20 {
+			resp, err := c.Do(context.Background(), s, &Request{Method: http.MethodGet, Path: "/"})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(resp.Body)).To(Equal(body))
+		}
+	})
+
+	// Bytes that arrive only after the next request has been sent fail that request instead.
+	ginkgo.It("is told from bytes that follow a response on an idle connection, which is not used again", func() {
+		s := newEndlessServer(ok+"Content-Length: 2\r\n\r\nok", "x")
+		c := New()
+		for range 3 {
+			resp, err := c.Do(context.Background(), s.addr, &Request{Method: http.MethodGet, Path: "/"})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(resp.Body)).To(Equal("ok"))
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+})
+
+// newServerWith returns the address of a server that sends the same bytes as response to each request.
+func newServerWith(response string) netip.AddrPort {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	ginkgo.DeferCleanup(ln.Close)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					if _, err := http.ReadRequest(r); err != nil {
+						return
+					}
+					_, _ = io.WriteString(c, response)
+				}
+			}()
+		}
+	}()
+	return ln.Addr().(*net.TCPAddr).AddrPort()
+}
--- a/internal/sequoiahttp/exchange.go
+++ b/internal/sequoiahttp/exchange.go
@@ -18,6 +18,7 @@
 	"net/url"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,9 +26,15 @@
 
 // Defaults of a Client.
 const (
-	defaultMaxIdle          = 64
-	defaultMaxResponseBytes = 8 << 20 // bytes
-	defaultDialTimeout      = time.Second
+	defaultMaxIdle = 64
+	// defaultMaxResponseBytes limits a response body.
+	defaultMaxResponseBytes = 8 << 20
+	// maxHeadBytes limits the status lines and headers of all responses that are read for one request, informational
+	// ones included. A server in trouble may send any of them without end.
+	maxHeadBytes = 64 << 10
+	// maxBufferedBytes limits the response bodies that a Client reads at the same time; instances have 184 MB and more.
+	maxBufferedBytes   = 32 << 20
+	defaultDialTimeout = time.Second
 	// maxIdleTime is shorter than the usual idle timeouts of servers (5 s and more), so that a server rarely closes a
 	// connection while a request is being sent.
 	maxIdleTime = 4 * time.Second
@@ -43,8 +50,10 @@
 
 // Errors of an exchange.
 var (
-	// ErrResponseTooLarge reports a response body above the limit.
+	// ErrResponseTooLarge reports a response whose head or body is above its limit.
 	ErrResponseTooLarge = errors.New("the response is larger than the limit")
+	// ErrTooMuchBuffered reports a response that was not read because too many others are being read.
+	ErrTooMuchBuffered = errors.New("too many bytes of responses are being read")
 	// ErrNotDelimited reports a response with neither a Content-Length nor chunked encoding. Its end cannot be
 	// distinguished from a broken connection.
 	ErrNotDelimited = errors.New("the response has neither a Content-Length nor chunked encoding")
@@ -104,6 +113,9 @@
 	allowUntilClose bool
 	// reuseCancelled is set only by tests.
 	reuseCancelled bool
+	// maxBuffered limits buffered, the bytes that are reserved for bodies being read.
+	maxBuffered int64
+	buffered    atomic.Int64
 
 	mu        sync.Mutex
 	maxIdle   int
@@ -125,6 +137,11 @@
 	return func(c *Client) { c.maxResponseBytes = n }
 }
 
+// WithMaxBuffered limits the response bodies that are read at the same time, in bytes.
+func WithMaxBuffered(n int64) Option {
+	return func(c *Client) { c.maxBuffered = n }
+}
+
 // WithDialTimeout limits the time to establish a connection.
 func WithDialTimeout(d time.Duration) Option {
 	return func(c *Client) { c.dialTimeout = d }
@@ -148,7 +165,7 @@
 func New(opts ...Option) *Client {
 	c := &Client{
 		maxIdle: defaultMaxIdle, maxResponseBytes: defaultMaxResponseBytes, dialTimeout: defaultDialTimeout,
-		idle: map[netip.AddrPort][]*conn{},
+		maxBuffered: maxBufferedBytes, idle: map[netip.AddrPort][]*conn{},
 	}
 	// Keep-alive probes detect an unreachable host within about 3 s while waiting for a response. They do not detect a
 	// stalled connection to a live host, nor one with unacknowledged request data; those fail at the deadline.
@@ -175,7 +192,7 @@
 	}
 	started := time.Now()
 	stop := context.AfterFunc(ctx, func() { c.interrupt(cn) })
-	resp, reusable, err := cn.exchange(hr, req.Matches, c.maxResponseBytes, c.allowUntilClose)
+	resp, reusable, err := c.exchange(cn, hr, req.Matches)
 	if !stop() {
 		reusable = false
 	}
@@ -311,90 +328,6 @@
 	}
 }
 
-// conn is a connection that runs one exchange at a time.
-type conn struct {
-	net.Conn
-	r         *bufio.Reader
-	idleSince time.Time
-	// sent is true once a byte of the current request may have been sent, and received once a byte has arrived since.
-	sent     bool
-	received bool
-}
-
-// Read records whether any byte arrived.
-func (cn *conn) Read(p []byte) (int, error) {
-	n, err := cn.Conn.Read(p)
-	if n > 0 {
-		cn.received = true
-	}
-	return n, err
-}
-
-// Write records whether any byte was sent.
-func (cn *conn) Write(p []byte) (int, error) {
-	n, err := cn.Conn.Write(p)
-	if n > 0 {
-		cn.sent = true
-	}
-	return n, err
-}
-
-// exchange sends a request and reads its response. It returns reusable only if the response was read completely, no
-// bytes follow it and the server keeps the connection open.
-func (cn *conn) exchange(
-	req *http.Request, matches func(http.Header) bool, limit int64, untilClose bool,
-) (resp *Response, reusable bool, err error) {
-	if err := req.Write(cn); err != nil {
-		return nil, false, err
-	}
-	for range maxUnmatched + 1 {
-		resp, reusable, err = cn.readResponse(req, limit, untilClose)
-		if err != nil || matches == nil || matches(resp.Header) {
-			return resp, reusable, err
-		}
-		if !reusable && cn.r.Buffered() == 0 {
-			break
-		}
-	}
-	return nil, false, errors.WithStack(ErrUnmatchedResponse)
-}
-
-func (cn *conn) readResponse(req *http.Request, limit int64, untilClose bool) (*Response, bool, error) {
-	hr, err := cn.readHead(req, untilClose)
-	if err != nil {
-		return nil, false, err
-	}
-	defer hr.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(hr.Body, limit+1))
-	if err != nil {
-		return nil, false, err
-	}
-	if int64(len(body)) > limit {
-		return nil, false, errors.Wrapf(ErrResponseTooLarge, "limit %d bytes", limit)
-	}
-	reusable := !hr.Close && cn.r.Buffered() == 0
-	return &Response{Status: hr.StatusCode, Header: hr.Header, Body: body}, reusable, nil
-}
-
-// readHead reads the status line and header of the final response, skipping informational responses.
-func (cn *conn) readHead(req *http.Request, untilClose bool) (*http.Response, error) {
-	for {
-		hr, err := http.ReadResponse(cn.r, req)
-		if err != nil {
-			return nil, err
-		}
-		switch {
-		case hr.StatusCode == http.StatusSwitchingProtocols:
-			return nil, ErrProtocolSwitch
-		case hr.StatusCode < http.StatusOK:
-			continue
-		case !untilClose && hr.ContentLength < 0 && len(hr.TransferEncoding) == 0 && req.Method != http.MethodHead:
-			return nil, ErrNotDelimited
-		}
-		return hr, nil
-	}
-}
-
 func encode(addr netip.AddrPort, req *Request) (*http.Request, error) {
 	if !validMethod(req.Method) {
 		return nil, errors.Errorf("method %q cannot be forwarded", req.Method)
--- /dev/null
+++ b/internal/sequoiahttp/response.go
@@ -0,0 +1,208 @@
+package sequoiahttp
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// minBodyPiece and maxBodyPiece are the sizes in bytes of the first and the largest piece of a body's buffer.
+	minBodyPiece = 4 << 10
+	maxBodyPiece = 256 << 10
+	// framingFactor is how many times a body's limit may arrive from the network, chunk headers included. The decoder of
+	// chunks rejects more overhead than content.
+	framingFactor = 2
+)
+
+// conn is a connection that runs one exchange at a time.
+type conn struct {
+	net.Conn
+	r         *bufio.Reader
+	idleSince time.Time
+	// sent is true once a byte of the current request may have been sent, and received once a byte has arrived since.
+	sent     bool
+	received bool
+	// allowed is the number of bytes that may still arrive.
+	allowed int64
+}
+
+// Read reads at most the allowed number of bytes and records whether any byte arrived.
+func (cn *conn) Read(p []byte) (int, error) {
+	if cn.allowed <= 0 {
+		return 0, errors.WithStack(ErrResponseTooLarge)
+	}
+	if int64(len(p)) > cn.allowed {
+		p = p[:cn.allowed]
+	}
+	n, err := cn.Conn.Read(p)
+	cn.allowed -= int64(n)
+	if n > 0 {
+		cn.received = true
+	}
+	return n, err
+}
+
+// Write records whether any byte was sent.
+func (cn *conn) Write(p []byte) (int, error) {
+	n, err := cn.Conn.Write(p)
+	if n > 0 {
+		cn.sent = true
+	}
+	return n, err
+}
+
+// exchange sends a request and reads its response. It returns reusable only if the response was read completely, no
+// bytes follow it and the server keeps the connection open.
+func (c *Client) exchange(cn *conn, req *http.Request, matches func(http.Header) bool) (resp *Response, reusable bool, err error) {
+	if err := req.Write(cn); err != nil {
+		return nil, false, err
+	}
+	headBytes := int64(maxHeadBytes)
+	for range maxUnmatched + 1 {
+		cn.allowed = headBytes
+		hr, err := cn.readHead(req, c.allowUntilClose)
+		if err != nil {
+			return nil, false, err
+		}
+		headBytes = cn.allowed
+		cn.allowed = framingFactor * (c.maxResponseBytes + maxHeadBytes)
+		matched := matches == nil || matches(hr.Header)
+		resp, err = c.readBody(hr, matched)
+		if err != nil {
+			return nil, false, err
+		}
+		reusable = !hr.Close && cn.r.Buffered() == 0
+		if matched {
+			return resp, reusable, nil
+		}
+		if !reusable && cn.r.Buffered() == 0 {
+			break
+		}
+	}
+	return nil, false, errors.WithStack(ErrUnmatchedResponse)
+}
+
+// readHead reads the status line and header of the final response, skipping informational responses.
+func (cn *conn) readHead(req *http.Request, untilClose bool) (*http.Response, error) {
+	for {
+		hr, err := http.ReadResponse(cn.r, req)
+		if err != nil {
+			return nil, err
+		}
+		switch {
+		case hr.StatusCode == http.StatusSwitchingProtocols:
+			return nil, ErrProtocolSwitch
+		case hr.StatusCode < http.StatusOK:
+			continue
+		case !untilClose && hr.ContentLength < 0 && len(hr.TransferEncoding) == 0 && req.Method != http.MethodHead:
+			return nil, ErrNotDelimited
+		}
+		return hr, nil
+	}
+}
+
+// readBody reads the body of a response; it discards that of a response that belongs to another request.
+func (c *Client) readBody(hr *http.Response, matched bool) (*Response, error) {
+	defer hr.Body.Close()
+	if hr.ContentLength > c.maxResponseBytes {
+		return nil, c.tooLarge()
+	}
+	resp := &Response{Status: hr.StatusCode, Header: hr.Header}
+	if matched {
+		var err error
+		resp.Body, err = c.readAll(hr.Body, hr.ContentLength)
+		return resp, err
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(hr.Body, c.maxResponseBytes+1))
+	if err == nil && n > c.maxResponseBytes {
+		err = c.tooLarge()
+	}
+	return resp, err
+}
+
+func (c *Client) tooLarge() error {
+	return errors.Wrapf(ErrResponseTooLarge, "limit %d bytes", c.maxResponseBytes)
+}
+
+// largePieces holds pieces of maxBodyPiece bytes for reuse, so that many large bodies leave little garbage.
+var largePieces = sync.Pool{New: func() any {
+	b := make([]byte, maxBodyPiece)
+	return &b
+}}
+
+// bodyBuffer holds a body in pieces that are allocated as bytes arrive: a server may announce any length.
+type bodyBuffer struct {
+	client   *Client
+	pieces   [][]byte
+	large    []*[]byte
+	reserved int64
+}
+
+// grow adds an empty piece. It returns ErrTooMuchBuffered if the bodies being read at the same time exceed their common
+// limit.
+func (b *bodyBuffer) grow(size int64) error {
+	b.reserved += size
+	if b.client.buffered.Add(size) > b.client.maxBuffered {
+		return errors.WithStack(ErrTooMuchBuffered)
+	}
+	if size < maxBodyPiece {
+		b.pieces = append(b.pieces, make([]byte, 0, size))
+		return nil
+	}
+	piece := largePieces.Get().(*[]byte)
+	b.large = append(b.large, piece)
+	b.pieces = append(b.pieces, (*piece)[:0])
+	return nil
+}
+
+// bytes returns the content, which does not share memory with pieces that are reused.
+func (b *bodyBuffer) bytes() []byte {
+	if len(b.pieces) == 1 {
+		return b.pieces[0]
+	}
+	return bytes.Join(b.pieces, nil)
+}
+
+// release returns what the buffer has taken.
+func (b *bodyBuffer) release() {
+	b.client.buffered.Add(-b.reserved)
+	for _, piece := range b.large {
+		largePieces.Put(piece)
+	}
+}
+
+// readAll reads a body until its end. length is the announced length, negative if there is none.
+func (c *Client) readAll(r io.Reader, length int64) ([]byte, error) {
+	b := &bodyBuffer{client: c}
+	defer b.release()
+	size := int64(minBodyPiece)
+	if length >= 0 {
+		size = min(size, length+1)
+	}
+	for total := int64(0); ; size = min(2*size, maxBodyPiece) {
+		if err := b.grow(size); err != nil {
+			return nil, err
+		}
+		last := &b.pieces[len(b.pieces)-1]
+		for len(*last) < cap(*last) {
+			n, err := r.Read((*last)[len(*last):cap(*last)])
+			*last = (*last)[:len(*last)+n]
+			total += int64(n)
+			switch {
+			case total > c.maxResponseBytes:
+				return nil, c.tooLarge()
+			case errors.Is(err, io.EOF):
+				return b.bytes(), nil
+			case err != nil:
+				return nil, err
+			}
+		}
+	}
+}
