--- a/internal/sequoiahttp/endless_test.go
+++ b/internal/sequoiahttp/response_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"runtime"
+	"strconv"
 	"strings"
 	"time"
 
@@ -167,6 +168,53 @@
 	})
 })
 
+var _ = ginkgo.Describe("A second copy of a response", func() {
+	// request returns a request that accepts only responses with its identifier.
+	request := func(id string) *Request {
+		return &Request{
+			Method: http.MethodGet, Path: "/", Header: http.Header{"Id": {id}},
+			Matches: func(h http.Header) bool { return h.Get("Id") == id },
+		}
+	}
+	respond := func(id string) string {
+		return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + strconv.Itoa(len(id)) + "\r\n\r\n" + id
+	}
+
+	// Guards against a caller that gets the answer of an earlier request on a connection that is in use again.
+	ginkgo.It("that comes before the next response is not taken for it", func() {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		ginkgo.DeferCleanup(ln.Close)
+		go func() {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			r, last := bufio.NewReader(c), ""
+			for {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				id := req.Header.Get("Id")
+				if last != "" {
+					_, _ = io.WriteString(c, respond(last))
+					time.Sleep(20 * time.Millisecond)
+				}
+				_, _ = io.WriteString(c, respond(id))
+				last = id
+			}
+		}()
+		c := New()
+		for _, id := range []string{"first", "second", "third"} {
+			resp, err := c.Do(context.Background(), ln.Addr().(*net.TCPAddr).AddrPort(), request(id))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(resp.Body)).To(Equal(id))
+		}
+	})
+})
+
 // newServerWith returns the address of a server that sends the same bytes as response to each request.
 func newServerWith(response string) netip.AddrPort {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
