Keep unreadable member entries out of the members, and limit the bodies of control requests

Cause, both read in the code: an entry that another writer made unreadable became a member without a process in a list, so that no promise could ever be complete and, as the first member, it would have been the writer of the table; bodies of announcements, readiness checks and metrics had the limit of client requests, 64 MiB. Change: an unreadable entry counts as present, so it is no evidence for a takeover, but is no member. A listener can have a limit of its own, 256 KiB for the three. Two tests; comments on the waits of ownership corrected.

--- a/internal/sequoiafront/front.go
+++ b/internal/sequoiafront/front.go
@@ -106,8 +106,25 @@
 // lines.
 var limitLibraryLog = sync.OnceFunc(func() { logging.SetLevel(logging.LevelError) })
 
+// listenConfig is the configuration of one listener.
+type listenConfig struct {
+	maxBody int
+}
+
+// ListenOption changes a setting of a listener.
+type ListenOption func(*listenConfig)
+
+// WithMaxBody limits the request bodies of a listener, in bytes, in place of the server's limit.
+func WithMaxBody(n int) ListenOption {
+	return func(c *listenConfig) { c.maxBody = n }
+}
+
 // Listen serves h on addr and returns the bound address.
-func (s *Server) Listen(addr netip.AddrPort, h http.Handler) (netip.AddrPort, error) {
+func (s *Server) Listen(addr netip.AddrPort, h http.Handler, opts ...ListenOption) (netip.AddrPort, error) {
+	cfg := listenConfig{maxBody: s.maxBody}
+	for _, o := range opts {
+		o(&cfg)
+	}
 	limitLibraryLog()
 	ln, err := net.Listen("tcp", addr.String())
 	if err != nil {
@@ -122,7 +139,7 @@
 	// that a handler has closed can close a new connection with the same descriptor. Its blocking mode continues after
 	// a parse error. Therefore the server reads each connection itself and uses nbhttp only to parse and respond.
 	e := nbhttp.NewEngine(nbhttp.Config{
-		Handler: h, OnRequest: setRequestContext, ReadLimit: s.maxBody + maxHeaderBytes, MaxHTTPBodySize: s.maxBody,
+		Handler: h, OnRequest: setRequestContext, ReadLimit: cfg.maxBody + maxHeaderBytes, MaxHTTPBodySize: cfg.maxBody,
 		KeepaliveTime: idleTimeout, SupportServerOnly: true, ServerExecutor: func(job func()) { go job() },
 	})
 	s.mu.Lock()
--- a/internal/sequoiafront/front_test.go
+++ b/internal/sequoiafront/front_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -150,6 +151,32 @@
 	})
 })
 
+var _ = ginkgo.Describe("Listen", func() {
+	// Guards against a body without end that fills the memory although its listener expects a short one.
+	ginkgo.It("rejects bodies above the limit of its listener, with a length or in chunks", func() {
+		s := sequoiafront.New(64 << 20)
+		ginkgo.DeferCleanup(s.Close)
+		var handled atomic.Int64
+		addr, err := s.Listen(netip.MustParseAddrPort(serverAddress), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			handled.Add(1)
+			sequoiafront.WriteResponse(w, r, http.StatusOK, nil)
+		}), sequoiafront.WithMaxBody(1<<10))
+		Expect(err).NotTo(HaveOccurred())
+		for _, head := range []string{"Content-Length: 1000000", "Transfer-Encoding: chunked"} {
+			c := dial(addr)
+			_, err := fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\n%s\r\n\r\n", head)
+			Expect(err).NotTo(HaveOccurred())
+			sent := 0
+			for err == nil && sent < 16<<20 {
+				_, err = io.WriteString(c, "400\r\n"+strings.Repeat("x", 1<<10)+"\r\n")
+				sent += 1 << 10
+			}
+			Expect(err).To(HaveOccurred(), "%s: the connection stays open", head)
+		}
+		Expect(handled.Load()).To(BeZero())
+	})
+})
+
 var _ = ginkgo.Describe("Drain", func() {
 	// Guards against a planned stop that cuts off requests that have just been accepted (i7-signal-in-progress: one of 179
 	// requests without an answer).
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -66,6 +66,8 @@
 	leaseEndTimeout = 300 * time.Millisecond
 	// maxBodyBytes limits the size of a buffered request body.
 	maxBodyBytes = 64 << 20
+	// maxControlBytes limits the body of an announcement, a readiness check or a fetch of metrics.
+	maxControlBytes = 256 << 10
 	// secretBytes is the length of the shared secret for authentication between processes.
 	secretBytes = 32
 	// defaultSlots is the concurrency limit until the upstream has announced its own.
@@ -197,14 +199,14 @@
 	if _, err := n.front.Listen(n.settings.Outbound, http.HandlerFunc(n.serveClient)); err != nil {
 		return err
 	}
-	if _, err := n.front.Listen(n.settings.Ready, http.HandlerFunc(n.serveReady)); err != nil {
+	if _, err := n.front.Listen(n.settings.Ready, http.HandlerFunc(n.serveReady), sequoiafront.WithMaxBody(maxControlBytes)); err != nil {
 		return err
 	}
-	if _, err := n.front.Listen(n.settings.Announce, http.HandlerFunc(n.serveAnnouncement)); err != nil {
+	if _, err := n.front.Listen(n.settings.Announce, http.HandlerFunc(n.serveAnnouncement), sequoiafront.WithMaxBody(maxControlBytes)); err != nil {
 		return err
 	}
 	if n.settings.Metrics.IsValid() {
-		if _, err := n.front.Listen(n.settings.Metrics, n.metrics.handler()); err != nil {
+		if _, err := n.front.Listen(n.settings.Metrics, n.metrics.handler(), sequoiafront.WithMaxBody(maxControlBytes)); err != nil {
 			return err
 		}
 	}
--- a/internal/sequoianode/orders.go
+++ b/internal/sequoianode/orders.go
@@ -68,7 +68,8 @@
 	if err != nil {
 		return nil, err
 	}
-	o := &sequoiaowner.Observation{Registrations: map[string]uint64{}, Members: n.decodeMembers(items), Revision: revision}
+	o := &sequoiaowner.Observation{Registrations: map[string]uint64{}, Revision: revision}
+	o.Members, o.Unreadable = n.decodeMembers(items)
 	for _, it := range records {
 		o.Registrations[strings.TrimPrefix(it.Key, registrationPrefix)] = it.Revision
 	}
--- a/internal/sequoianode/sync.go
+++ b/internal/sequoianode/sync.go
@@ -151,7 +151,7 @@
 
 // onMembersListed applies a list of all members.
 func (n *Node) onMembersListed(items []sequoiaregistry.Item, revision uint64) {
-	members := n.decodeMembers(items)
+	members, _ := n.decodeMembers(items)
 	n.mu.Lock()
 	_, wasRegistered := n.core.Members()[n.settings.Instance]
 	n.core.SetMembers(sequoiatimer.BootTime(), members, revision)
@@ -222,19 +222,20 @@
 	return m, nil
 }
 
-// decodeMembers decodes the entries of all members. An entry that cannot be read shows that its instance is not missing,
-// but the upstream cannot be used.
-func (n *Node) decodeMembers(items []sequoiaregistry.Item) map[string]sequoiaowner.Member {
-	members := map[string]sequoiaowner.Member{}
+// decodeMembers decodes the entries of all members. It returns the instances whose entries cannot be read separately:
+// they are not missing, but they are no members to use.
+func (n *Node) decodeMembers(items []sequoiaregistry.Item) (members map[string]sequoiaowner.Member, unreadable map[string]bool) {
+	members, unreadable = map[string]sequoiaowner.Member{}, map[string]bool{}
 	for _, it := range items {
 		m, err := decodeMember(it)
 		if err != nil {
 			n.log.Event("member rejected", "Member", it.Key, "Revision", it.Revision, "Error", err)
-			m = sequoiaowner.Member{Instance: strings.TrimPrefix(it.Key, memberPrefix), Revision: it.Revision}
+			unreadable[strings.TrimPrefix(it.Key, memberPrefix)] = true
+			continue
 		}
 		members[m.Instance] = m
 	}
-	return members
+	return members, unreadable
 }
 
 // readTable reads the table from the store and applies it.
--- a/internal/sequoiaowner/core.go
+++ b/internal/sequoiaowner/core.go
@@ -29,8 +29,7 @@
 	// DefaultAuthority is how long a process may grant keys after its registration was last confirmed. Keys of a lost
 	// instance wait that long; three lease renewals fit into it.
 	DefaultAuthority = 3500 * time.Millisecond
-	// maxAuthority bounds the authority when the other members' promises extend it. It exceeds the usual store outage and
-	// is the longest wait for the keys of a lost instance.
+	// maxAuthority bounds the authority when the other members' promises extend it. It exceeds the usual store outage.
 	maxAuthority = 12 * time.Second
 	// PromiseTime is how long a member that cannot reach the store promises to take over no keys.
 	PromiseTime = 1500 * time.Millisecond
@@ -52,8 +51,8 @@
 	takeoverMargin = 300 * time.Millisecond
 	// joinWait is how long a process waits after it has registered under a new lease before it takes over keys. A member
 	// that does not know of the process, and so does not ask for its promise, has lost its authority by then. It exceeds
-	// maxAuthority by less than the age of the oldest view of the members, so that in an outage a view rarely ends an
-	// authority earlier.
+	// maxAuthority by 4 s, so that a view of the members that was up to 4 s old at the last confirmation does not end an
+	// extended authority early.
 	joinWait = 16 * time.Second
 	// joinMargin covers the clock difference between two processes over joinWait, at 2%.
 	joinMargin = 400 * time.Millisecond
--- a/internal/sequoiaowner/core_test.go
+++ b/internal/sequoiaowner/core_test.go
@@ -27,8 +27,10 @@
 	table   *sequoiakeyspace.Table
 	rev     uint64
 	members map[string]sequoiaowner.Member
-	// registrations holds the revisions of the registration records.
+	// registrations holds the revisions of the registration records, and unreadable the instances whose entries cannot
+	// be read.
 	registrations map[string]uint64
+	unreadable    map[string]bool
 	cores         map[string]*sequoiaowner.Core
 	// confirms decides whether a grant is confirmed; unconfirmed holds the other grants, which may be applied later.
 	confirms    func(instance string, g sequoiaowner.Grant) bool
@@ -122,7 +124,9 @@
 	if f.storeLost[name] {
 		return nil
 	}
-	return &sequoiaowner.Observation{Registrations: maps.Clone(f.registrations), Members: maps.Clone(f.members), Revision: f.rev}
+	return &sequoiaowner.Observation{
+		Registrations: maps.Clone(f.registrations), Members: maps.Clone(f.members), Unreadable: f.unreadable, Revision: f.rev,
+	}
 }
 
 func (f *fleet) apply(name string, g sequoiaowner.Grant) {
@@ -274,6 +278,18 @@
 		Expect(f.now.Sub(refused)).To(BeNumerically(">", sequoiaowner.DefaultAuthority))
 	})
 
+	// Guards against keys that are taken over from an instance whose entry another writer has made unreadable.
+	ginkgo.It("does not take an unreadable entry for a missing one", func() {
+		f := newFleet("a", "b")
+		f.run(18 * time.Second)
+		delete(f.members, "b")
+		f.unreadable = map[string]bool{"b": true}
+		Expect(f.takeoverBy("a", "b")).To(BeNil())
+		Expect(f.cores["a"].Members()).NotTo(HaveKey("b"))
+		f.unreadable = nil
+		Expect(f.takeoverBy("a", "b")).NotTo(BeNil())
+	})
+
 	ginkgo.It("keeps its evidence if the store refused the takeover for another reason", func() {
 		f := newFleet("a", "b")
 		f.run(18 * time.Second)
--- a/internal/sequoiaowner/presence.go
+++ b/internal/sequoiaowner/presence.go
@@ -20,12 +20,14 @@
 }
 
 // Observation is what the store holds about the members. The registrations must be read before the members: then an
-// instance that is missing from Members has had no entry since, unless its registration record has changed.
+// instance that is missing from the members has had no entry since, unless its registration record has changed.
 type Observation struct {
 	// Registrations maps each instance to the revision of its registration record. A process writes the record with
 	// every write of its entry, and the record is under no lease.
 	Registrations map[string]uint64
 	Members       map[string]Member
+	// Unreadable holds the instances whose entries exist but cannot be read.
+	Unreadable map[string]bool
 	// Revision is the store's revision at the first read of the members.
 	Revision uint64
 }
@@ -144,6 +146,7 @@
 	c.SetMembers(now, o.Members, o.Revision)
 	for instance := range c.tableInstances {
 		_, listed := o.Members[instance]
+		listed = listed || o.Unreadable[instance]
 		registration := o.Registrations[instance]
 		if a, ok := p.absences[instance]; !listed && (!ok || a.registration != registration) {
 			p.absences[instance] = absence{registration, now}
