Accept the response to a HEAD request that announces a long body

It has no body, but the check of the announced length, added with the limits on responses, rejected it. Found by reading the change; the tests of the package pass, a test of its own is still to be written.

--- a/internal/sequoiahttp/response.go
+++ b/internal/sequoiahttp/response.go
@@ -111,7 +111,7 @@
 // readBody reads the body of a response; it discards that of a response that belongs to another request.
 func (c *Client) readBody(hr *http.Response, matched bool) (*Response, error) {
 	defer hr.Body.Close()
-	if hr.ContentLength > c.maxResponseBytes {
+	if hr.ContentLength > c.maxResponseBytes && hr.Request.Method != http.MethodHead {
 		return nil, c.tooLarge()
 	}
 	resp := &Response{Status: hr.StatusCode, Header: hr.Header}
