Show the limits that upstreams name in the logs and metrics

Callers saw nothing; operators could not tell whether a limit had been named. Server-Limit is decoded once in platform, kept by the process beside the upstream, logged as 'upstream limit changed' and served as sequoia_upstream_limit. No decision uses it yet.

--- a/internal/sequoianode/dialect.go
+++ b/internal/sequoianode/dialect.go
@@ -45,6 +45,12 @@
 	WrongUpstream bool
 	// Signed is true if the response carries a signature, which shows that the upstream itself generated it.
 	Signed bool
+	// Limited is true if the upstream names a limit, and RateLimit is the limit: the number of requests per second that
+	// it accepts from all instances together.
+	Limited   bool
+	RateLimit float64
+	// Malformed describes an attribute that could not be read; it is left out.
+	Malformed error
 }
 
 // Announcement is a heartbeat or deregistration sent by an upstream.
--- a/internal/sequoianode/metrics.go
+++ b/internal/sequoianode/metrics.go
@@ -48,6 +48,11 @@
 	m.messagesLost = m.counter("sequoia_table_messages_lost_total", "Changes of the table that another process did not take.")
 	m.gauge("sequoia_running", "Requests at the local upstream.", func() float64 { return float64(n.load().Running) })
 	m.gauge("sequoia_waiting", "Requests that wait for the local upstream.", func() float64 { return float64(n.load().Waiting) })
+	m.gauge("sequoia_upstream_limit", "Requests per second that the local upstream accepts; 0 if it names no limit.", func() float64 {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.limit.perSecond
+	})
 	m.gauge("sequoia_table_revision", "Revision of the table of keys.", func() float64 {
 		n.mu.Lock()
 		defer n.mu.Unlock()
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -123,6 +123,7 @@
 	ownershipChanged chan struct{}
 	// warmUntil is when the local upstream's warm-up ends.
 	warmUntil time.Time
+	limit     rateLimit
 	// proposals are the pending writes for the next commit of the table.
 	proposals []proposal
 	history   history
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -214,12 +214,14 @@
 	if !req.Repeatable {
 		call.MaxIdle = maxUnsafeIdle
 	}
+	sent := time.Now()
 	resp, err := n.upstreamClient.Do(ctx, n.settings.Upstream, call)
 	if err != nil {
 		return n.handleUpstreamError(ctx, req, err)
 	}
 	n.withCore(func(c *sequoiaowner.Core) { c.MarkAlive(sequoiatimer.BootTime()) })
 	v := n.dialect.ReadResponse(resp.Status, resp.Header)
+	n.applyUpstreamState(u, sent, v)
 	switch {
 	case v.NotRun || v.WrongUpstream:
 		n.log.Event("upstream refused a request", "RequestID", req.RequestID, "Status", resp.Status, "Key", req.Key)
@@ -315,6 +317,7 @@
 	u := n.core.Upstream()
 	if !same {
 		n.leavingSince = time.Time{}
+		n.limit = rateLimit{}
 		n.warmUntil = time.Now().Add(a.WarmUp)
 	}
 	if u.Leaving && n.leavingSince.IsZero() {
