Pace requests to the limit that an upstream names

The process beside the upstream, through which all its requests pass, now paces them with a token bucket of half a second's burst; the rule allows half as much again. What cannot start in time under the limit is rejected at once, and Retry-After says when one more request could start. A limit ends with a response to a request that was sent after it was last named, so that concurrent responses that arrive out of order do not end it.

Ruled out: a limit lost in forwarding (all requests pass through the one process); a limit shared among callers' processes, which would need messages and be wrong after each change of members.

--- a/internal/sequoiaadmission/load_test.go
+++ b/internal/sequoiaadmission/load_test.go
@@ -21,6 +21,9 @@
 type outcome struct {
 	requests, onTime, late, rejected int
 	value, maxValue                  float64
+	// starts are the times at which requests started, and rejectedAfter how long the rejected ones had waited.
+	starts        []time.Time
+	rejectedAfter []time.Duration
 }
 
 func (o outcome) valueShare() float64 { return o.value / o.maxValue }
@@ -73,6 +76,7 @@
 			t.OnDecision = func(reason string, retryAfter time.Duration) {
 				at := clock
 				if reason != "" {
+					add(c.name, func(o *outcome) { o.rejectedAfter = append(o.rejectedAfter, at.Sub(t.Arrived)) })
 					left := t.Deadline.Sub(at)
 					if !retry && left > 0 {
 						heap.Push(&pending, event{at.Add(min(max(retryAfter, 10*time.Millisecond), left/3)), submit(c, first, true)})
@@ -84,6 +88,7 @@
 					})
 					return
 				}
+				add(c.name, func(o *outcome) { o.starts = append(o.starts, at) })
 				duration := time.Duration(float64(c.duration) * (0.5 + random.Float64()))
 				heap.Push(&pending, event{at.Add(duration), func(end time.Time) {
 					add(c.name, func(o *outcome) {
@@ -116,9 +121,17 @@
 			}})
 		}
 	}
+	advanceAt := time.Time{}
 	for pending.Len() > 0 {
 		e := heap.Pop(&pending).(event)
 		e.run(e.at)
+		if wait, ok := q.NextStart(e.at); ok && !e.at.Before(advanceAt) {
+			advanceAt = e.at.Add(wait + time.Millisecond)
+			heap.Push(&pending, event{advanceAt, func(now time.Time) {
+				clock = now
+				q.Advance(now)
+			}})
+		}
 	}
 	return results
 }
--- a/internal/sequoiaadmission/queue.go
+++ b/internal/sequoiaadmission/queue.go
@@ -63,6 +63,7 @@
 	waiting    []*Ticket
 	classMeans map[string]time.Duration
 	mean       time.Duration
+	pace       pace
 }
 
 // New returns a queue for an upstream that processes up to slots requests concurrently.
@@ -73,6 +74,54 @@
 // SetSlots changes the maximum number of concurrent requests.
 func (q *Queue) SetSlots(n int) { q.slots = max(1, n) }
 
+// SetLimit changes the number of requests per second that may start, and starts or rejects queued requests accordingly.
+func (q *Queue) SetLimit(now time.Time, perSecond float64) {
+	q.pace.set(now, max(perSecond, minRate))
+	q.Advance(now)
+}
+
+// RemoveLimit removes the limit on requests per second.
+func (q *Queue) RemoveLimit(now time.Time) {
+	q.pace = pace{}
+	q.Advance(now)
+}
+
+// Advance starts the queued requests that may run now. Call it at NextStart.
+func (q *Queue) Advance(now time.Time) { q.startWaiting(now) }
+
+// NextStart returns the time until the next queued request may start because of the limit on requests per second. It
+// returns false if no request waits for that.
+func (q *Queue) NextStart(now time.Time) (time.Duration, bool) {
+	if !q.pace.limited() || len(q.waiting) == 0 || len(q.running) >= q.slots {
+		return 0, false
+	}
+	return q.pace.delay(now, 1), true
+}
+
+// StartDelay returns how long one more request would wait because of the limit on requests per second.
+func (q *Queue) StartDelay(now time.Time) time.Duration { return q.pace.delay(now, len(q.waiting)+1) }
+
+// Capacity returns the number of requests per second that the upstream can process, or zero if it is not known.
+func (q *Queue) Capacity() float64 {
+	capacity := 0.0
+	if q.mean > 0 {
+		capacity = float64(q.slots) / q.mean.Seconds()
+	}
+	if q.pace.limited() && (capacity == 0 || q.pace.perSecond < capacity) {
+		capacity = q.pace.perSecond
+	}
+	return capacity
+}
+
+// Cost returns the part of the upstream's capacity that a request of the given duration uses, as the time for which it
+// would occupy a slot of an upstream without a limit on requests per second.
+func (q *Queue) Cost(duration time.Duration) time.Duration {
+	if !q.pace.limited() {
+		return duration
+	}
+	return max(duration, time.Duration(float64(q.slots)/q.pace.perSecond*float64(time.Second)))
+}
+
 // Running returns the number of running requests.
 func (q *Queue) Running() int { return len(q.running) }
 
@@ -100,27 +149,39 @@
 		t.OnDecision(ReasonDeadline, 0)
 		return
 	}
-	if len(q.running) < q.slots {
+	if q.canStart(now) && len(q.waiting) == 0 {
 		q.start(now, t)
 		return
 	}
 	if len(q.waiting) >= maxWaitingPerSlot*q.slots {
-		t.OnDecision(ReasonFull, q.retryAfter())
+		t.OnDecision(ReasonFull, q.retryAfter(now))
 		return
 	}
 	wait := q.expectedWait(now, t)
-	if late := now.Add(wait + duration).After(t.Objective); late && !q.mayQueueLate(now.Add(wait+duration), t) {
+	end := now.Add(wait + duration)
+	if q.pace.limited() {
+		end = end.Add(paceMargin)
+	}
+	if end.After(t.Objective) && !q.mayQueueLate(end, t) {
 		t.OnDecision(ReasonBusy, max(wait, minRetryAfter))
 		return
 	}
 	q.waiting = append(q.waiting, t)
+	if q.pace.limited() {
+		q.startWaiting(now)
+	}
+}
+
+// canStart reports whether a slot is free and the limit on requests per second allows a request to start.
+func (q *Queue) canStart(now time.Time) bool {
+	return len(q.running) < q.slots && q.pace.delay(now, 1) == 0
 }
 
 // mayQueueLate reports whether a request may be queued that would end at the given time, after its objective. This is
 // allowed while the queue is shorter than lateQueueLimitPerSlot for each slot, so that late requests can use slots that
-// become free between bursts.
+// become free between bursts. Under a limit on requests per second no slot becomes free early.
 func (q *Queue) mayQueueLate(end time.Time, t *Ticket) bool {
-	return !end.After(t.Deadline) && len(q.waiting) < lateQueueLimitPerSlot*q.slots
+	return !q.pace.limited() && !end.After(t.Deadline) && len(q.waiting) < lateQueueLimitPerSlot*q.slots
 }
 
 // before reports whether queued request a starts before b. Requests that can still meet their objective go first, then
@@ -146,20 +207,26 @@
 	for r := range q.running {
 		ahead += max(q.ExpectedDuration(r)-now.Sub(r.started), q.ExpectedDuration(r)/4)
 	}
+	first := 1
 	for _, other := range q.waiting {
 		if q.before(now, other, t) {
 			ahead += q.ExpectedDuration(other)
+			first++
 		}
 	}
-	return max(0, ahead/time.Duration(q.slots))
+	if len(q.running) < q.slots {
+		ahead = 0
+	}
+	return max(0, ahead/time.Duration(q.slots), q.pace.delay(now, first))
 }
 
-func (q *Queue) retryAfter() time.Duration {
-	return max(minRetryAfter, q.mean/time.Duration(q.slots)*time.Duration(len(q.waiting)))
+func (q *Queue) retryAfter(now time.Time) time.Duration {
+	return max(minRetryAfter, q.mean/time.Duration(q.slots)*time.Duration(len(q.waiting)), q.StartDelay(now))
 }
 
 func (q *Queue) start(now time.Time, t *Ticket) {
 	t.started = now
+	q.pace.take()
 	q.running[t] = struct{}{}
 	t.OnDecision("", 0)
 }
@@ -199,7 +266,7 @@
 
 // startWaiting starts queued requests while slots are free and rejects those that would miss their deadline.
 func (q *Queue) startWaiting(now time.Time) {
-	for len(q.running) < q.slots && len(q.waiting) > 0 {
+	for len(q.waiting) > 0 && q.canStart(now) {
 		best := 0
 		for i, t := range q.waiting {
 			if q.before(now, t, q.waiting[best]) {
@@ -214,9 +281,39 @@
 		}
 		q.start(now, t)
 	}
+	if q.pace.limited() {
+		q.evictUnservable(now)
+		return
+	}
 	q.evictLate(now)
 }
 
+// evictUnservable rejects the queued requests that will miss their objective in the order and at the rate in which
+// requests start. The one that is next may be late.
+func (q *Queue) evictUnservable(now time.Time) {
+	slices.SortStableFunc(q.waiting, func(a, b *Ticket) int {
+		switch {
+		case q.before(now, a, b):
+			return -1
+		case q.before(now, b, a):
+			return 1
+		}
+		return 0
+	})
+	kept := q.waiting[:0]
+	for _, t := range q.waiting {
+		wait := q.pace.delay(now, len(kept)+1)
+		end := now.Add(wait + q.ExpectedDuration(t))
+		if end.After(t.Deadline) || end.After(t.Objective) && len(kept) > 0 {
+			t.OnDecision(ReasonBusy, max(wait, minRetryAfter))
+			continue
+		}
+		kept = append(kept, t)
+	}
+	clear(q.waiting[len(kept):])
+	q.waiting = kept
+}
+
 // evictLate rejects the queued requests that will miss their objective if enough others that can meet it are queued:
 // the late ones would wait without a chance of being served on time.
 func (q *Queue) evictLate(now time.Time) {
@@ -233,7 +330,7 @@
 		if !q.missesObjective(now, t) {
 			return false
 		}
-		t.OnDecision(ReasonBusy, q.retryAfter())
+		t.OnDecision(ReasonBusy, q.retryAfter(now))
 		return true
 	})
 }
--- a/internal/sequoianode/limit.go
+++ b/internal/sequoianode/limit.go
@@ -6,9 +6,12 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
 )
 
+// queueTimerMargin is added to the time until a request may start, so that the timer does not fire just before it.
+const queueTimerMargin = time.Millisecond
+
 // rateLimit is the limit that the local upstream names in its responses.
 type rateLimit struct {
-	// perSecond is zero if the upstream names no limit.
+	named     bool
 	perSecond float64
 	// namedAt is when the latest response that named a limit arrived.
 	namedAt time.Time
@@ -18,14 +21,14 @@
 // only if its request was sent after the limit was last named: responses to concurrent requests arrive out of order. It
 // reports whether the limit has changed.
 func (l *rateLimit) update(sent, now time.Time, v ResponseAttributes) bool {
-	old := l.perSecond
+	old := *l
 	switch {
 	case v.Limited:
-		l.perSecond, l.namedAt = v.RateLimit, now
+		*l = rateLimit{named: true, perSecond: v.RateLimit, namedAt: now}
 	case (v.Signed || v.NotRun) && v.Malformed == nil && sent.After(l.namedAt):
-		l.perSecond = 0
+		*l = rateLimit{namedAt: l.namedAt}
 	}
-	return l.perSecond != old
+	return l.named != old.named || l.perSecond != old.perSecond
 }
 
 // applyUpstreamState applies what a response of the local upstream says about the upstream itself. u is the upstream
@@ -38,9 +41,40 @@
 	now := time.Now()
 	current := n.core.Upstream()
 	changed := current.ID == u.ID && current.Born == u.Born && n.limit.update(sent, now, v)
-	limit := n.limit.perSecond
+	limit := n.limit
+	if changed {
+		n.applyLimit(now)
+	}
 	n.mu.Unlock()
 	if changed {
-		n.log.Event("upstream limit changed", "Upstream", u.ID, "PerSecond", limit)
+		n.log.Event("upstream limit changed", "Upstream", u.ID, "Limited", limit.named, "PerSecond", limit.perSecond)
+	}
+}
+
+// applyLimit sets the local upstream's limit in the queue. The caller must hold mu.
+func (n *Node) applyLimit(now time.Time) {
+	if n.limit.named {
+		n.queue.SetLimit(now, n.limit.perSecond)
+	} else {
+		n.queue.RemoveLimit(now)
+	}
+	n.scheduleQueue(now)
+}
+
+// scheduleQueue makes the queue start its next request when the limit allows it. Call it after each change of the
+// queue. The caller must hold mu.
+func (n *Node) scheduleQueue(now time.Time) {
+	d, waiting := n.queue.NextStart(now)
+	if !waiting || n.queueScheduled {
+		return
 	}
+	n.queueScheduled = true
+	n.timers.After(d+queueTimerMargin, func(time.Time) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.queueScheduled = false
+		now := time.Now()
+		n.queue.Advance(now)
+		n.scheduleQueue(now)
+	})
 }
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -124,6 +124,8 @@
 	// warmUntil is when the local upstream's warm-up ends.
 	warmUntil time.Time
 	limit     rateLimit
+	// queueScheduled is true while a timer for the next start of a queued request is set.
+	queueScheduled bool
 	// proposals are the pending writes for the next commit of the table.
 	proposals []proposal
 	history   history
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -67,7 +67,9 @@
 	resp := n.callUpstream(ctx, req)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	took := n.queue.Done(time.Now(), t, resp.Outcome == sequoiarouter.Answered)
+	now := time.Now()
+	took := n.queue.Done(now, t, resp.Outcome == sequoiarouter.Answered)
+	n.scheduleQueue(now)
 	if req.Key != "" && resp.Outcome == sequoiarouter.Answered {
 		n.meter.Add(key, took)
 	}
@@ -164,6 +166,7 @@
 		return nil, reasonLeaving, upstreamRetryAfter
 	}
 	n.queue.Submit(now, t)
+	n.scheduleQueue(now)
 	n.mu.Unlock()
 	select {
 	case d := <-decided:
@@ -172,9 +175,11 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	now = time.Now()
 	if !n.queue.Remove(t) {
 		n.queue.Done(now, t, false)
 	}
+	n.scheduleQueue(now)
 	return nil, reasonCancelled, 0
 }
 
@@ -318,6 +323,7 @@
 	if !same {
 		n.leavingSince = time.Time{}
 		n.limit = rateLimit{}
+		n.applyLimit(time.Now())
 		n.warmUntil = time.Now().Add(a.WarmUp)
 	}
 	if u.Leaving && n.leavingSince.IsZero() {
