Move keys and requests to upstreams with room under their limits

With requests paced to the limits, callers of keys at a limited upstream were refused while others had room: the balancer measured processing time, so an upstream at its limit looked half idle (keys moved to one in the timeline of the incident). The load of a key is now the part of the upstream's capacity that it uses, and a move equalizes the utilization of upstreams of different capacity. Requests without a key go where they need not wait for a limit, and a refused one is told the shortest time after which any upstream that was tried has room.

Ruled out: going beyond the named limit by the half that the rule allows.

--- a/internal/sequoianode/balance.go
+++ b/internal/sequoianode/balance.go
@@ -43,9 +43,12 @@
 
 // loadReport is the load of a process's upstream, as sent to other processes.
 type loadReport struct {
-	// Utilization is the measured work per second divided by the number of slots.
+	// Utilization is the measured work per second divided by the number of slots. Under a limit on requests per second,
+	// the work of a request is the part of the limit that it uses.
 	Utilization float64
 	Slots       int
+	// Capacity is the number of requests per second that the upstream can process, zero if it is not known.
+	Capacity float64
 	// Open is true if the upstream accepts more keys.
 	Open bool
 }
@@ -93,7 +96,7 @@
 	// A load that is multiplied by f at each interval and grows at a constant rate converges to rate*interval/(1-f).
 	rate := work * (1 - meterDecay) / balanceInterval.Seconds()
 	return loadReport{
-		Utilization: rate / float64(n.queue.Slots()), Slots: n.queue.Slots(),
+		Utilization: rate / float64(n.queue.Slots()), Slots: n.queue.Slots(), Capacity: n.queue.Capacity(),
 		Open: n.core.Upstream().Usable() && !n.stopping.Load() && time.Now().After(n.warmUntil) &&
 			n.core.RegistrationConfirmed() && len(held) < sequoiaowner.MaxRanges,
 	}
@@ -128,7 +131,7 @@
 		if !shouldMove(own.Utilization, c.report.Utilization) {
 			return
 		}
-		share := min((own.Utilization-c.report.Utilization)/2, max(targetUtilization-c.report.Utilization, minDifference/2))
+		share := moveShare(own, c.report)
 		want := share * float64(own.Slots) * balanceInterval.Seconds() / (1 - meterDecay)
 		if b.beginMove(c, want, own, cooldown) {
 			own.Utilization -= share
@@ -150,6 +153,16 @@
 	return own >= minUtilization && own-other >= minDifference
 }
 
+// moveShare returns the part of the upstream's own capacity that should move to another upstream, so that both are
+// equally utilized and the other one is not filled beyond targetUtilization.
+func moveShare(own, other loadReport) float64 {
+	ratio := 1.0
+	if own.Capacity > 0 && other.Capacity > 0 {
+		ratio = own.Capacity / other.Capacity
+	}
+	return min((own.Utilization-other.Utilization)/(1+ratio), max(targetUtilization-other.Utilization, minDifference/2)/ratio)
+}
+
 // beginMove starts moving the smallest range of keys whose load is close to the desired one. It reports whether a move
 // was started.
 func (b *balancer) beginMove(c candidate, want float64, own loadReport, cooldown time.Duration) bool {
--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -175,14 +175,17 @@
 }
 
 // addResponse records the response of an attempt. It keeps the most informative one: a response of an upstream,
-// otherwise one after which the request may have run, otherwise the latest.
+// otherwise one after which the request may have run, otherwise the latest, with the shortest time after which any of
+// the upstreams has room.
 func (a *attemptState) addResponse(resp *sequoiarouter.Response) {
 	if resp.Outcome != sequoiarouter.NotRun || resp.Reason == reasonUpstreamRefused {
 		a.upstreamAttempts++
 	}
 	if a.bestResponse == nil || a.bestResponse.Outcome == sequoiarouter.NotRun || resp.Outcome == sequoiarouter.Answered {
-		if a.bestResponse != nil && resp.Outcome == sequoiarouter.NotRun && resp.RetryAfter == 0 {
-			resp.RetryAfter = a.bestResponse.RetryAfter
+		if old := a.bestResponse; old != nil && resp.Outcome == sequoiarouter.NotRun && old.RetryAfter > 0 {
+			if resp.RetryAfter == 0 || old.RetryAfter < resp.RetryAfter {
+				resp.RetryAfter = old.RetryAfter
+			}
 		}
 		a.bestResponse = resp
 	}
--- a/internal/sequoianode/client_test.go
+++ b/internal/sequoianode/client_test.go
@@ -80,6 +80,20 @@
 		Expect(m.Instance).To(Equal("far"))
 	})
 
+	// Guards against requests that wait for an upstream's limit while another upstream has room.
+	ginkgo.It("goes where a request may start at once when the limit of an upstream makes it wait", func() {
+		d := newTestDirectory()
+		d.beginRequest("near")
+		d.endRequest("near", &sequoiarouter.Response{
+			Outcome: sequoiarouter.Answered, Status: 200,
+			Load: sequoiarouter.Load{Slots: 6, Work: 100 * time.Millisecond, StartDelay: 300 * time.Millisecond},
+		})
+		report(d, "far", 3)
+		m, ok := d.choose("parts", nil)
+		Expect(ok).To(BeTrue())
+		Expect(m.Instance).To(Equal("far"))
+	})
+
 	ginkgo.It("sends nothing to a process that does not answer, until a probe reaches it", func() {
 		d := newTestDirectory()
 		Expect(d.markUnreachable("near")).To(BeTrue())
--- a/internal/sequoianode/directory.go
+++ b/internal/sequoianode/directory.go
@@ -164,7 +164,7 @@
 	}
 	utilization := (inProgress + 1) / float64(max(1, p.member.Upstream.Slots))
 	factor := (1 + utilizationWeight*utilization + queueingWeight*max(0, utilization-queueingThreshold)) * (1 + failureWeight*p.failureRate)
-	delay := time.Duration(float64(work) * factor)
+	delay := time.Duration(float64(work)*factor) + max(0, p.load.StartDelay-now.Sub(p.loadReportedAt))
 	if p.member.Domain != d.settings.Domain {
 		delay += crossDomainDelay
 	}
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -297,5 +297,6 @@
 func (n *Node) loadLocked() sequoiarouter.Load {
 	return sequoiarouter.Load{
 		Running: n.queue.Running(), Waiting: n.queue.Waiting(), Slots: n.queue.Slots(), Work: n.queue.MeanDuration(),
+		StartDelay: n.queue.StartDelay(time.Now()),
 	}
 }
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -71,7 +71,7 @@
 	took := n.queue.Done(now, t, resp.Outcome == sequoiarouter.Answered)
 	n.scheduleQueue(now)
 	if req.Key != "" && resp.Outcome == sequoiarouter.Answered {
-		n.meter.Add(key, took)
+		n.meter.Add(key, n.queue.Cost(took))
 	}
 	resp.Load = n.loadLocked()
 	_, resp.LogIndex = n.core.Table()
@@ -86,7 +86,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.meter.Add(key, n.queue.MeanDuration())
+	n.meter.Add(key, n.queue.Cost(n.queue.MeanDuration()))
 }
 
 // notRunResponseWithLoad returns a NotRun response with the table revision and the load of the local upstream.
--- a/internal/sequoiarouter/request.go
+++ b/internal/sequoiarouter/request.go
@@ -97,6 +97,8 @@
 	Slots int
 	// Work is the mean duration of a request at the upstream, or zero if none has finished.
 	Work time.Duration
+	// StartDelay is how long one more request would wait because of the upstream's limit on requests per second.
+	StartDelay time.Duration
 }
 
 // Response is the response to a request, from the upstream or from the router.
