Send no more requests to an upstream whose responses say that it leaves

A back end may say only in its responses that it shuts down (Server-Leaving), and the process beside it may restart and forget that it does. Callers' processes then went on sending requests to it, which DRAIN forbids once they have passed on such a response.

The process beside the upstream takes such a response as the announcement of a shutdown, and each process remembers which upstreams have said so in responses that it received: it gives them no keys, and after the drain limit no requests, whatever their entries say. A process whose first announcement says draining treats the drain as over, since others may have known of it before.

Test: 'send no more requests to an upstream whose responses say that it leaves' failed before: 31 requests later than the drain period. Ruled out: memory only beside the upstream (lost in a restart); memory in the member entry (the restarted process writes it anew before the first heartbeat).

--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -273,10 +273,14 @@
 // send runs the request on the local upstream or forwards it to another process. It marks a process that does not
 // answer as unreachable and starts probing it.
 func (n *Node) send(ctx context.Context, req *sequoiarouter.Request, instance string) *sequoiarouter.Response {
-	n.directory.beginRequest(instance)
+	if n.directory.drained(instance) {
+		return notRunResponse(reasonLeaving, upstreamRetryAfter)
+	}
+	upstream := n.directory.beginRequest(instance)
 	if instance == n.settings.Instance {
 		resp := n.serveLocal(ctx, req)
 		n.directory.endRequest(instance, resp)
+		n.noteLeaving(upstream, resp)
 		return resp
 	}
 	addr, ok := n.directory.address(instance)
@@ -287,6 +291,7 @@
 	resp, err := n.forwarder.Forward(ctx, addr, req)
 	if err == nil {
 		n.directory.endRequest(instance, resp)
+		n.noteLeaving(upstream, resp)
 		n.fetchIfNewer(instance, resp.LogIndex)
 		return resp
 	}
@@ -298,6 +303,13 @@
 	return forwardErrorResponse(ctx, err)
 }
 
+// noteLeaving records that an upstream is leaving if its response says so.
+func (n *Node) noteLeaving(upstream sequoiakeyspace.Holder, resp *sequoiarouter.Response) {
+	if resp.Outcome == sequoiarouter.Answered && n.dialect.ReadResponse(resp.Status, resp.Header).Leaving {
+		n.directory.markLeaving(upstream)
+	}
+}
+
 // indicatesUnreachable reports whether the error of a failed request indicates that the process itself does not answer.
 // An expired request deadline does not, because the upstream may be slow.
 func indicatesUnreachable(err error, remaining time.Duration) bool {
--- a/internal/sequoianode/dialect.go
+++ b/internal/sequoianode/dialect.go
@@ -49,6 +49,8 @@
 	// it accepts from all instances together.
 	Limited   bool
 	RateLimit float64
+	// Leaving is true if the upstream is shutting down.
+	Leaving bool
 	// Malformed describes an attribute that could not be read; it is left out.
 	Malformed error
 }
@@ -95,6 +97,11 @@
 	ReadConfiguration func(b []byte) (*sequoiaroute.Configuration, error)
 }
 
+// drainLimit returns how long a leaving upstream gets requests.
+func (s Settings) drainLimit() time.Duration {
+	return time.Duration(drainFraction * float64(s.DrainPeriod))
+}
+
 // Settings configures one process.
 type Settings struct {
 	Instance string
--- a/internal/sequoianode/directory.go
+++ b/internal/sequoianode/directory.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
 )
@@ -16,6 +17,8 @@
 	// removedMemberGracePeriod is how long a member is used after its entry disappeared. Entries that expired during a
 	// store outage are registered again within 2 s of its end.
 	removedMemberGracePeriod = 2500 * time.Millisecond
+	// leavingMemory is how long an upstream that is leaving is remembered. It exceeds the longest drain.
+	leavingMemory = 5 * time.Minute
 	// maxLoadAge is the age from which a reported load is ignored.
 	maxLoadAge = 1500 * time.Millisecond
 	// unreachableTimeout is how long an unreachable process gets no requests unless it answers a probe earlier. It is also
@@ -57,10 +60,47 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer
+	// leaving holds when the upstreams that are shutting down first said so in a response that this process received.
+	// An upstream keeps its entry while the process beside it restarts and forgets it.
+	leaving map[sequoiakeyspace.Holder]time.Time
 }
 
 func newDirectory(settings Settings) *directory {
-	return &directory{settings: settings, peers: map[string]*peer{}}
+	return &directory{settings: settings, peers: map[string]*peer{}, leaving: map[sequoiakeyspace.Holder]time.Time{}}
+}
+
+// markLeaving records that an upstream said in a response that it is shutting down.
+func (d *directory) markLeaving(h sequoiakeyspace.Holder) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, known := d.leaving[h]; known || h.Upstream == "" {
+		return
+	}
+	now := time.Now()
+	maps.DeleteFunc(d.leaving, func(_ sequoiakeyspace.Holder, since time.Time) bool { return now.Sub(since) > leavingMemory })
+	d.leaving[h] = now
+}
+
+// withLeaving returns the member with its upstream marked as leaving if this process knows it from a response.
+func (d *directory) withLeaving(m sequoiaowner.Member) sequoiaowner.Member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, leaving := d.leaving[m.Holder()]; leaving {
+		m.Upstream.Leaving = true
+	}
+	return m
+}
+
+// drained reports whether the upstream at an instance is leaving and may get no more requests.
+func (d *directory) drained(instance string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.peers[instance]
+	if p == nil {
+		return false
+	}
+	since, leaving := d.leaving[p.member.Holder()]
+	return leaving && time.Since(since) > d.settings.drainLimit()
 }
 
 // setMembers updates the peers to the members that are registered in the store.
@@ -133,7 +173,8 @@
 	now := time.Now()
 	var candidates []*peer
 	for instance, p := range d.peers {
-		if p.member.Upstream.Service == service && p.usable(now) && !tried[instance] {
+		_, leaving := d.leaving[p.member.Holder()]
+		if p.member.Upstream.Service == service && p.usable(now) && !leaving && !tried[instance] {
 			candidates = append(candidates, p)
 		}
 	}
@@ -171,13 +212,16 @@
 	return delay
 }
 
-// beginRequest records that a request is being sent to an instance.
-func (d *directory) beginRequest(instance string) {
+// beginRequest records that a request is being sent to an instance, and returns the upstream that it is sent to.
+func (d *directory) beginRequest(instance string) sequoiakeyspace.Holder {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if p := d.peers[instance]; p != nil {
-		p.outstanding++
+	p := d.peers[instance]
+	if p == nil {
+		return sequoiakeyspace.Holder{}
 	}
+	p.outstanding++
+	return p.member.Holder()
 }
 
 // markReachable allows requests to a process again, after it answered a probe or unreachableTimeout passed.
--- a/internal/sequoianode/limit.go
+++ b/internal/sequoianode/limit.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
 
 // queueTimerMargin is added to the time until a request may start, so that the timer does not fire just before it.
@@ -45,7 +46,17 @@
 	if changed {
 		n.applyLimit(now)
 	}
+	leaves := v.Leaving && current.ID == u.ID && current.Born == u.Born && !current.Leaving
+	if leaves {
+		current.Leaving = true
+		n.core.SetUpstream(sequoiatimer.BootTime(), current)
+		n.leavingSince = now
+	}
 	n.mu.Unlock()
+	if leaves {
+		n.log.Event("upstream says in a response that it is leaving", "Upstream", u.ID)
+		n.memberChanged()
+	}
 	if changed {
 		n.log.Event("upstream limit changed", "Upstream", u.ID, "Limited", limit.named, "PerSecond", limit.perSecond)
 	}
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -160,7 +160,7 @@
 	}
 	n.mu.Lock()
 	u := n.core.Upstream()
-	leaving := !n.leavingSince.IsZero() && time.Since(n.leavingSince) > time.Duration(drainFraction*float64(n.settings.DrainPeriod))
+	leaving := !n.leavingSince.IsZero() && time.Since(n.leavingSince) > n.settings.drainLimit()
 	if u.ID == "" || u.Lost || leaving || u.Service != req.Service {
 		n.mu.Unlock()
 		return nil, reasonLeaving, upstreamRetryAfter
@@ -328,6 +328,10 @@
 	}
 	if u.Leaving && n.leavingSince.IsZero() {
 		n.leavingSince = time.Now()
+		if old.ID == "" {
+			// The upstream may have been leaving since before this process started, and other processes may know it.
+			n.leavingSince = n.leavingSince.Add(-n.settings.DrainPeriod)
+		}
 	}
 	changed := u != old
 	n.mu.Unlock()
--- a/internal/sequoianode/sync.go
+++ b/internal/sequoianode/sync.go
@@ -201,7 +201,7 @@
 		n.log.Event("member rejected", "Member", instance, "Revision", it.Revision, "Error", err)
 		return false
 	}
-	n.core.SetMember(now, m)
+	n.core.SetMember(now, n.directory.withLeaving(m))
 	own := n.ownMember()
 	return instance == n.settings.Instance && (m.Process != own.Process || m.Upstream != own.Upstream)
 }
@@ -233,7 +233,7 @@
 			unreadable[strings.TrimPrefix(it.Key, memberPrefix)] = true
 			continue
 		}
-		members[m.Instance] = m
+		members[m.Instance] = n.directory.withLeaving(m)
 	}
 	return members, unreadable
 }
