Recover the table of keys after the store was restored from a copy

After a drill in which the store came back from a copy some seconds old, a key was granted with fence 5 after 20 and two upstreams held it for up to 2.0 s: processes ordered tables, members and watches by revisions that the store gives out again, and one that started then took owners and fences from the lost past.

Revisions now carry the store's era (Store-Era) in their upper bits, so every order by revision holds across restores; conditions, watches and leases of an earlier era fail. A restored table is recognized by its fences, which lie below those of the era. The first process that finds one replaces it with the latest table that the processes have, with new fences for all ranges. A recovered range is granted by an upstream that has held it all along; any other holder waits until a second write settles the table, once every authority from before has ended. While the table is not settled, each confirmation reads it and no authority is extended by promises.

Ruled out: taking the highest fence of a peer (it may be lost with it); granting only after a fixed time from the restore (a process that starts later does not know it).

--- a/internal/sequoiakeyspace/encoding.go
+++ b/internal/sequoiakeyspace/encoding.go
@@ -19,6 +19,13 @@
 	Fence    Fence
 }
 
+// recoveredTable is the form of a Table with a RecoveredFence. Other tables have the form that earlier versions read.
+type recoveredTable struct {
+	_         struct{} `cbor:",toarray"`
+	Table     encodedTable
+	Recovered Fence
+}
+
 type encodedHolder struct {
 	_        struct{} `cbor:",toarray"`
 	Instance string
@@ -85,18 +92,26 @@
 		e.Services = append(e.Services, s)
 	}
 	e.Holders = holders.list
-	b, err := cbor.Marshal(e)
+	var v any = e
+	if t.RecoveredFence > 0 {
+		v = recoveredTable{Table: e, Recovered: t.RecoveredFence}
+	}
+	b, err := cbor.Marshal(v)
 	return b, errors.Wrap(err, "encode the key range table")
 }
 
 // Decode parses the output of Table.Encode. It returns ErrMalformed if the data is not a valid table or if the ranges
 // of a service do not cover all keys.
 func Decode(b []byte) (*Table, error) {
-	var e encodedTable
-	if err := cbor.Unmarshal(b, &e); err != nil {
-		return nil, errors.Wrap(ErrMalformed, err.Error())
+	var r recoveredTable
+	if cbor.Unmarshal(b, &r) != nil {
+		r = recoveredTable{}
+		if err := cbor.Unmarshal(b, &r.Table); err != nil {
+			return nil, errors.Wrap(ErrMalformed, err.Error())
+		}
 	}
-	t := &Table{Services: make(map[string][]Range, len(e.Services)), Fence: e.Fence}
+	e := r.Table
+	t := &Table{Services: make(map[string][]Range, len(e.Services)), Fence: e.Fence, RecoveredFence: r.Recovered}
 	for _, s := range e.Services {
 		ranges := make([]Range, 0, len(s.Ranges))
 		next := 0
--- a/internal/sequoiakeyspace/table.go
+++ b/internal/sequoiakeyspace/table.go
@@ -63,6 +63,9 @@
 	Services map[string][]Range
 	// Fence is the highest fence that was assigned.
 	Fence Fence
+	// RecoveredFence is the highest fence of the ranges that were recovered after a restore of the store and may have
+	// had another holder before. It is zero once that holder can no longer have authority.
+	RecoveredFence Fence
 }
 
 // NewTable returns a table without services.
@@ -72,7 +75,7 @@
 
 // Clone returns a deep copy.
 func (t *Table) Clone() *Table {
-	c := &Table{Services: make(map[string][]Range, len(t.Services)), Fence: t.Fence}
+	c := &Table{Services: make(map[string][]Range, len(t.Services)), Fence: t.Fence, RecoveredFence: t.RecoveredFence}
 	for name, ranges := range t.Services {
 		c.Services[name] = slices.Clone(ranges)
 	}
--- a/internal/sequoianode/commit.go
+++ b/internal/sequoianode/commit.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -86,6 +87,9 @@
 // propose sends a write to the writer. It commits the write locally if this process is the writer, if the writer does
 // not commit the write, or if the write requires that certain members are not registered.
 func (n *Node) propose(ctx context.Context, w *sequoiaowner.Write) error {
+	if w.Recovery != nil {
+		return n.replaceTable(ctx, w)
+	}
 	if writer := n.writer(); writer != n.settings.Instance && len(w.Absent) == 0 {
 		if addr, ok := n.directory.address(writer); ok && n.proposeToWriter(ctx, writer, addr, w) == nil {
 			return nil
@@ -94,6 +98,50 @@
 	return n.submitProposal(ctx, w)
 }
 
+// replaceTable writes a whole table in place of the one in the store, after a restore of the store.
+func (n *Node) replaceTable(ctx context.Context, w *sequoiaowner.Write) error {
+	if w.Reason == sequoiaowner.ReasonRestored && n.fetchTables(ctx) {
+		return errors.WithStack(errTableChanged)
+	}
+	n.commitMu.Lock()
+	defer n.commitMu.Unlock()
+	t := w.Recovery.Table
+	b, err := t.Encode()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, sequoiaregistry.CallTimeout)
+	defer cancel()
+	revision, err := n.store.Commit(ctx, sequoiaregistry.Transaction{
+		Expected: map[string]uint64{tableKey: w.Recovery.Base}, Puts: []sequoiaregistry.Item{{Key: tableKey, Value: b}},
+	})
+	n.metrics.tableWrites.Inc()
+	n.log.Event("table replaced after a restore", "Reason", w.Reason, "Base", w.Recovery.Base, "Revision", revision, "Fence", t.Fence, "Error", err)
+	if err != nil {
+		return errors.Wrap(err, "replace the table")
+	}
+	n.mu.Lock()
+	n.core.SetTable(t, revision)
+	n.notifyOwnershipChanged()
+	n.mu.Unlock()
+	n.broadcastUpdate(context.Background(), update{Revision: revision, Table: b}, n.directory.instances())
+	return nil
+}
+
+// fetchTables fetches newer tables from all other processes. It reports whether there was one.
+func (n *Node) fetchTables(ctx context.Context) bool {
+	_, before := n.table()
+	var wg sync.WaitGroup
+	for _, instance := range n.directory.instances() {
+		if instance != n.settings.Instance {
+			wg.Go(func() { n.fetchTable(ctx, instance) })
+		}
+	}
+	wg.Wait()
+	_, after := n.table()
+	return after > before
+}
+
 // writer returns the instance whose process writes the table for all: the first member in sorted order.
 func (n *Node) writer() string {
 	n.mu.Lock()
--- a/internal/sequoianode/commit_test.go
+++ b/internal/sequoianode/commit_test.go
@@ -137,8 +137,8 @@
 })
 
 var _ = ginkgo.Describe("relay", func() {
-	refuse := func(context.Context, string, string, []byte) (int, []byte, error) {
-		return http.StatusServiceUnavailable, nil, nil
+	refuse := func(context.Context, string, string, []byte) (sequoiaregistry.Reply, error) {
+		return sequoiaregistry.Reply{Status: http.StatusServiceUnavailable}, nil
 	}
 	secret := make([]byte, secretBytes)
 
@@ -157,9 +157,9 @@
 		r := newRelay(n, refuse)
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		_, _, err := r.exchange(ctx, method, "/call", nil)
+		_, err := r.exchange(ctx, method, "/call", nil)
 		Expect(err).NotTo(HaveOccurred())
-		_, _, err = r.exchange(ctx, method, "/call", nil)
+		_, err = r.exchange(ctx, method, "/call", nil)
 		return err
 	}
 
--- a/internal/sequoianode/relay.go
+++ b/internal/sequoianode/relay.go
@@ -39,22 +39,21 @@
 }
 
 // exchange makes a store call, directly or through another process.
-func (r *relay) exchange(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+func (r *relay) exchange(ctx context.Context, method, path string, body []byte) (sequoiaregistry.Reply, error) {
 	mayHaveRun := false
 	if r.recentlyFailed() {
-		var status int
-		var respBody []byte
+		var reply sequoiaregistry.Reply
 		var err error
-		if status, respBody, mayHaveRun, err = r.callThroughPeer(ctx, method, path, body); err == nil {
-			return status, respBody, nil
+		if reply, mayHaveRun, err = r.callThroughPeer(ctx, method, path, body); err == nil {
+			return reply, nil
 		}
 	}
-	status, respBody, err := r.direct(ctx, method, path, body)
-	r.recordResult(ctx, err != nil || storeRefused(status))
-	if err == nil && mayHaveRun && storeRefused(status) {
-		return 0, nil, errors.WithStack(errRelayInDoubt)
+	reply, err := r.direct(ctx, method, path, body)
+	r.recordResult(ctx, err != nil || storeRefused(reply.Status))
+	if err == nil && mayHaveRun && storeRefused(reply.Status) {
+		return sequoiaregistry.Reply{}, errors.WithStack(errRelayInDoubt)
 	}
-	return status, respBody, err
+	return reply, err
 }
 
 // errRelayInDoubt reports a call that the store refused, but that another process may have made before.
@@ -90,36 +89,36 @@
 // response; mayHaveRun is then true if one of them may have made a call that changes something.
 func (r *relay) callThroughPeer(
 	ctx context.Context, method, path string, body []byte,
-) (status int, respBody []byte, mayHaveRun bool, err error) {
+) (reply sequoiaregistry.Reply, mayHaveRun bool, err error) {
 	deadline, bounded := ctx.Deadline()
 	if !bounded {
-		return 0, nil, false, errNoPeer
+		return reply, false, errNoPeer
 	}
 	for _, addr := range r.node.directory.randomPeers(maxRelayPeers) {
 		req := &sequoiarouter.Request{Path: pathStore + path, Method: method, Body: body}
 		resp, err := r.node.sendMessage(ctx, addr, time.Until(deadline), req)
 		if err == nil {
 			r.node.metrics.relayed.Inc()
-			return resp.Status, resp.Body, false, nil
+			return sequoiaregistry.Reply{Status: resp.Status, Body: resp.Body, Era: resp.LogIndex}, false, nil
 		}
 		mayHaveRun = method != http.MethodGet && !errors.Is(err, sequoiapeer.ErrNotSent)
 		if mayHaveRun || ctx.Err() != nil {
 			break
 		}
 	}
-	return 0, nil, mayHaveRun, errNoPeer
+	return reply, mayHaveRun, errNoPeer
 }
 
-// serve makes a store call on behalf of another process.
+// serve makes a store call on behalf of another process. The response carries the store's era in place of a revision.
 func (r *relay) serve(ctx context.Context, req *sequoiarouter.Request) *sequoiarouter.Response {
 	if r.recentlyFailed() {
 		return r.node.notRunResponseWithLoad(reasonUnreachable, 0)
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline.Add(-relayMargin))
 	defer cancel()
-	status, body, err := r.direct(ctx, req.Method, strings.TrimPrefix(req.Path, pathStore), req.Body)
-	if err != nil || storeRefused(status) {
+	reply, err := r.direct(ctx, req.Method, strings.TrimPrefix(req.Path, pathStore), req.Body)
+	if err != nil || storeRefused(reply.Status) {
 		return r.node.notRunResponseWithLoad(reasonUnreachable, 0)
 	}
-	return &sequoiarouter.Response{Outcome: sequoiarouter.Answered, Status: status, Body: body}
+	return &sequoiarouter.Response{Outcome: sequoiarouter.Answered, Status: reply.Status, Body: reply.Body, LogIndex: reply.Era}
 }
--- a/internal/sequoianode/sync.go
+++ b/internal/sequoianode/sync.go
@@ -85,7 +85,7 @@
 			return ok
 		},
 		OnRegistered: func(revision, lease uint64) {
-			n.withCore(func(c *sequoiaowner.Core) { c.MarkRegistered(sequoiatimer.BootTime(), lease) })
+			n.withCore(func(c *sequoiaowner.Core) { c.MarkRegistered(sequoiatimer.BootTime(), revision, lease) })
 			n.log.Event("registered in the store", "Revision", revision, "Lease", lease)
 		},
 		OnError: func(err error) {
@@ -244,7 +244,7 @@
 	if errors.Is(err, sequoiaregistry.ErrNotFound) {
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		n.core.SetTable(sequoiakeyspace.NewTable(), 0)
+		n.core.SetTable(sequoiakeyspace.NewTable(), it.Revision)
 		return nil
 	}
 	if err != nil {
--- a/internal/sequoiaowner/authority.go
+++ b/internal/sequoiaowner/authority.go
@@ -3,12 +3,17 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaregistry"
 )
 
 // ConfirmRegistration records that the store answered a call sent at the given time, which confirms this process's
 // member entry.
 func (c *Core) ConfirmRegistration(sent time.Time) {
 	c.registrationConfirmed = true
+	if sent.After(c.AuthorityUntil()) {
+		c.recovery.continuous = nil
+	}
 	if sent.After(c.confirmedAt) {
 		c.confirmedAt = sent
 	}
@@ -19,19 +24,28 @@
 func (c *Core) MarkRegistrationUnconfirmed() { c.registrationConfirmed = false }
 
 // RegistrationConfirmed reports whether this process's entry has been confirmed since the last failed call or the
-// removal of the entry.
-func (c *Core) RegistrationConfirmed() bool { return c.registrationConfirmed }
+// removal of the entry. While the table is recovered, each confirmation must read the table, so that an owner learns of
+// the recovery before its authority is extended.
+func (c *Core) RegistrationConfirmed() bool { return c.registrationConfirmed && !c.Recovering() }
 
 // recentlyConfirmed reports whether the last confirmation is recent enough that the store is likely to respond.
 func (c *Core) recentlyConfirmed(now time.Time) bool {
 	return c.registrationConfirmed && now.Sub(c.confirmedAt) <= maxConfirmationAge
 }
 
-// MarkRegistered records that this process's entry was written under a lease.
-func (c *Core) MarkRegistered(now time.Time, lease uint64) {
-	if lease != c.lease {
-		c.lease, c.joinedAt = lease, now
+// MarkRegistered records that this process's entry was written at a revision, under a lease.
+func (c *Core) MarkRegistered(now time.Time, revision, lease uint64) {
+	era := sequoiaregistry.Era(revision)
+	c.enterEra(era)
+	if lease == c.lease {
+		return
+	}
+	// An entry that was confirmed within its lease and then lost by a restore was never missing before the restore.
+	lostByRestore := era > c.registeredEra && c.lease != 0 && now.Sub(c.confirmedAt) < sequoiaregistry.LeaseTTL
+	if !lostByRestore {
+		c.memberSince = now
 	}
+	c.lease, c.joinedAt, c.registeredEra = lease, now, era
 }
 
 // ConfirmView records that a call to the store, sent at the given time, returned all members or all changes of them up
@@ -130,7 +144,7 @@
 	for _, p := range promises {
 		c.latestRevision = max(c.latestRevision, p.Revision)
 	}
-	if !c.registered() || c.revision < c.latestRevision {
+	if !c.registered() || c.revision < c.latestRevision || c.Recovering() {
 		return false
 	}
 	for _, m := range c.RequiredPromisers() {
--- a/internal/sequoiaowner/core.go
+++ b/internal/sequoiaowner/core.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaregistry"
 )
 
 // Times of ownership.
@@ -157,6 +158,10 @@
 	stopping  bool
 	// endedProcesses holds the processes that reported their end, by instance.
 	endedProcesses map[string]string
+	recovery       recovery
+	// memberSince is when the entry was first written after it may have been missing.
+	memberSince   time.Time
+	registeredEra uint64
 	// latestRevision is the highest revision of the table that another process is known to have.
 	latestRevision uint64
 }
@@ -204,11 +209,19 @@
 // Table returns the table and its revision; the table is nil until one has been read. It must not be changed.
 func (c *Core) Table() (*sequoiakeyspace.Table, uint64) { return c.table, c.revision }
 
-// SetTable stores the table with its store revision. It ignores a table that is not newer than the current one.
+// SetTable stores the table with its store revision. It ignores a table that is not newer than the current one. A table
+// that a restored store holds is kept aside until it is recovered.
 func (c *Core) SetTable(t *sequoiakeyspace.Table, revision uint64) bool {
 	if revision < c.revision || (revision == c.revision && c.table != nil) {
 		return false
 	}
+	c.enterEra(sequoiaregistry.Era(revision))
+	if c.setRestored(t, revision) {
+		return false
+	}
+	if revision > c.recovery.base {
+		c.recovery.restored = nil
+	}
 	c.table, c.revision = t, revision
 	c.tableInstances = t.Instances()
 	c.nextWrite = time.Time{}
@@ -227,6 +240,7 @@
 	if u.ID != c.upstream.ID || u.Born != c.upstream.Born {
 		c.grants = map[sequoiakeyspace.Range]*grant{}
 		c.moves = nil
+		c.recovery.continuous = nil
 	} else if c.upstream.Leaving {
 		u.Leaving = true
 	}
@@ -263,10 +277,10 @@
 		c.stepGrants(now, &a)
 		c.stepMoves(now, &a)
 	}
-	if a.Write == nil {
+	if a.Write == nil || c.unrecovered() {
 		a.Write = c.plan(now)
 	}
-	if c.writing != nil || now.Before(c.nextWrite) || c.table == nil {
+	if c.writing != nil || now.Before(c.nextWrite) || c.table == nil && c.recovery.restored == nil {
 		a.Write = nil
 	} else {
 		c.writing = a.Write
--- a/internal/sequoiaowner/core_test.go
+++ b/internal/sequoiaowner/core_test.go
@@ -68,7 +68,7 @@
 		Instance: name, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000), Upstream: u, Revision: f.rev,
 	}
 	f.registrations[name] = f.rev
-	c.MarkRegistered(f.now, f.rev)
+	c.MarkRegistered(f.now, 1, f.rev)
 }
 
 // run advances the simulation by d in steps of 50 ms.
--- a/internal/sequoiaowner/grants.go
+++ b/internal/sequoiaowner/grants.go
@@ -35,7 +35,7 @@
 	if !found || r.Holder != c.holder() {
 		return time.Time{}, false
 	}
-	for _, p := range c.unmovedParts(r) {
+	for _, p := range c.grantable(r) {
 		if g := c.grants[grantKey(p)]; g != nil && p.Contains(key) && g.confirmedUntil.After(now) {
 			return g.confirmedUntil, true
 		}
@@ -101,7 +101,7 @@
 	var held []sequoiakeyspace.Range
 	for _, r := range c.table.Services[c.service()] {
 		if r.Holder == c.holder() {
-			held = append(held, c.unmovedParts(r)...)
+			held = append(held, c.grantable(r)...)
 		}
 	}
 	return held
--- a/internal/sequoiaowner/model_node_test.go
+++ b/internal/sequoiaowner/model_node_test.go
@@ -30,7 +30,7 @@
 		},
 		OnCallFailed: core.MarkRegistrationUnconfirmed,
 		Confirmed:    core.RegistrationConfirmed,
-		OnRegistered: func(_, lease uint64) { core.MarkRegistered(p.w.now, lease) },
+		OnRegistered: func(revision, lease uint64) { core.MarkRegistered(p.w.now, revision, lease) },
 		OnError:      func(error) {},
 	}
 }
@@ -39,7 +39,7 @@
 func (p *process) readTable(store sequoiaregistry.Store) error {
 	it, err := store.Get(context.Background(), modelTable)
 	if errors.Is(err, sequoiaregistry.ErrNotFound) {
-		p.core.SetTable(sequoiakeyspace.NewTable(), 0)
+		p.core.SetTable(sequoiakeyspace.NewTable(), it.Revision)
 		return nil
 	}
 	if err != nil {
@@ -96,9 +96,13 @@
 
 func (p *process) commit(store sequoiaregistry.Store, w *sequoiaowner.Write) error {
 	t, base := p.core.Table()
-	t = t.Clone()
-	if applied := w.Apply(t); len(applied) == 0 && w.Spread == "" {
-		return errors.WithStack(sequoiaregistry.ErrConflict)
+	if w.Recovery != nil {
+		t, base = w.Recovery.Table, w.Recovery.Base
+	} else {
+		t = t.Clone()
+		if applied := w.Apply(t); len(applied) == 0 && w.Spread == "" {
+			return errors.WithStack(sequoiaregistry.ErrConflict)
+		}
 	}
 	b, err := t.Encode()
 	if err != nil {
--- a/internal/sequoiaowner/model_search_test.go
+++ b/internal/sequoiaowner/model_search_test.go
@@ -162,6 +162,66 @@
 	return days
 }
 
+// takeoverAndRestore returns days on which keys change hands and the store then returns to a state before that, while
+// the process that got them is lost, cut off or restarted. The third process of a day knows both tables.
+func takeoverAndRestore() [][]fault {
+	var days [][]fault
+	for _, first := range []string{faultPower, faultIsolated, faultCutFromStore} {
+		for _, second := range []string{faultCutFromStore, faultIsolated, faultFreeze, faultKill, faultGone, faultLostMessages} {
+			for _, process := range []int{0, 2} {
+				for age := 500 * time.Millisecond; age <= 6*time.Second; age += 500 * time.Millisecond {
+					for gap := -time.Second; gap <= time.Second; gap += 500 * time.Millisecond {
+						const lost, at, outage = 100 * time.Millisecond, 9 * time.Second, time.Second
+						days = append(days, []fault{
+							{kind: first, process: 1, at: lost, d: 8 * time.Second},
+							{kind: faultRestore, process: -1, at: at, d: outage, delay: age},
+							{kind: second, process: process, at: at + outage + gap, d: 4 * time.Second},
+						})
+					}
+				}
+			}
+		}
+	}
+	return days
+}
+
+// hiddenOwner returns days on which only the owner of some keys knows that it owns them when the store returns to a
+// state before that. The owner is cut off then, another process recovers the table that it has, and the previous owner
+// returns.
+func hiddenOwner() [][]fault {
+	const step = 100 * time.Millisecond
+	const restore, outage = 9 * time.Second, time.Second
+	var days [][]fault
+	// The other process has missed the news of a takeover that was written just before the outage.
+	for at := 62 * step; at <= 74*step; at += step {
+		for returns := time.Duration(0); returns <= 15*step; returns += 5 * step {
+			days = append(days, []fault{
+				{kind: faultPower, process: 0, at: step, d: at + outage + returns},
+				{kind: faultLostMessages, process: 2, at: 6 * time.Second, d: 5 * time.Second},
+				{kind: faultRestore, process: -1, at: at, d: outage, delay: time.Second},
+				{kind: faultIsolated, process: 1, at: at, d: 6 * time.Second},
+			})
+		}
+	}
+	for returns := 5 * step; returns <= 2*time.Second; returns += 5 * step {
+		for back := -5 * step; back <= 15*step; back += 5 * step {
+			for hidden := time.Duration(0); hidden <= 12*step; hidden += 4 * step {
+				for age := 1500 * time.Millisecond; age <= 2500*time.Millisecond; age += 500 * time.Millisecond {
+					for _, kind := range []string{faultPower, faultIsolated} {
+						days = append(days, []fault{
+							{kind: kind, process: 0, at: step, d: restore + outage + returns},
+							{kind: faultIsolated, process: 2, at: 4 * time.Second, d: restore + outage + back - 4*time.Second},
+							{kind: faultRestore, process: -1, at: restore, d: outage, delay: age},
+							{kind: faultIsolated, process: 1, at: restore + hidden, d: 6 * time.Second},
+						})
+					}
+				}
+			}
+		}
+	}
+	return days
+}
+
 var _ = ginkgo.Describe("Model of ownership", func() {
 	ginkgo.It("never gives a key two owners, whatever faults overlap", func() {
 		rapid.Check(ginkgo.GinkgoT(), func(t *rapid.T) {
@@ -184,6 +244,12 @@
 		Expect(playAll(2, cutInTurn())).To(Succeed())
 	})
 
+	// Guards against a table with lower fences and earlier owners that is taken from a restored store (restored-twice).
+	ginkgo.It("never gives a key two owners if keys change hands and the store then returns to an earlier state", func() {
+		Expect(playAll(3, takeoverAndRestore())).To(Succeed())
+		Expect(playAll(3, hiddenOwner())).To(Succeed())
+	})
+
 	ginkgo.It("never gives a key two owners if leases end early and an owner is lost", func() {
 		Expect(playAll(2, lapseAndLoss())).To(Succeed())
 	})
--- a/internal/sequoiaowner/model_store_test.go
+++ b/internal/sequoiaowner/model_store_test.go
@@ -25,6 +25,39 @@
 	late     []lateWrite
 	down     bool
 	oldEvent uint64
+	// era counts the restores, and copies holds earlier states, one for each step, if the day restores the store.
+	era    uint64
+	copies []storeCopy
+	keeps  bool
+}
+
+// storeCopy is a state of the store from which it may be restored.
+type storeCopy struct {
+	at       time.Time
+	revision uint64
+	items    map[string]sequoiaregistry.Item
+	leases   map[uint64]time.Time
+}
+
+// keepCopy keeps the current state for a later restore.
+func (s *modelStore) keepCopy() {
+	s.copies = append(s.copies, storeCopy{s.now(), s.revision, maps.Clone(s.items), maps.Clone(s.leases)})
+}
+
+// restore returns to the state of some time ago. Leases that have ended since then are renewed once.
+func (s *modelStore) restore(age time.Duration) {
+	i := len(s.copies) - 1
+	for i > 0 && s.now().Sub(s.copies[i].at) < age {
+		i--
+	}
+	c := s.copies[i]
+	s.copies = s.copies[:i+1]
+	s.era++
+	s.revision, s.items, s.leases = c.revision, maps.Clone(c.items), map[uint64]time.Time{}
+	for id := range c.leases {
+		s.leases[id] = s.now().Add(sequoiaregistry.LeaseTTL)
+	}
+	s.events = slices.DeleteFunc(s.events, func(e sequoiaregistry.Item) bool { return e.Revision > s.revision })
 }
 
 type lateWrite struct {
@@ -124,6 +157,14 @@
 
 // client returns the store as one process sees it.
 func (s *modelStore) client(p *process) sequoiaregistry.Store {
+	eras := &sequoiaregistry.Eras{}
+	combined := func(items []sequoiaregistry.Item) []sequoiaregistry.Item {
+		out := slices.Clone(items)
+		for i := range out {
+			out[i].Revision = sequoiaregistry.Revision(s.era, out[i].Revision)
+		}
+		return out
+	}
 	reach := func() error {
 		if s.down || p.is(faultCutFromStore) || p.is(faultIsolated) {
 			return errors.WithStack(errNoResponse)
@@ -131,6 +172,7 @@
 		if p.is(faultRefused) {
 			return errors.WithStack(sequoiaregistry.ErrRefused)
 		}
+		eras.Observe(s.era)
 		return nil
 	}
 	return sequoiaregistry.Store{
@@ -139,6 +181,7 @@
 				return sequoiaregistry.Item{}, err
 			}
 			it, ok := s.items[key]
+			it.Revision = sequoiaregistry.Revision(s.era, it.Revision)
 			if !ok {
 				return it, errors.WithStack(sequoiaregistry.ErrNotFound)
 			}
@@ -148,21 +191,31 @@
 			if err := reach(); err != nil {
 				return nil, 0, err
 			}
-			return s.list(prefix), s.revision, nil
+			return combined(s.list(prefix)), sequoiaregistry.Revision(s.era, s.revision), nil
 		},
 		Watch: func(_ context.Context, prefix string, after uint64, _ time.Duration) ([]sequoiaregistry.Item, uint64, error) {
 			if err := reach(); err != nil {
 				return nil, 0, err
 			}
+			after, err := eras.After(after)
+			if err != nil {
+				return nil, 0, err
+			}
 			if after < s.oldEvent {
 				return nil, 0, errors.WithStack(sequoiaregistry.ErrCompacted)
 			}
-			return s.since(prefix, after), s.revision, nil
+			return combined(s.since(prefix, after)), sequoiaregistry.Revision(s.era, s.revision), nil
 		},
 		Commit: func(_ context.Context, tx sequoiaregistry.Transaction) (uint64, error) {
-			if err := reach(); err != nil {
+			// The era of the conditions is the one that the process knows before the call.
+			expected, _, err := eras.Expected(tx.Expected)
+			if reachErr := reach(); reachErr != nil {
+				return 0, reachErr
+			}
+			if err != nil {
 				return 0, err
 			}
+			tx.Expected = expected
 			switch {
 			case p.is(faultLateWrites):
 				s.late = append(s.late, lateWrite{s.now().Add(p.fault(faultLateWrites).delay), tx})
@@ -171,15 +224,19 @@
 				_, _ = s.commit(tx)
 				return 0, errors.WithStack(errNoResponse)
 			}
-			return s.commit(tx)
+			revision, err := s.commit(tx)
+			return sequoiaregistry.Revision(s.era, revision), err
 		},
 		NewLease: func(_ context.Context, ttl time.Duration) (uint64, error) {
 			if err := reach(); err != nil {
 				return 0, err
 			}
+			// Lease identifiers are not given out again after a restore.
 			s.revision++
-			s.leases[s.revision] = s.now().Add(ttl)
-			return s.revision, nil
+			id := s.era<<20 + s.revision
+			s.leases[id] = s.now().Add(ttl)
+			eras.AddLease(id, s.era)
+			return id, nil
 		},
 		RenewLease: func(_ context.Context, id uint64) error {
 			if err := reach(); err != nil {
@@ -189,7 +246,7 @@
 				return errors.WithStack(sequoiaregistry.ErrLeaseEnded)
 			}
 			s.leases[id] = s.now().Add(sequoiaregistry.LeaseTTL)
-			return nil
+			return eras.CheckLease(id, s.era)
 		},
 		EndLease: func(_ context.Context, id uint64) error {
 			if err := reach(); err != nil {
--- a/internal/sequoiaowner/model_test.go
+++ b/internal/sequoiaowner/model_test.go
@@ -25,6 +25,8 @@
 	silentPoll = 6600 * time.Millisecond
 	// callTimeout is how long a process waits for a call to the store that gets no response.
 	callTimeout = sequoiaregistry.CallTimeout
+	// sampleDistance is the distance between the keys that are checked.
+	sampleDistance = 977
 )
 
 // Kinds of faults. A fault hits one process, except for those of the store.
@@ -47,12 +49,14 @@
 	faultLapse        = "outage with lapse"
 	faultRevoke       = "revoked lease"
 	faultCompact      = "compaction"
+	// faultRestore is an outage after which the store comes back as it was some time before the fault, given by twice the delay.
+	faultRestore = "restore"
 )
 
 var faultKinds = []string{
 	faultCutFromStore, faultIsolated, faultFreeze, faultKill, faultPower, faultGone, faultSilentWatch, faultDisorder, faultRefused,
 	faultLostAnswers, faultLateWrites, faultLateGrants, faultLostMessages, faultRegister, faultOutage, faultLapse, faultRevoke,
-	faultCompact,
+	faultCompact, faultRestore,
 }
 
 // fault is one fault of a simulated day. at counts from the end of the warm-up.
@@ -76,7 +80,11 @@
 	store     *modelStore
 	processes []*process
 	faults    []fault
-	trace     []string
+	// restored holds the restores among the faults that have happened.
+	restored map[int]bool
+	// fences holds the highest fence of each sampled key.
+	fences [int(sequoiakeyspace.MaxKey)/sampleDistance + 1]fencedKey
+	trace  []string
 }
 
 // logf appends a line to the trace, which is printed if the day breaks a promise.
@@ -86,11 +94,13 @@
 
 // process is one instance with its process and its upstream.
 type process struct {
-	w        *world
-	index    int
-	name     string
-	run      int
-	core     *sequoiaowner.Core
+	w     *world
+	index int
+	name  string
+	run   int
+	core  *sequoiaowner.Core
+	// store is the store as this run of the process sees it.
+	store    sequoiaregistry.Store
 	reg      *sequoiaregistry.Registration
 	watcher  *sequoiaregistry.Watcher
 	upstream *modelUpstream
@@ -115,8 +125,9 @@
 }
 
 func newWorld(n int, faults []fault) *world {
-	w := &world{now: time.Unix(1000, 0), began: time.Unix(1000, 0).Add(modelWarmUp), faults: faults}
+	w := &world{now: time.Unix(1000, 0), began: time.Unix(1000, 0).Add(modelWarmUp), faults: faults, restored: map[int]bool{}}
 	w.store = newModelStore(func() time.Time { return w.now })
+	w.store.keeps = slices.ContainsFunc(faults, func(f fault) bool { return f.kind == faultRestore })
 	for i := range n {
 		p := &process{w: w, index: i, name: string(rune('a' + i))}
 		p.upstream = &modelUpstream{id: "u-" + p.name, born: 1, alive: true}
@@ -134,7 +145,8 @@
 	p.core = sequoiaowner.New(p.name, p.w.now)
 	p.core.SetKeyedServices([]string{service})
 	core := p.core
-	store := p.w.store.client(p)
+	p.store = p.w.store.client(p)
+	store := p.store
 	p.reg = newModelRegistration(p, store)
 	p.watcher = &sequoiaregistry.Watcher{
 		Store: store, Prefix: modelMember, Wait: time.Second, OnError: func(error) {},
@@ -242,6 +254,9 @@
 	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(modelStep) {
 		w.applyStoreFaults()
 		w.store.advance(modelStep)
+		if w.store.keeps && !w.store.down {
+			w.store.keepCopy()
+		}
 		for _, p := range w.processes {
 			p.step()
 		}
@@ -255,12 +270,17 @@
 func (w *world) applyStoreFaults() {
 	w.store.down = false
 	t := w.now.Sub(w.began)
-	for _, f := range w.faults {
+	for i, f := range w.faults {
+		if f.kind == faultRestore && t >= f.at+f.d && !w.restored[i] {
+			w.restored[i] = true
+			w.store.restore(f.d + 2*f.delay)
+			w.logf("the store is restored to revision %d, %v before its outage", w.store.revision, 2*f.delay)
+		}
 		if t < f.at || t >= f.at+f.d {
 			continue
 		}
 		switch f.kind {
-		case faultOutage:
+		case faultOutage, faultRestore:
 			w.store.down = true
 		case faultLapse:
 			w.store.down = true
@@ -279,7 +299,7 @@
 	if p.down || p.is(faultFreeze) {
 		return
 	}
-	store := p.w.store.client(p)
+	store := p.store
 	if !p.ready {
 		// A process reads the secret from the store before it does anything else.
 		if _, _, err := store.List(context.Background(), modelMember); err != nil {
@@ -424,6 +444,11 @@
 			}
 		}
 	}
+	for _, x := range all {
+		if err := w.checkFence(x.p, x.h); err != nil {
+			return err
+		}
+	}
 	for i, x := range all {
 		for _, y := range all[i+1:] {
 			if x.p != y.p && x.h.from <= y.h.to && y.h.from <= x.h.to {
@@ -436,10 +461,31 @@
 	return nil
 }
 
+// fencedKey is the highest fence with which a key was held, and the process beside the upstream that held it.
+type fencedKey struct {
+	fence sequoiakeyspace.Fence
+	p     *process
+}
+
+// checkFence returns an error if a key is held with a fence that is not above those with which others held it before.
+func (w *world) checkFence(p *process, h heldRange) error {
+	for i := (int(h.from) + sampleDistance - 1) / sampleDistance; i*sampleDistance <= int(h.to); i++ {
+		top := w.fences[i]
+		if top.p != nil && top.p != p && h.fence <= top.fence {
+			return errors.Errorf("at %v key %d is held by %s with fence %d after %s held it with fence %d",
+				w.now.Sub(w.began), i*sampleDistance, p.name, h.fence, top.p.name, top.fence)
+		}
+		if h.fence >= top.fence {
+			w.fences[i] = fencedKey{h.fence, p}
+		}
+	}
+	return nil
+}
+
 // unserved returns keys that no upstream holds.
 func (w *world) unserved() []sequoiakeyspace.Key {
 	var keys []sequoiakeyspace.Key
-	for key := 0; key <= int(sequoiakeyspace.MaxKey); key += 977 {
+	for key := 0; key <= int(sequoiakeyspace.MaxKey); key += sampleDistance {
 		if !slices.ContainsFunc(w.processes, func(p *process) bool { return p.upstream.holds(w.now, sequoiakeyspace.Key(key)) }) {
 			keys = append(keys, sequoiakeyspace.Key(key))
 		}
--- a/internal/sequoiaowner/plan.go
+++ b/internal/sequoiaowner/plan.go
@@ -17,6 +17,8 @@
 	ReasonRefused  = "GrantRefused"
 	ReasonSpread   = "Spread"
 	ReasonTakeover = "Takeover"
+	ReasonRestored = "StoreRestored"
+	ReasonSettled  = "Settled"
 )
 
 // Write is a table change. It is valid only while the conditions in Absent hold.
@@ -27,7 +29,9 @@
 	Spread  string
 	Holders []sequoiakeyspace.Holder
 	Absent  []Absence
-	Reason  string
+	// Recovery, if set, replaces the table. It is not sent to other processes.
+	Recovery *Recovery `cbor:"-"`
+	Reason   string
 }
 
 // Apply applies the write to a table and returns the changes that were still valid, with their new fences.
@@ -40,6 +44,12 @@
 
 // plan returns the table change that is due, if any.
 func (c *Core) plan(now time.Time) *Write {
+	if c.Recovering() {
+		if w := c.planRecovery(now); w != nil || c.unrecovered() {
+			return w
+		}
+		return c.planNewFences()
+	}
 	if c.table == nil || !c.recentlyConfirmed(now) {
 		return nil
 	}
@@ -56,12 +66,12 @@
 // upstream refused. An earlier incarnation on the same instance and address has ended, so its keys need no wait.
 func (c *Core) planNewFences() *Write {
 	u := c.upstream
-	if !u.Usable() || c.stopping || !c.keyedServices[u.Service] {
+	if c.table == nil || !u.Usable() || c.stopping || !c.keyedServices[u.Service] {
 		return nil
 	}
 	w := &Write{Reason: ReasonRestart}
 	for _, r := range c.table.Services[u.Service] {
-		if r.Holder.Instance == c.instance && r.Holder != c.holder() {
+		if r.Holder.Instance == c.instance && r.Holder != c.holder() && c.settled(r) {
 			w.Changes = append(w.Changes, newChange(u.Service, r, c.holder(), ""))
 		}
 	}
--- a/internal/sequoiaregistry/registration.go
+++ b/internal/sequoiaregistry/registration.go
@@ -200,6 +200,9 @@
 		return err
 	}
 	g.record = it.Revision
+	if errors.Is(err, ErrNotFound) {
+		g.record = 0
+	}
 	return nil
 }
 
--- a/internal/sequoiaregistry/registry_test.go
+++ b/internal/sequoiaregistry/registry_test.go
@@ -433,3 +433,31 @@
 		Consistently(registered, "1500ms").Should(BeFalse())
 	})
 })
+
+var _ = ginkgo.Describe("Eras", func() {
+	// Guards against revisions of a restored store that are taken for those of before, since the store gives them out again.
+	ginkgo.It("orders states by era and then by the store's revision, and rejects conditions of an earlier era", func() {
+		var e sequoiaregistry.Eras
+		Expect(e.Observe(3)).To(BeFalse(), "the first response")
+		before := sequoiaregistry.Revision(3, 500)
+		after := sequoiaregistry.Revision(4, 20)
+		Expect(after).To(BeNumerically(">", before))
+		expected, era, err := e.Expected(map[string]uint64{"a": before, "b": 0})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(era).To(Equal(uint64(3)))
+		Expect(expected).To(Equal(map[string]uint64{"a": 500, "b": 0}))
+		e.AddLease(7, 3)
+		Expect(e.CheckLease(7, 3)).To(Succeed())
+
+		Expect(e.Observe(4)).To(BeTrue())
+		Expect(e.Observe(3)).To(BeFalse(), "a late response")
+		_, _, err = e.Expected(map[string]uint64{"a": before})
+		Expect(err).To(MatchError(sequoiaregistry.ErrConflict))
+		_, err = e.After(before)
+		Expect(err).To(MatchError(sequoiaregistry.ErrCompacted))
+		from, err := e.After(after)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(from).To(Equal(uint64(20)))
+		Expect(e.CheckLease(7, 4)).To(MatchError(sequoiaregistry.ErrLeaseEnded))
+	})
+})
--- a/internal/sequoiaregistry/store.go
+++ b/internal/sequoiaregistry/store.go
@@ -24,7 +24,8 @@
 	ErrRefused = errors.New("store refused the call")
 )
 
-// Item is a key with its value and the revision of its last change. Deleted is set for the deletion of a key.
+// Item is a key with its value and the revision of its last change; see Revision. Deleted is set for the deletion of a
+// key.
 type Item struct {
 	Key      string
 	Value    []byte
@@ -40,11 +41,19 @@
 	Puts     []Item
 }
 
-// RoundTrip sends one call to the store and returns the status and the body of the response.
-type RoundTrip func(ctx context.Context, method, path string, body []byte) (status int, responseBody []byte, err error)
+// Reply is the store's response to one call. Era counts how often the store was restored from a copy.
+type Reply struct {
+	Status int
+	Body   []byte
+	Era    uint64
+}
+
+// RoundTrip sends one call to the store and returns the response.
+type RoundTrip func(ctx context.Context, method, path string, body []byte) (Reply, error)
 
 // Store holds the operations of the platform's key-value store.
 type Store struct {
+	// Get returns an item. With ErrNotFound, it returns the revision that stands for a missing item in the current era.
 	Get func(ctx context.Context, key string) (Item, error)
 	// List returns all items whose keys begin with prefix, and a revision from which a watch misses no later change.
 	List func(ctx context.Context, prefix string) ([]Item, uint64, error)
