Refuse requests at once whose keys wait for a recovered table

After a restore, callers of keys that no upstream may be granted yet were held for 350 ms twice and ran into their deadline, although the process knew that it could not serve them for seconds. They are refused at once, and Retry-After says when the table may be settled. A restore is logged ('store restored from a copy') and served as sequoia_store_era.

--- a/internal/sequoianode/metrics.go
+++ b/internal/sequoianode/metrics.go
@@ -59,6 +59,11 @@
 		_, revision := n.core.Table()
 		return float64(revision)
 	})
+	m.gauge("sequoia_store_era", "Era of the store, which rises with each restore from a copy.", func() float64 {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return float64(n.core.Era())
+	})
 	m.gauge("sequoia_configuration_version", "Version of the configuration in force.", func() float64 {
 		if cfg := n.config.Load(); cfg != nil {
 			return float64(cfg.Version)
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -129,6 +129,9 @@
 	// proposals are the pending writes for the next commit of the table.
 	proposals []proposal
 	history   history
+	// era is the store's era at the last ownership step, if eraKnown.
+	era      uint64
+	eraKnown bool
 }
 
 // New returns a Node; Run starts it.
--- a/internal/sequoianode/orders.go
+++ b/internal/sequoianode/orders.go
@@ -16,10 +16,17 @@
 func (n *Node) stepOwnership(ctx context.Context) {
 	n.mu.Lock()
 	before := n.core.Upstream()
+	era := n.core.Era()
 	a := n.core.Step(sequoiatimer.BootTime())
 	after := n.core.Upstream()
 	needsPromises := n.core.NeedsPromises(sequoiatimer.BootTime())
+	restored := n.eraKnown && era != n.era
+	t, _ := n.core.Table()
+	n.era, n.eraKnown = era, n.eraKnown || t != nil
 	n.mu.Unlock()
+	if restored {
+		n.log.Event("store restored from a copy", "Era", era)
+	}
 	if needsPromises {
 		go n.requestPromises(ctx)
 	}
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -102,7 +102,7 @@
 // awaitGrant waits until the local upstream holds the key, as long as a grant is expected. It returns nil once the key
 // is held, and otherwise the response to send.
 func (n *Node) awaitGrant(ctx context.Context, service string, key sequoiakeyspace.Key) *sequoiarouter.Response {
-	reason := ""
+	reason, retryAfter := "", upstreamRetryAfter
 	decided := n.awaitOwnership(ctx, grantWaitTimeout, func() bool {
 		if _, holds := n.core.Holds(sequoiatimer.BootTime(), service, key); holds {
 			return true
@@ -111,6 +111,8 @@
 			reason = reasonNotOwner
 		} else if !n.core.CanGrant() {
 			reason = reasonNoOwner
+		} else if wait, awaits := n.core.AwaitsSettling(sequoiatimer.BootTime(), service, key); awaits {
+			reason, retryAfter = reasonNoOwner, max(wait, upstreamRetryAfter)
 		}
 		return reason != ""
 	})
@@ -118,7 +120,7 @@
 	case !decided:
 		return n.notRunResponseWithLoad(reasonNoOwner, upstreamRetryAfter)
 	case reason != "":
-		return n.notRunResponseWithLoad(reason, upstreamRetryAfter)
+		return n.notRunResponseWithLoad(reason, retryAfter)
 	}
 	return nil
 }
--- a/internal/sequoiaowner/recovery.go
+++ b/internal/sequoiaowner/recovery.go
@@ -78,6 +78,26 @@
 	return c.unrecovered() || c.table != nil && c.table.RecoveredFence > 0
 }
 
+// Era returns the latest era of the store that the process knows.
+func (c *Core) Era() uint64 { return c.recovery.era }
+
+// AwaitsSettling reports whether the table assigns a key to this instance that cannot be granted until the table is
+// settled, and how long that takes at least.
+func (c *Core) AwaitsSettling(now time.Time, service string, key sequoiakeyspace.Key) (time.Duration, bool) {
+	if c.table == nil || !c.Recovering() {
+		return 0, false
+	}
+	r, ok := c.table.Find(service, key)
+	if !ok || c.settled(r) || slices.ContainsFunc(c.recovery.continuous, func(h sequoiakeyspace.Range) bool { return h.Contains(key) }) {
+		return 0, false
+	}
+	wait := DefaultAuthority + takeoverMargin
+	if !c.unrecovered() {
+		wait -= now.Sub(c.recovery.since)
+	}
+	return max(0, wait), true
+}
+
 // settled reports whether the holder of a range may grant it without having held it before the store was restored.
 func (c *Core) settled(r sequoiakeyspace.Range) bool {
 	return !c.unrecovered() && r.Fence > c.table.RecoveredFence
