Write the secret again if a restore of the store has lost it

A store that was restored to a state before the first start of the deployment had no secret, so the next process that started made one of its own, and no other process could reach it. Running processes now write theirs again when they see a restore, and a process that does not belong to a first start ('bootstrap' in the settings) waits 3 s for that.

Test: 'write what the system needs again after the store was restored to a state before its first start' failed before: the restarted instance served no key within 12 s.

--- a/internal/sequoianode/dialect.go
+++ b/internal/sequoianode/dialect.go
@@ -118,6 +118,8 @@
 	// Forward is the listen address for requests from other processes. Metrics is the listen address for metrics; if it
 	// is invalid, metrics are not served.
 	Forward, Metrics netip.AddrPort
+	// FirstStart is true only when the whole deployment starts for the first time.
+	FirstStart bool
 	// DrainPeriod is how long an upstream may still receive requests after its deregistration was acknowledged.
 	DrainPeriod time.Duration
 	// GracePeriod is the time from SIGTERM to SIGKILL.
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -53,6 +53,9 @@
 	releaseTimeout = 1500 * time.Millisecond
 	// secretRetryPause is the pause between attempts to read the secret at startup.
 	secretRetryPause = 200 * time.Millisecond
+	// lostSecretWait is how long a process waits for a missing secret before it creates one. After a restore of the store,
+	// the processes that know the secret write it again within a renewal of their leases.
+	lostSecretWait = 3 * time.Second
 	// shutdownDelay is the minimum time that a stopping process keeps serving clients. They need two failed readiness
 	// checks, one per second, to switch to another process.
 	shutdownDelay = 2300 * time.Millisecond
@@ -129,6 +132,8 @@
 	// proposals are the pending writes for the next commit of the table.
 	proposals []proposal
 	history   history
+	// onRestored is called when the store has been restored from a copy.
+	onRestored func()
 	// era is the store's era at the last ownership step, if eraKnown.
 	era      uint64
 	eraKnown bool
@@ -192,6 +197,7 @@
 	}
 	n.ready.Store(true)
 	n.startStoreSync(running)
+	n.onRestored = func() { go n.restoreSecret(running, secret) }
 	step := n.timers.Every(ownershipStepInterval, func(time.Time) { n.stepOwnership(running) })
 	defer step.Cancel()
 	balance := n.timers.Every(balanceInterval, func(time.Time) { n.balancer.run(running) })
--- a/internal/sequoianode/orders.go
+++ b/internal/sequoianode/orders.go
@@ -26,6 +26,7 @@
 	n.mu.Unlock()
 	if restored {
 		n.log.Event("store restored from a copy", "Era", era)
+		n.onRestored()
 	}
 	if needsPromises {
 		go n.requestPromises(ctx)
--- a/internal/sequoianode/sync.go
+++ b/internal/sequoianode/sync.go
@@ -1,6 +1,7 @@
 package sequoianode
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"strings"
@@ -17,9 +18,12 @@
 // secret returns the shared secret of the deployment, retrying until the store is available. The first process to start
 // generates the secret and writes it to the store, which only processes of the deployment can read.
 func (n *Node) secret(ctx context.Context) ([]byte, error) {
-	failing := false
+	failing, began := false, time.Now()
 	for {
 		secret, err := n.readSecret(ctx)
+		if errors.Is(err, sequoiaregistry.ErrNotFound) && (n.settings.FirstStart || time.Since(began) > lostSecretWait) {
+			secret, err = n.createSecret(ctx, []byte(randomID(secretBytes)))
+		}
 		if err == nil {
 			return secret, nil
 		}
@@ -34,21 +38,41 @@
 	}
 }
 
-// readSecret reads the secret from the store and creates it if there is none.
 func (n *Node) readSecret(ctx context.Context) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, sequoiaregistry.CallTimeout)
 	defer cancel()
 	it, err := n.store.Get(ctx, secretKey)
-	if !errors.Is(err, sequoiaregistry.ErrNotFound) {
-		return it.Value, err
-	}
-	put := sequoiaregistry.Item{Key: secretKey, Value: []byte(randomID(secretBytes))}
+	return it.Value, err
+}
+
+// createSecret writes the secret to the store if there is none, and returns the one that the store then holds.
+func (n *Node) createSecret(ctx context.Context, secret []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, sequoiaregistry.CallTimeout)
+	defer cancel()
+	put := sequoiaregistry.Item{Key: secretKey, Value: secret}
 	tx := sequoiaregistry.Transaction{Expected: map[string]uint64{secretKey: 0}, Puts: []sequoiaregistry.Item{put}}
 	if _, err := n.store.Commit(ctx, tx); err != nil && !errors.Is(err, sequoiaregistry.ErrConflict) {
 		return nil, err
 	}
-	it, err = n.store.Get(ctx, secretKey)
-	return it.Value, err
+	return n.readSecret(ctx)
+}
+
+// restoreSecret writes the secret of this process again if the store has lost it in a restore.
+func (n *Node) restoreSecret(ctx context.Context, secret []byte) {
+	for ctx.Err() == nil {
+		current, err := n.readSecret(ctx)
+		if errors.Is(err, sequoiaregistry.ErrNotFound) {
+			current, err = n.createSecret(ctx, secret)
+		}
+		if err == nil {
+			if !bytes.Equal(current, secret) {
+				n.log.Event("the store holds another secret, so processes that start cannot be reached")
+			}
+			return
+		}
+		n.log.Event("failed to restore the secret", "Error", err)
+		_ = sequoiatimer.Sleep(ctx, secretRetryPause)
+	}
 }
 
 // startStoreSync registers the process in the store and starts watching the members and the configuration.
