Treat a limit above what the slots process as none in queueing

An upstream that names a limit far above its load would have had its late requests refused although slots became free: the queue took any limit for the bottleneck. Now the limit's rules for waiting apply only if it is lower than what the slots can process; pacing itself is unchanged.

Found by reading the change.

--- a/internal/sequoiaadmission/pace_test.go
+++ b/internal/sequoiaadmission/pace_test.go
@@ -86,6 +86,17 @@
 		Expect(reason).To(Or(BeEmpty(), Equal("waits")))
 	})
 
+	// Guards against late requests that are refused although slots become free, because of a limit far above the load.
+	ginkgo.It("serves as much under a limit above what its slots can process as without one", func() {
+		const d = 60 * time.Second
+		for _, load := range [][]class{unkeyedLoad(9, 1.4), keyedLoad(9, 1.4)} {
+			limited := sequoiaadmission.New(9)
+			limited.SetLimit(time.Unix(0, 0), 5000)
+			want := simulate(sequoiaadmission.New(9), load, d, 1)
+			Expect(totalValueShare(simulate(limited, load, d, 1))).To(BeNumerically("~", totalValueShare(want), 0.02))
+		}
+	})
+
 	ginkgo.It("has no limit any more once the upstream names none", func() {
 		now := time.Unix(1000, 0)
 		q := sequoiaadmission.New(6)
--- a/internal/sequoiaadmission/queue.go
+++ b/internal/sequoiaadmission/queue.go
@@ -159,7 +159,7 @@
 	}
 	wait := q.expectedWait(now, t)
 	end := now.Add(wait + duration)
-	if q.pace.limited() {
+	if q.limitBinds() {
 		end = end.Add(paceMargin)
 	}
 	if end.After(t.Objective) && !q.mayQueueLate(end, t) {
@@ -172,6 +172,9 @@
 	}
 }
 
+// limitBinds reports whether the limit on requests per second is lower than what the slots can process.
+func (q *Queue) limitBinds() bool { return q.pace.limited() && q.Capacity() == q.pace.perSecond }
+
 // canStart reports whether a slot is free and the limit on requests per second allows a request to start.
 func (q *Queue) canStart(now time.Time) bool {
 	return len(q.running) < q.slots && q.pace.delay(now, 1) == 0
@@ -179,9 +182,9 @@
 
 // mayQueueLate reports whether a request may be queued that would end at the given time, after its objective. This is
 // allowed while the queue is shorter than lateQueueLimitPerSlot for each slot, so that late requests can use slots that
-// become free between bursts. Under a limit on requests per second no slot becomes free early.
+// become free between bursts. If the limit on requests per second binds, free slots are of no use.
 func (q *Queue) mayQueueLate(end time.Time, t *Ticket) bool {
-	return !q.pace.limited() && !end.After(t.Deadline) && len(q.waiting) < lateQueueLimitPerSlot*q.slots
+	return !q.limitBinds() && !end.After(t.Deadline) && len(q.waiting) < lateQueueLimitPerSlot*q.slots
 }
 
 // before reports whether queued request a starts before b. Requests that can still meet their objective go first, then
@@ -281,7 +284,7 @@
 		}
 		q.start(now, t)
 	}
-	if q.pace.limited() {
+	if q.limitBinds() {
 		q.evictUnservable(now)
 		return
 	}
--- a/internal/sequoianode/limit.go
+++ b/internal/sequoianode/limit.go
@@ -41,12 +41,13 @@
 	n.mu.Lock()
 	now := time.Now()
 	current := n.core.Upstream()
-	changed := current.ID == u.ID && current.Born == u.Born && n.limit.update(sent, now, v)
+	same := current.ID == u.ID && current.Born == u.Born
+	changed := same && n.limit.update(sent, now, v)
 	limit := n.limit
 	if changed {
 		n.applyLimit(now)
 	}
-	leaves := v.Leaving && current.ID == u.ID && current.Born == u.Born && !current.Leaving
+	leaves := same && v.Leaving && !current.Leaving
 	if leaves {
 		current.Leaving = true
 		n.core.SetUpstream(sequoiatimer.BootTime(), current)
