Settle a recovered table although it changes meanwhile

While keys moved between upstreams after a restore, the keys that had to wait for the settling of the table stayed dark for as long: each change of the table began the wait anew. The wait now belongs to the recovery, which the fence of the recovered ranges identifies.

Found by reading the change. Test: 'is settled although the table changes meanwhile' failed before (not settled after 18 s of a change each 0.1 s).

--- a/internal/sequoiaowner/recovery.go
+++ b/internal/sequoiaowner/recovery.go
@@ -39,9 +39,10 @@
 	base     uint64
 	// continuous holds the keys that the local upstream has held without interruption since before the restore.
 	continuous []sequoiakeyspace.Range
-	// revision is the table for which the process waits to recover or settle it, since the given time.
-	revision uint64
-	since    time.Time
+	// subject identifies what the process has waited for since the given time: the revision of a table that it may
+	// recover, or the fence of a recovered table that it may settle.
+	subject uint64
+	since   time.Time
 }
 
 // enterEra records that the store was restored.
@@ -138,12 +139,12 @@
 
 // planRecovery returns the write that recovers the table in the store, or that settles it.
 func (c *Core) planRecovery(now time.Time) *Write {
-	revision := c.revision
-	if c.recovery.restored != nil {
-		revision = c.recovery.base
+	subject := c.recovery.base
+	if c.recovery.restored == nil && c.table != nil {
+		subject = uint64(c.table.RecoveredFence)
 	}
-	if c.recovery.revision != revision || c.recovery.since.IsZero() {
-		c.recovery.revision, c.recovery.since = revision, now
+	if c.recovery.subject != subject || c.recovery.since.IsZero() {
+		c.recovery.subject, c.recovery.since = subject, now
 	}
 	waited := now.Sub(c.recovery.since) - c.staggerDelay()
 	switch {
