Release keys that an upstream holds with an earlier fence before they are given away

A process that was stopping, or whose upstream was leaving, when the table was recovered gave its keys away without a release: the recovered ranges have new fences, and grants with the fences from before were not looked at. Two upstreams would have held the keys for up to 2.5 s. All earlier grants of the same upstream count now, and such keys are granted with the current fence before they may move, so that the release names the fence that the upstream has.

Found by reading the change. Test: 'gives no keys away that the upstream still holds with the fence from before' failed before.

--- a/internal/sequoiaowner/grants.go
+++ b/internal/sequoiaowner/grants.go
@@ -125,16 +125,32 @@
 	return 0
 }
 
-// anyGrant reports whether any grant that overlaps the keys and has their fence satisfies a condition.
+// anyGrant reports whether any grant that overlaps the keys, with their fence or an earlier one, satisfies a condition.
 func (c *Core) anyGrant(part sequoiakeyspace.Range, condition func(g *grant) bool) bool {
 	for key, g := range c.grants {
-		if key.Fence == part.Fence && overlaps(key, part) && condition(g) {
+		if key.Fence <= part.Fence && overlaps(key, part) && condition(g) {
 			return true
 		}
 	}
 	return false
 }
 
+// heldWithEarlierFence reports whether the upstream may hold some of the keys with an earlier fence only. They must be
+// granted with the current one before a release of it can be relied on.
+func (c *Core) heldWithEarlierFence(now time.Time, r sequoiakeyspace.Range) bool {
+	earlier := false
+	for key, g := range c.grants {
+		if !overlaps(key, r) {
+			continue
+		}
+		if key.Fence == r.Fence && g.confirmedUntil.After(now) {
+			return false
+		}
+		earlier = earlier || key.Fence < r.Fence && g.sentUntil.After(now)
+	}
+	return earlier
+}
+
 // hasUnansweredGrant reports whether a grant of some of the keys got no response and may still be applied, even after a
 // release.
 func (c *Core) hasUnansweredGrant(now time.Time, part sequoiakeyspace.Range) bool {
--- a/internal/sequoiaowner/moves.go
+++ b/internal/sequoiaowner/moves.go
@@ -43,7 +43,7 @@
 	}
 	r := held[i]
 	r.From, r.To = from, to
-	if c.hasUnansweredGrant(now, r) || c.hasGrantInFlight(r) {
+	if c.hasUnansweredGrant(now, r) || c.hasGrantInFlight(r) || c.heldWithEarlierFence(now, r) {
 		return false
 	}
 	c.moves = append(c.moves, &move{part: r, to: dest.Holder(), reason: reason})
@@ -59,7 +59,9 @@
 		return
 	}
 	others := c.usableOthers(u.Service)
-	held := c.HeldRanges()
+	held := slices.DeleteFunc(c.HeldRanges(), func(r sequoiakeyspace.Range) bool {
+		return !u.Lost && c.heldWithEarlierFence(now, r)
+	})
 	if len(others) == 0 || len(held) == 0 || !u.Lost && !c.recentlyConfirmed(now) {
 		return
 	}
--- a/internal/sequoiaowner/recovery_test.go
+++ b/internal/sequoiaowner/recovery_test.go
@@ -62,6 +62,49 @@
 		Expect(waits).To(BeFalse())
 	})
 
+	// Guards against keys that are given away without a release, because the upstream holds them with an earlier fence.
+	ginkgo.It("gives no keys away that the upstream still holds with the fence from before", func() {
+		now := time.Unix(1000, 0)
+		c := newMember(now)
+		c.SetMember(now, sequoiaowner.Member{
+			Instance: "b", Upstream: sequoiaowner.Upstream{ID: "u-b", Born: 1, Service: service, Slots: 4}, Revision: sequoiaregistry.Revision(era, 4),
+		})
+		c.SetTable(tableOf(0), sequoiaregistry.Revision(era, 10))
+		held := false
+		for range 40 {
+			now = now.Add(100 * time.Millisecond)
+			c.ConfirmRegistration(now)
+			for _, g := range c.Step(now).Grants {
+				c.GrantDone(now, g, true, false)
+				held = true
+			}
+		}
+		Expect(held).To(BeTrue())
+		recovered := tableOf(2<<20 + 1)
+		recovered.Fence, recovered.Services[service][0].Fence = 2<<20+1, 2<<20+1
+		Expect(c.SetTable(recovered, sequoiaregistry.Revision(era+1, 11))).To(BeTrue())
+		c.Stop()
+		released := false
+		for range 30 {
+			now = now.Add(100 * time.Millisecond)
+			c.MarkAlive(now)
+			c.ConfirmRegistration(now)
+			a := c.Step(now)
+			for _, g := range a.Grants {
+				c.GrantDone(now, g, true, false)
+			}
+			for _, r := range a.Releases {
+				c.ReleaseDone(now, r, "", true)
+				released = true
+			}
+			if a.Write != nil && len(a.Write.Changes) > 0 {
+				Expect(released).To(BeTrue(), "given away without a release")
+				return
+			}
+		}
+		ginkgo.Fail("not given away")
+	})
+
 	// Guards against a table of an earlier era that is used as it is because its revision is higher.
 	ginkgo.It("replaces one with fences of an earlier era", func() {
 		now := time.Unix(1000, 0)
