--- a/internal/sequoianode/commit.go
+++ b/internal/sequoianode/commit.go
@@ -120,12 +120,22 @@
 	if err != nil {
 		return errors.Wrap(err, "replace the table")
 	}
+	n.publishTable(t, update{Revision: revision, Table: b})
+	return nil
+}
+
+// publishTable applies a table that has been written to the store, and sends the update that leads to it to all
+// processes. They do not watch the table in the store, because each change would then cost a store call by every
+// process. A process that misses a change learns of the newer revision from the next response it receives.
+func (n *Node) publishTable(t *sequoiakeyspace.Table, u update) {
 	n.mu.Lock()
-	n.core.SetTable(t, revision)
+	n.core.SetTable(t, u.Revision)
+	for _, d := range u.Deltas {
+		n.history.add(d)
+	}
 	n.notifyOwnershipChanged()
 	n.mu.Unlock()
-	n.broadcastUpdate(context.Background(), update{Revision: revision, Table: b}, n.directory.instances())
-	return nil
+	n.broadcastUpdate(context.Background(), u, n.directory.instances())
 }
 
 // fetchTables fetches newer tables from all other processes. It reports whether there was one.
@@ -313,17 +323,9 @@
 		return errors.Wrap(err, "write the table")
 	}
 	u := update{Revision: revision, Table: b}
-	n.mu.Lock()
-	n.core.SetTable(t, revision)
 	if !spread {
-		d := delta{Base: base, Revision: revision, Changes: applied}
-		n.history.add(d)
-		u = update{Revision: revision, Deltas: []delta{d}}
+		u = update{Revision: revision, Deltas: []delta{{Base: base, Revision: revision, Changes: applied}}}
 	}
-	n.notifyOwnershipChanged()
-	n.mu.Unlock()
-	// Processes do not watch the table in the store, because each change would then cost a store call by every process.
-	// A process that misses a change learns of the newer revision from the next response it receives.
-	n.broadcastUpdate(context.Background(), u, n.directory.instances())
+	n.publishTable(t, u)
 	return nil
 }
