Show which requests were in progress when an upstream ended

No log line told which requests an upstream was working on when it ended, nor that two requests are the same one, so that the hypotheses of docs/incidents/crashing-request.md could not be told apart.

A process records the requests that it has sent to its upstream. After a lost connection it connects once more (the connection is kept for the next request): if that is refused, or a new upstream announces itself, the upstream has ended, and the line names the fingerprints of the requests in progress. The caller's outcome stays Unknown, with the reason UpstreamEnded.

--- a/internal/sequoiahttp/exchange.go
+++ b/internal/sequoiahttp/exchange.go
@@ -93,6 +93,8 @@
 	// Matches, if set, reports whether a response with this header belongs to the request. Any other response is a late
 	// response to an earlier request and is read and discarded.
 	Matches func(h http.Header) bool
+	// OnConnected, if set, is called once the request has a connection, before a byte of it is sent.
+	OnConnected func()
 	// MaxIdle, if positive, is the maximum idle time of a reused connection.
 	MaxIdle time.Duration
 }
@@ -191,6 +193,9 @@
 		return nil, &Error{Err: err}
 	}
 	started := time.Now()
+	if req.OnConnected != nil {
+		req.OnConnected()
+	}
 	stop := context.AfterFunc(ctx, func() { c.interrupt(cn) })
 	resp, reusable, err := c.exchange(cn, hr, req.Matches)
 	if !stop() {
@@ -257,6 +262,10 @@
 		}
 		_ = cn.Close()
 	}
+	return c.dial(ctx, addr)
+}
+
+func (c *Client) dial(ctx context.Context, addr netip.AddrPort) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.dialTimeout)
 	defer cancel()
 	nc, err := c.dialer.DialContext(ctx, "tcp", addr.String())
@@ -268,6 +277,16 @@
 	return cn, nil
 }
 
+// Connect opens a connection and keeps it for a later request. It returns the error if the server does not accept it.
+func (c *Client) Connect(ctx context.Context, addr netip.AddrPort) error {
+	cn, err := c.dial(ctx, addr)
+	if err != nil {
+		return err
+	}
+	c.put(addr, cn)
+	return nil
+}
+
 func (c *Client) pop(addr netip.AddrPort) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -30,6 +30,7 @@
 	reasonUnreachable     = "Unreachable"
 	reasonDeadline        = "Deadline"
 	reasonConnectionLost  = "ConnectionLost"
+	reasonUpstreamEnded   = "UpstreamEnded"
 	reasonUpstreamRefused = "UpstreamRefused"
 	reasonUpstreamFailed  = "UpstreamFailed"
 	reasonLeaving         = "Leaving"
--- /dev/null
+++ b/internal/sequoianode/crash.go
@@ -0,0 +1,94 @@
+package sequoianode
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaquarantine"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
+)
+
+// upstreamProbeTimeout limits a probe of the upstream, which is on the same instance.
+const upstreamProbeTimeout = 100 * time.Millisecond
+
+// upstreamProbe tells a lost connection from an upstream that has ended. It is shared by the requests that lose their
+// connections at the same time.
+type upstreamProbe struct {
+	mu      sync.Mutex
+	began   time.Time
+	refused bool
+}
+
+// upstreamRefuses reports whether the upstream refuses connections, as seen after the given time.
+func (n *Node) upstreamRefuses(ctx context.Context, after time.Time) bool {
+	p := &n.upstreamProbe
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.began.After(after) {
+		return p.refused
+	}
+	p.began = time.Now()
+	ctx, cancel := context.WithTimeout(ctx, upstreamProbeTimeout)
+	defer cancel()
+	err := n.upstreamClient.Connect(ctx, n.settings.Upstream)
+	p.refused = errors.Is(err, syscall.ECONNREFUSED)
+	return p.refused
+}
+
+// identity returns what the repeats of a request have in common with it.
+func (n *Node) identity(req *sequoiarouter.Request) sequoiaquarantine.Identity {
+	return sequoiaquarantine.Identity{
+		Method: req.Method, Host: req.Host, Path: req.Path, Key: req.Key,
+		Caller: n.dialect.Caller(http.Header(req.Header)), Body: req.Body,
+	}
+}
+
+// beginRun records that a request is being sent to the local upstream.
+func (n *Node) beginRun(req *sequoiarouter.Request) *sequoiaquarantine.Run {
+	id := n.identity(req)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.runs.Begin(time.Now(), id)
+}
+
+// endRun records the end of a run without a response. lost is true if its connection was lost. run is nil if the request
+// got no connection.
+func (n *Node) endRun(run *sequoiaquarantine.Run, lost bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if lost {
+		n.runs.Lost(time.Now(), run)
+	} else {
+		n.runs.Ended(run)
+	}
+}
+
+// upstreamEnded handles that the local upstream refuses connections.
+func (n *Node) upstreamEnded() {
+	n.mu.Lock()
+	n.recordUpstreamEnd(n.core.Upstream())
+	n.core.MarkUpstreamLost()
+	n.mu.Unlock()
+	n.memberChanged()
+}
+
+// recordUpstreamEnd records which requests were in progress when upstream u ended. The caller must hold mu.
+func (n *Node) recordUpstreamEnd(u sequoiaowner.Upstream) {
+	runs := n.runs.UpstreamEnded()
+	if len(runs) == 0 {
+		return
+	}
+	n.metrics.upstreamEnds.Inc()
+	n.metrics.runsEnded.Add(float64(len(runs)))
+	prints := make([]string, len(runs))
+	for i, run := range runs {
+		prints[i] = run.Identity.Fingerprint().String()
+	}
+	n.log.Event("upstream ended with requests in progress", "Upstream", u.ID, "Leaving", u.Leaving, "Requests", prints)
+}
--- a/internal/sequoianode/dialect.go
+++ b/internal/sequoianode/dialect.go
@@ -74,6 +74,8 @@
 	PrepareUpstream func(h http.Header, c UpstreamCall)
 	// ReadResponse evaluates the status and headers of an upstream's response.
 	ReadResponse func(status int, h http.Header) ResponseAttributes
+	// Caller returns the credentials with which a request names its caller, or an empty string if it has none.
+	Caller func(h http.Header) string
 	// RequestID returns the request ID that a response echoes, or an empty string if it has none.
 	RequestID func(h http.Header) string
 	// SetRetryAfter sets the header that tells a client when to retry.
--- a/internal/sequoianode/metrics.go
+++ b/internal/sequoianode/metrics.go
@@ -24,6 +24,8 @@
 	storeFaults   prometheus.Counter
 	relayed       prometheus.Counter
 	messagesLost  prometheus.Counter
+	upstreamEnds  prometheus.Counter
+	runsEnded     prometheus.Counter
 }
 
 func newMetrics(n *Node) *metrics {
@@ -46,6 +48,8 @@
 	m.storeFaults = m.counter("sequoia_store_lost_total", "Times at which the store was lost.")
 	m.relayed = m.counter("sequoia_store_relayed_total", "Calls to the store that another process made.")
 	m.messagesLost = m.counter("sequoia_table_messages_lost_total", "Changes of the table that another process did not take.")
+	m.upstreamEnds = m.counter("sequoia_upstream_ends_total", "Times at which the local upstream ended with requests in progress.")
+	m.runsEnded = m.counter("sequoia_upstream_end_requests_total", "Requests that were in progress when the local upstream ended.")
 	m.gauge("sequoia_running", "Requests at the local upstream.", func() float64 { return float64(n.load().Running) })
 	m.gauge("sequoia_waiting", "Requests that wait for the local upstream.", func() float64 { return float64(n.load().Waiting) })
 	m.gauge("sequoia_upstream_limit", "Requests per second that the local upstream accepts; 0 if it names no limit.", func() float64 {
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -17,6 +17,7 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoialog"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiapeer"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaquarantine"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaregistry"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaroute"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
@@ -111,7 +112,8 @@
 	stopDeadline atomic.Int64
 
 	// commitMu serializes commits of the table.
-	commitMu sync.Mutex
+	commitMu      sync.Mutex
+	upstreamProbe upstreamProbe
 
 	mu sync.Mutex
 	// The following fields are protected by mu.
@@ -127,6 +129,8 @@
 	// warmUntil is when the local upstream's warm-up ends.
 	warmUntil time.Time
 	limit     rateLimit
+	// runs holds the requests in progress at the local upstream.
+	runs *sequoiaquarantine.Runs
 	// queueScheduled is true while a timer for the next start of a queued request is set.
 	queueScheduled bool
 	// proposals are the pending writes for the next commit of the table.
@@ -148,7 +152,7 @@
 		front:          sequoiafront.New(maxBodyBytes),
 		upstreamClient: sequoiahttp.New(sequoiahttp.WithResponsesUntilClose(), sequoiahttp.WithMaxIdle(16)),
 		commandClient:  sequoiahttp.New(sequoiahttp.WithMaxIdle(2)),
-		splitter:       sequoiaroute.NewSplitter(), queue: sequoiaadmission.New(defaultSlots), meter: sequoiakeyspace.NewMeter(),
+		splitter:       sequoiaroute.NewSplitter(), queue: sequoiaadmission.New(defaultSlots), runs: sequoiaquarantine.NewRuns(), meter: sequoiakeyspace.NewMeter(),
 		ownershipChanged: make(chan struct{}), directory: newDirectory(settings),
 	}
 	n.core = sequoiaowner.New(
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -16,6 +16,7 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiahttp"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaquarantine"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
@@ -222,11 +223,16 @@
 		call.MaxIdle = maxUnsafeIdle
 	}
 	sent := time.Now()
+	var run *sequoiaquarantine.Run
+	call.OnConnected = func() { run = n.beginRun(req) }
 	resp, err := n.upstreamClient.Do(ctx, n.settings.Upstream, call)
 	if err != nil {
-		return n.handleUpstreamError(ctx, req, err)
+		return n.handleUpstreamError(ctx, req, run, err)
 	}
-	n.withCore(func(c *sequoiaowner.Core) { c.MarkAlive(sequoiatimer.BootTime()) })
+	n.withCore(func(c *sequoiaowner.Core) {
+		c.MarkAlive(sequoiatimer.BootTime())
+		n.runs.Answered(run)
+	})
 	v := n.dialect.ReadResponse(resp.Status, resp.Header)
 	n.applyUpstreamState(u, sent, v)
 	switch {
@@ -240,21 +246,27 @@
 	return &sequoiarouter.Response{Outcome: sequoiarouter.Answered, Status: resp.Status, Header: resp.Header, Body: resp.Body}
 }
 
-// handleUpstreamError returns the response for an upstream call that failed with err. If the upstream refused the
-// connection, it is marked as lost.
-func (n *Node) handleUpstreamError(ctx context.Context, req *sequoiarouter.Request, err error) *sequoiarouter.Response {
-	if ctx.Err() == nil {
-		n.log.Event("upstream failed", "RequestID", req.RequestID, "NotSent", sequoiahttp.NotSent(err), "Error", err)
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			n.withCore(func(c *sequoiaowner.Core) { c.MarkUpstreamLost() })
-			n.memberChanged()
-		}
-	}
-	if sequoiahttp.NotSent(err) {
+// handleUpstreamError returns the response for a run that failed with err. If the upstream refuses connections, it is
+// marked as lost.
+func (n *Node) handleUpstreamError(
+	ctx context.Context, req *sequoiarouter.Request, run *sequoiaquarantine.Run, err error,
+) *sequoiarouter.Response {
+	notSent, interrupted := sequoiahttp.NotSent(err), ctx.Err() != nil
+	if !interrupted {
+		n.log.Event("upstream failed", "RequestID", req.RequestID, "NotSent", notSent, "Error", err)
+	}
+	ended := !interrupted && (errors.Is(err, syscall.ECONNREFUSED) || !notSent && n.upstreamRefuses(ctx, time.Now()))
+	n.endRun(run, !interrupted && !notSent)
+	if ended {
+		n.upstreamEnded()
+	}
+	if notSent {
 		return notRunResponse(reasonUnreachable, upstreamRetryAfter)
 	}
 	reason := reasonConnectionLost
 	switch {
+	case ended:
+		reason = reasonUpstreamEnded
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		reason = reasonDeadline
 	case ctx.Err() != nil:
@@ -323,6 +335,7 @@
 	}
 	u := n.core.Upstream()
 	if !same {
+		n.recordUpstreamEnd(old)
 		n.leavingSince = time.Time{}
 		n.limit = rateLimit{}
 		n.applyLimit(time.Now())
