Keep requests away from upstreams after they have ended two of them

What callers saw: one request that crashes each upstream that runs it came again at any machine and ended upstream after upstream, 8 to 18 times in 20 s; everybody else's requests in progress there were lost, and a part of the keys, or of the service, was dark for seconds each time.

Cause: nothing in the router outlives one request. Each repeat was new to every process, whoever had seen it crash an upstream; a request without a key was even sent on to the next upstream at once. The class of fault: a decision about one request (send it again, move its key) that ignores what the request has done to those who ran it.

After one strike a request is a suspect, which is served, but not beside another suspect; after two it is refused everywhere with 503 and the time of its next trial. Strikes, trials and answers are records that all processes merge in any order; they reach the others directly and through one item in the store, which the watch of the members delivers. An answer clears a request.

Why it works: the second end names the cause, because only one suspect runs at an upstream at a time and a strike counts only on top of what was known when the request was sent. So two ends are enough, and requests that ran beside it, or when many upstreams end at once, are not blamed.

--- a/internal/sequoiaadmission/queue.go
+++ b/internal/sequoiaadmission/queue.go
@@ -48,6 +48,8 @@
 	Class string
 	// Priority ranks the request; a lower number goes first.
 	Priority int
+	// Alone is true if the request must not run at the same time as another one with Alone.
+	Alone bool
 	// Arrived is the time of arrival. A response loses part of its value after Objective and all of it after Deadline.
 	Arrived, Objective, Deadline time.Time
 	// OnDecision is called once: with an empty reason when the request may run, or with the reason for its rejection.
@@ -58,8 +60,10 @@
 
 // Queue holds the running and waiting requests of one upstream. It is not safe for concurrent use.
 type Queue struct {
-	slots      int
-	running    map[*Ticket]struct{}
+	slots   int
+	running map[*Ticket]struct{}
+	// alone is the number of running requests with Alone.
+	alone      int
 	waiting    []*Ticket
 	classMeans map[string]time.Duration
 	mean       time.Duration
@@ -92,7 +96,7 @@
 // NextStart returns the time until the next queued request may start because of the limit on requests per second. It
 // returns false if no request waits for that.
 func (q *Queue) NextStart(now time.Time) (time.Duration, bool) {
-	if !q.pace.limited() || len(q.waiting) == 0 || len(q.running) >= q.slots {
+	if !q.pace.limited() || len(q.running) >= q.slots || !slices.ContainsFunc(q.waiting, q.mayRun) {
 		return 0, false
 	}
 	return q.pace.delay(now, 1), true
@@ -149,7 +153,7 @@
 		t.OnDecision(ReasonDeadline, 0)
 		return
 	}
-	if q.canStart(now) && len(q.waiting) == 0 {
+	if q.canStart(now) && q.mayRun(t) && !slices.ContainsFunc(q.waiting, q.mayRun) {
 		q.start(now, t)
 		return
 	}
@@ -180,6 +184,9 @@
 	return len(q.running) < q.slots && q.pace.delay(now, 1) == 0
 }
 
+// mayRun reports whether the requests that are running allow a queued request to run beside them.
+func (q *Queue) mayRun(t *Ticket) bool { return !t.Alone || q.alone == 0 }
+
 // mayQueueLate reports whether a request may be queued that would end at the given time, after its objective. This is
 // allowed while the queue is shorter than lateQueueLimitPerSlot for each slot, so that late requests can use slots that
 // become free between bursts. If the limit on requests per second binds, free slots are of no use.
@@ -206,21 +213,29 @@
 
 // expectedWait returns the expected time until the request would start.
 func (q *Queue) expectedWait(now time.Time, t *Ticket) time.Duration {
-	var ahead time.Duration
+	// alone is the wait for the requests that must not run beside this one.
+	var ahead, alone time.Duration
 	for r := range q.running {
-		ahead += max(q.ExpectedDuration(r)-now.Sub(r.started), q.ExpectedDuration(r)/4)
+		remaining := max(q.ExpectedDuration(r)-now.Sub(r.started), q.ExpectedDuration(r)/4)
+		ahead += remaining
+		if t.Alone && r.Alone {
+			alone += remaining
+		}
 	}
 	first := 1
 	for _, other := range q.waiting {
 		if q.before(now, other, t) {
 			ahead += q.ExpectedDuration(other)
 			first++
+			if t.Alone && other.Alone {
+				alone += q.ExpectedDuration(other)
+			}
 		}
 	}
 	if len(q.running) < q.slots {
 		ahead = 0
 	}
-	return max(0, ahead/time.Duration(q.slots), q.pace.delay(now, first))
+	return max(0, ahead/time.Duration(q.slots), alone, q.pace.delay(now, first))
 }
 
 func (q *Queue) retryAfter(now time.Time) time.Duration {
@@ -231,9 +246,20 @@
 	t.started = now
 	q.pace.take()
 	q.running[t] = struct{}{}
+	if t.Alone {
+		q.alone++
+	}
 	t.OnDecision("", 0)
 }
 
+// SetAlone sets Alone of a request that has been submitted. Others that are running already run on.
+func (q *Queue) SetAlone(t *Ticket) {
+	if _, running := q.running[t]; running && !t.Alone {
+		q.alone++
+	}
+	t.Alone = true
+}
+
 // Remove removes a queued request whose client has disconnected. It reports whether the request was queued.
 func (q *Queue) Remove(t *Ticket) bool {
 	i := slices.Index(q.waiting, t)
@@ -251,6 +277,9 @@
 		return 0
 	}
 	delete(q.running, t)
+	if t.Alone {
+		q.alone--
+	}
 	duration := now.Sub(t.started)
 	if counted {
 		q.classMeans[t.Class] = updateMean(q.classMeans[t.Class], duration)
@@ -269,13 +298,16 @@
 
 // startWaiting starts queued requests while slots are free and rejects those that would miss their deadline.
 func (q *Queue) startWaiting(now time.Time) {
-	for len(q.waiting) > 0 && q.canStart(now) {
-		best := 0
+	for q.canStart(now) {
+		best := -1
 		for i, t := range q.waiting {
-			if q.before(now, t, q.waiting[best]) {
+			if q.mayRun(t) && (best < 0 || q.before(now, t, q.waiting[best])) {
 				best = i
 			}
 		}
+		if best < 0 {
+			break
+		}
 		t := q.waiting[best]
 		q.waiting = slices.Delete(q.waiting, best, best+1)
 		if now.Add(q.ExpectedDuration(t) / 2).After(t.Deadline) {
--- a/internal/sequoiaadmission/queue_test.go
+++ b/internal/sequoiaadmission/queue_test.go
@@ -118,4 +118,65 @@
 		Expect(second).To(BeEmpty())
 		Expect(q.Running()).To(BeZero())
 	})
+
+	// Guards against two suspects that run at an upstream when it ends, which then cannot be told apart.
+	ginkgo.It("runs requests that must be alone one after the other, and others beside them", func() {
+		q := sequoiaadmission.New(3)
+		var got [4]string
+		var tickets [4]*sequoiaadmission.Ticket
+		for i := range tickets {
+			tickets[i] = ticket(1, time.Second, &got[i])
+			tickets[i].Alone = i != 2
+			q.Submit(now, tickets[i])
+		}
+		Expect(got).To(Equal([4]string{"decision:", "", "decision:", ""}))
+		q.Done(now.Add(ms), tickets[2], true)
+		Expect(got[1]).To(BeEmpty())
+		q.Done(now.Add(ms), tickets[0], true)
+		Expect(got).To(Equal([4]string{"decision:", "decision:", "decision:", ""}))
+		q.Done(now.Add(2*ms), tickets[1], true)
+		Expect(got[3]).To(Equal("decision:"))
+	})
+
+	// Guards against a suspect that starts beside a request that became one while it was running.
+	ginkgo.It("waits for a running request that must be alone since it was started", func() {
+		q := sequoiaadmission.New(3)
+		var first, second string
+		running, waiting := ticket(1, time.Second, &first), ticket(1, time.Second, &second)
+		q.Submit(now, running)
+		q.SetAlone(running)
+		q.SetAlone(running)
+		waiting.Alone = true
+		q.Submit(now, waiting)
+		Expect(second).To(BeEmpty())
+		q.Done(now.Add(ms), running, true)
+		Expect(second).To(Equal("decision:"))
+	})
+
+	// Guards against a request that waits for its turn until its deadline has passed.
+	ginkgo.It("rejects at once a request that must be alone and whose turn comes too late", func() {
+		q := sequoiaadmission.New(3)
+		var first, second string
+		long := ticket(1, 10*time.Second, &first)
+		long.Alone = true
+		q.Submit(now, long)
+		short := ticket(1, 100*ms, &second)
+		short.Class, short.Alone = "short", true
+		q.Submit(now, short)
+		Expect(second).To(Equal("decision:" + sequoiaadmission.ReasonBusy))
+	})
+
+	// Guards against a timer that fires again and again for a request that waits for another one, not for the limit.
+	ginkgo.It("needs no timer for a request that waits to be alone", func() {
+		q := sequoiaadmission.New(3)
+		q.SetLimit(now, 100)
+		var first, second string
+		running, waiting := ticket(1, time.Second, &first), ticket(1, time.Second, &second)
+		running.Alone, waiting.Alone = true, true
+		q.Submit(now.Add(100*ms), running)
+		q.Submit(now.Add(100*ms), waiting)
+		Expect(first).To(Equal("decision:"))
+		_, timed := q.NextStart(now.Add(200 * ms))
+		Expect(timed).To(BeFalse())
+	})
 })
--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -31,6 +31,7 @@
 	reasonDeadline        = "Deadline"
 	reasonConnectionLost  = "ConnectionLost"
 	reasonUpstreamEnded   = "UpstreamEnded"
+	reasonQuarantined     = "Quarantined"
 	reasonUpstreamRefused = "UpstreamRefused"
 	reasonUpstreamFailed  = "UpstreamFailed"
 	reasonLeaving         = "Leaving"
@@ -155,17 +156,26 @@
 	if keyed && !attrs.HasKey {
 		return notRunResponse(reasonBadRequest, 0)
 	}
+	if keyed {
+		req.Key = formatKey(attrs.Key)
+	}
+	var j judgement
 	for i := range maxSends {
-		var resp *sequoiarouter.Response
-		if keyed {
-			req.Key = formatKey(attrs.Key)
+		j = n.quarantine.judge(j, req)
+		resp := j.refusal()
+		switch {
+		case resp != nil:
+		case keyed:
 			resp = n.sendToOwner(ctx, req, attrs.Key, a)
-		} else {
-			resp = n.sendToAny(ctx, req, a)
+		default:
+			resp = n.sendToAny(ctx, req, j, a)
 		}
 		if resp == nil {
 			break
 		}
+		if resp.Reason == reasonUpstreamEnded {
+			n.quarantine.noteUpstreamEnded(req)
+		}
 		a.sends = i + 1
 		a.addResponse(resp)
 		if i == maxSends-1 || !n.shouldRetry(ctx, req, route, keyed, resp, a) {
@@ -223,6 +233,9 @@
 			return false
 		}
 	case sequoiarouter.NotRun:
+		if resp.Reason == reasonQuarantined {
+			return false
+		}
 		if resp.Reason == reasonNotOwner {
 			return n.reconcileTable(ctx, a.lastInstance, resp.LogIndex)
 		}
@@ -259,10 +272,17 @@
 	return n.send(ctx, req, holder.Instance)
 }
 
-// sendToAny sends the request to the upstream with the lowest expected delay. It returns nil if no untried upstream is
+// sendToAny sends the request to the upstream with the lowest expected delay. A suspect goes to the one that all
+// processes choose for it, where its copies run one after the other. sendToAny returns nil if no untried upstream is
 // left.
-func (n *Node) sendToAny(ctx context.Context, req *sequoiarouter.Request, a *attemptState) *sequoiarouter.Response {
-	m, ok := n.directory.choose(req.Service, a.tried)
+func (n *Node) sendToAny(ctx context.Context, req *sequoiarouter.Request, j judgement, a *attemptState) *sequoiarouter.Response {
+	var m sequoiaowner.Member
+	var ok bool
+	if j.alone() {
+		m, ok = n.directory.chooseFor(req.Service, j.fingerprint, a.tried)
+	} else {
+		m, ok = n.directory.choose(req.Service, a.tried)
+	}
 	if !ok {
 		return nil
 	}
--- a/internal/sequoianode/crash.go
+++ b/internal/sequoianode/crash.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaadmission"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaquarantine"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
@@ -41,6 +42,9 @@
 	return p.refused
 }
 
+// run is a request in progress at the local upstream, with its place in the queue.
+type run = sequoiaquarantine.Run[*sequoiaadmission.Ticket]
+
 // identity returns what the repeats of a request have in common with it.
 func (n *Node) identity(req *sequoiarouter.Request) sequoiaquarantine.Identity {
 	return sequoiaquarantine.Identity{
@@ -50,35 +54,45 @@
 }
 
 // beginRun records that a request is being sent to the local upstream.
-func (n *Node) beginRun(req *sequoiarouter.Request) *sequoiaquarantine.Run {
-	id := n.identity(req)
+func (n *Node) beginRun(req *sequoiarouter.Request, j judgement, t *sequoiaadmission.Ticket) *run {
+	r := &run{Identity: n.identity(req), Known: j.verdict.Mark, Started: time.Now(), Owner: t}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.runs.Begin(time.Now(), id)
+	n.runs.Begin(r)
+	return r
 }
 
-// endRun records the end of a run without a response. lost is true if its connection was lost. run is nil if the request
-// got no connection.
-func (n *Node) endRun(run *sequoiaquarantine.Run, lost bool) {
+// endRun records the end of a run without a response. lost is true if its connection was lost. r is nil if the request got
+// no connection.
+func (n *Node) endRun(r *run, lost bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if lost {
-		n.runs.Lost(time.Now(), run)
+		n.runs.Lost(time.Now(), r)
 	} else {
-		n.runs.Ended(run)
+		n.runs.Ended(r)
 	}
 }
 
-// upstreamEnded handles that the local upstream refuses connections.
-func (n *Node) upstreamEnded() {
+// upstreamEnded handles that the local upstream refuses connections. It returns false if that was announced.
+func (n *Node) upstreamEnded() bool {
 	n.mu.Lock()
-	n.recordUpstreamEnd(n.core.Upstream())
+	u := n.core.Upstream()
+	n.recordUpstreamEnd(u)
 	n.core.MarkUpstreamLost()
+	announced := n.endAnnounced(u)
 	n.mu.Unlock()
 	n.memberChanged()
+	return !announced
+}
+
+// endAnnounced reports whether upstream u has announced its end and its drain is over. The caller must hold mu.
+func (n *Node) endAnnounced(u sequoiaowner.Upstream) bool {
+	return u.Leaving && !n.leavingSince.IsZero() && time.Since(n.leavingSince) > n.settings.DrainPeriod
 }
 
-// recordUpstreamEnd records which requests were in progress when upstream u ended. The caller must hold mu.
+// recordUpstreamEnd records which requests were in progress when upstream u ended. None of them is the cause if the end
+// was announced. The caller must hold mu.
 func (n *Node) recordUpstreamEnd(u sequoiaowner.Upstream) {
 	runs := n.runs.UpstreamEnded()
 	if len(runs) == 0 {
@@ -87,8 +101,12 @@
 	n.metrics.upstreamEnds.Inc()
 	n.metrics.runsEnded.Add(float64(len(runs)))
 	prints := make([]string, len(runs))
-	for i, run := range runs {
-		prints[i] = run.Identity.Fingerprint().String()
+	for i, r := range runs {
+		prints[i] = r.Fingerprint().String()
+	}
+	announced := n.endAnnounced(u)
+	n.log.Event("upstream ended with requests in progress", "Upstream", u.ID, "Announced", announced, "Requests", prints)
+	if !announced {
+		n.quarantine.strike(runs)
 	}
-	n.log.Event("upstream ended with requests in progress", "Upstream", u.ID, "Leaving", u.Leaving, "Requests", prints)
 }
--- a/internal/sequoianode/directory.go
+++ b/internal/sequoianode/directory.go
@@ -8,8 +8,11 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaquarantine"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
 )
 
@@ -171,13 +174,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	var candidates []*peer
-	for instance, p := range d.peers {
-		_, leaving := d.leaving[p.member.Holder()]
-		if p.member.Upstream.Service == service && p.usable(now) && !leaving && !tried[instance] {
-			candidates = append(candidates, p)
-		}
-	}
+	candidates := d.candidates(now, service, tried)
 	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	var best *peer
 	for _, p := range candidates[:min(len(candidates), maxCandidates)] {
@@ -191,6 +188,32 @@
 	return best.member, true
 }
 
+// candidates returns the peers whose upstreams of a service are usable and were not tried yet. The caller must hold mu.
+func (d *directory) candidates(now time.Time, service string, tried map[string]bool) (candidates []*peer) {
+	for instance, p := range d.peers {
+		_, leaving := d.leaving[p.member.Holder()]
+		if p.member.Upstream.Service == service && p.usable(now) && !leaving && !tried[instance] {
+			candidates = append(candidates, p)
+		}
+	}
+	return candidates
+}
+
+// chooseFor returns a member whose upstream was not tried yet, the same one at all processes with the same members: the
+// one with the highest hash of the fingerprint and the instance.
+func (d *directory) chooseFor(service string, f sequoiaquarantine.Fingerprint, tried map[string]bool) (sequoiaowner.Member, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var best sequoiaowner.Member
+	highest, found := uint64(0), false
+	for _, p := range d.candidates(time.Now(), service, tried) {
+		if h := xxhash.Sum64String(string(f[:]) + p.member.Instance); !found || h > highest {
+			best, highest, found = p.member, h, true
+		}
+	}
+	return best, found
+}
+
 // expectedDelay estimates the delay of one more request: its duration, which increases with utilization, and the wait
 // for a slot.
 func (d *directory) expectedDelay(now time.Time, p *peer) time.Duration {
--- a/internal/sequoianode/metrics.go
+++ b/internal/sequoianode/metrics.go
@@ -74,6 +74,11 @@
 		}
 		return 0
 	})
+	m.gauge("sequoia_quarantined_requests", "Requests that are kept away from upstreams because they crash them.", func() float64 {
+		n.quarantine.mu.Lock()
+		defer n.quarantine.mu.Unlock()
+		return float64(n.quarantine.list.Quarantined())
+	})
 	m.gauge("sequoia_log_lines_lost", "Lines that found the log's buffer full.", func() float64 { return float64(n.log.Lost()) })
 	return m
 }
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -96,6 +96,7 @@
 	balancer       *balancer
 	relay          *relay
 	retries        *retryBudgets
+	quarantine     *quarantine
 	directory      *directory
 	splitter       *sequoiaroute.Splitter
 	// config is the configuration in force, and configurationItem its item in the store.
@@ -130,7 +131,7 @@
 	warmUntil time.Time
 	limit     rateLimit
 	// runs holds the requests in progress at the local upstream.
-	runs *sequoiaquarantine.Runs
+	runs *sequoiaquarantine.Runs[*sequoiaadmission.Ticket]
 	// queueScheduled is true while a timer for the next start of a queued request is set.
 	queueScheduled bool
 	// proposals are the pending writes for the next commit of the table.
@@ -152,7 +153,7 @@
 		front:          sequoiafront.New(maxBodyBytes),
 		upstreamClient: sequoiahttp.New(sequoiahttp.WithResponsesUntilClose(), sequoiahttp.WithMaxIdle(16)),
 		commandClient:  sequoiahttp.New(sequoiahttp.WithMaxIdle(2)),
-		splitter:       sequoiaroute.NewSplitter(), queue: sequoiaadmission.New(defaultSlots), runs: sequoiaquarantine.NewRuns(), meter: sequoiakeyspace.NewMeter(),
+		splitter:       sequoiaroute.NewSplitter(), queue: sequoiaadmission.New(defaultSlots), runs: sequoiaquarantine.NewRuns[*sequoiaadmission.Ticket](), meter: sequoiakeyspace.NewMeter(),
 		ownershipChanged: make(chan struct{}), directory: newDirectory(settings),
 	}
 	n.core = sequoiaowner.New(
@@ -163,6 +164,7 @@
 	n.metrics = newMetrics(n)
 	n.retries = newRetryBudgets(settings)
 	n.balancer = newBalancer(n)
+	n.quarantine = newQuarantine(n)
 	return n
 }
 
@@ -200,6 +202,7 @@
 		return err
 	}
 	n.ready.Store(true)
+	go n.quarantine.run(running)
 	n.startStoreSync(running)
 	n.onRestored = func() { go n.restoreSecret(running, secret) }
 	step := n.timers.Every(ownershipStepInterval, func(time.Time) { n.stepOwnership(running) })
--- a/internal/sequoianode/peer.go
+++ b/internal/sequoianode/peer.go
@@ -40,6 +40,8 @@
 	// the process's instance. pathConfiguration returns the configuration.
 	pathConfigurationNews = "/configuration/news"
 	pathConfiguration     = "/configuration"
+	// pathQuarantine delivers records of requests that crash upstreams.
+	pathQuarantine = "/quarantine"
 	// pathStore relays a store call for a process that cannot reach the store. It is followed by the path of the call.
 	pathStore = "/store"
 )
@@ -96,6 +98,8 @@
 		return n.serveConfigurationNews(req)
 	case req.Path == pathConfiguration:
 		return n.serveConfiguration()
+	case req.Path == pathQuarantine:
+		return n.quarantine.serveAnnouncement(req)
 	case req.Path == pathFetch:
 		return n.serveFetch(req)
 	case strings.HasPrefix(req.Path, pathStore+"/"):
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -16,7 +16,6 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiahttp"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
-	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaquarantine"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
@@ -60,17 +59,29 @@
 			return resp
 		}
 	}
-	t, reason, retryAfter := n.admit(ctx, req)
+	j := n.quarantine.judge(judgement{}, req)
+	if resp := j.refusal(); resp != nil {
+		return n.notRunResponseWithLoad(resp.Reason, resp.RetryAfter)
+	}
+	t, reason, retryAfter := n.admit(ctx, req, j.alone())
+	if j = n.quarantine.judge(j, req); reason == "" && j.alone() && !t.Alone {
+		// The request became a suspect while it waited.
+		n.finish(t, false)
+		t, reason, retryAfter = n.admit(ctx, req, true)
+		j = n.quarantine.judge(j, req)
+	}
 	if reason != "" {
 		n.meterRejected(req, key, reason)
 		return n.notRunResponseWithLoad(reason, retryAfter)
 	}
-	resp := n.callUpstream(ctx, req)
+	j = n.quarantine.startTrial(ctx, j)
+	resp := j.refusal()
+	if resp == nil {
+		resp = n.callUpstream(ctx, req, j, t)
+	}
+	took := n.finish(t, resp.Outcome == sequoiarouter.Answered)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := time.Now()
-	took := n.queue.Done(now, t, resp.Outcome == sequoiarouter.Answered)
-	n.scheduleQueue(now)
 	if req.Key != "" && resp.Outcome == sequoiarouter.Answered {
 		n.meter.Add(key, n.queue.Cost(took))
 	}
@@ -79,6 +90,17 @@
 	return resp
 }
 
+// finish frees the slot of a request in the queue and returns how long the request ran. counted is as for Queue.Done.
+func (n *Node) finish(t *sequoiaadmission.Ticket, counted bool) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	n.quarantine.markSuspects()
+	took := n.queue.Done(now, t, counted)
+	n.scheduleQueue(now)
+	return took
+}
+
 // meterRejected adds the expected work of a request that was rejected for lack of capacity to the load of its key.
 // Otherwise the measured load of a full upstream would never exceed its capacity.
 func (n *Node) meterRejected(req *sequoiarouter.Request, key sequoiakeyspace.Key, reason string) {
@@ -147,9 +169,9 @@
 	}
 }
 
-// admit waits until the request may run. It returns an empty reason on admission, otherwise the reason of the rejection
+// admit waits until the request may run, beside no other one with alone if that is true for it. It returns an empty reason on admission, otherwise the reason of the rejection
 // and the Retry-After time.
-func (n *Node) admit(ctx context.Context, req *sequoiarouter.Request) (*sequoiaadmission.Ticket, string, time.Duration) {
+func (n *Node) admit(ctx context.Context, req *sequoiarouter.Request, alone bool) (*sequoiaadmission.Ticket, string, time.Duration) {
 	type decision struct {
 		reason     string
 		retryAfter time.Duration
@@ -157,7 +179,7 @@
 	decided := make(chan decision, 1)
 	now := time.Now()
 	t := &sequoiaadmission.Ticket{
-		Class: req.Route, Priority: req.Priority, Arrived: now, Deadline: req.Deadline,
+		Class: req.Route, Priority: req.Priority, Alone: alone, Arrived: now, Deadline: req.Deadline,
 		Objective:  objective(now, req),
 		OnDecision: func(reason string, retryAfter time.Duration) { decided <- decision{reason, retryAfter} },
 	}
@@ -168,6 +190,7 @@
 		n.mu.Unlock()
 		return nil, reasonLeaving, upstreamRetryAfter
 	}
+	n.quarantine.markSuspects()
 	n.queue.Submit(now, t)
 	n.scheduleQueue(now)
 	n.mu.Unlock()
@@ -199,7 +222,9 @@
 }
 
 // callUpstream sends the request to the local upstream and classifies the result.
-func (n *Node) callUpstream(ctx context.Context, req *sequoiarouter.Request) *sequoiarouter.Response {
+func (n *Node) callUpstream(
+	ctx context.Context, req *sequoiarouter.Request, j judgement, t *sequoiaadmission.Ticket,
+) *sequoiarouter.Response {
 	n.mu.Lock()
 	u := n.core.Upstream()
 	n.mu.Unlock()
@@ -223,18 +248,21 @@
 		call.MaxIdle = maxUnsafeIdle
 	}
 	sent := time.Now()
-	var run *sequoiaquarantine.Run
-	call.OnConnected = func() { run = n.beginRun(req) }
+	var r *run
+	call.OnConnected = func() { r = n.beginRun(req, j, t) }
 	resp, err := n.upstreamClient.Do(ctx, n.settings.Upstream, call)
 	if err != nil {
-		return n.handleUpstreamError(ctx, req, run, err)
+		return n.handleUpstreamError(ctx, req, r, err)
 	}
 	n.withCore(func(c *sequoiaowner.Core) {
 		c.MarkAlive(sequoiatimer.BootTime())
-		n.runs.Answered(run)
+		n.runs.Answered(r)
 	})
 	v := n.dialect.ReadResponse(resp.Status, resp.Header)
 	n.applyUpstreamState(u, sent, v)
+	if v.Signed && !v.NotRun && resp.Status < http.StatusInternalServerError {
+		n.quarantine.answered(j, req)
+	}
 	switch {
 	case v.NotRun || v.WrongUpstream:
 		n.log.Event("upstream refused a request", "RequestID", req.RequestID, "Status", resp.Status, "Key", req.Key)
@@ -249,23 +277,21 @@
 // handleUpstreamError returns the response for a run that failed with err. If the upstream refuses connections, it is
 // marked as lost.
 func (n *Node) handleUpstreamError(
-	ctx context.Context, req *sequoiarouter.Request, run *sequoiaquarantine.Run, err error,
+	ctx context.Context, req *sequoiarouter.Request, r *run, err error,
 ) *sequoiarouter.Response {
 	notSent, interrupted := sequoiahttp.NotSent(err), ctx.Err() != nil
 	if !interrupted {
 		n.log.Event("upstream failed", "RequestID", req.RequestID, "NotSent", notSent, "Error", err)
 	}
 	ended := !interrupted && (errors.Is(err, syscall.ECONNREFUSED) || !notSent && n.upstreamRefuses(ctx, time.Now()))
-	n.endRun(run, !interrupted && !notSent)
-	if ended {
-		n.upstreamEnded()
-	}
+	n.endRun(r, !interrupted && !notSent)
+	crashed := ended && n.upstreamEnded()
 	if notSent {
 		return notRunResponse(reasonUnreachable, upstreamRetryAfter)
 	}
 	reason := reasonConnectionLost
 	switch {
-	case ended:
+	case crashed:
 		reason = reasonUpstreamEnded
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		reason = reasonDeadline
--- a/internal/sequoianode/sync.go
+++ b/internal/sequoianode/sync.go
@@ -161,6 +161,8 @@
 		switch {
 		case it.Key == n.dialect.ConfigurationKey:
 			n.applyConfiguration(it)
+		case it.Key == quarantineKey:
+			n.quarantine.applyStored(it)
 		case strings.HasPrefix(it.Key, memberPrefix):
 			rewrite = n.applyMember(now, it) || rewrite
 		}
@@ -176,6 +178,7 @@
 // onMembersListed applies a list of all members.
 func (n *Node) onMembersListed(items []sequoiaregistry.Item, revision uint64) {
 	members, _ := n.decodeMembers(items)
+	n.quarantine.applyStored(findItem(items, quarantineKey, revision))
 	n.mu.Lock()
 	_, wasRegistered := n.core.Members()[n.settings.Instance]
 	n.core.SetMembers(sequoiatimer.BootTime(), members, revision)
@@ -186,6 +189,16 @@
 	}
 }
 
+// findItem returns the item with a key, or a deleted one with the revision of the list if there is none.
+func findItem(items []sequoiaregistry.Item, key string, revision uint64) sequoiaregistry.Item {
+	for _, it := range items {
+		if it.Key == key {
+			return it
+		}
+	}
+	return sequoiaregistry.Item{Key: key, Revision: revision, Deleted: true}
+}
+
 // membersChanged applies a change of the members to what depends on them. It reports whether this process's entry has
 // disappeared or is outdated, so that it must be written again. The caller must hold mu.
 func (n *Node) membersChanged(wasRegistered bool) bool {
@@ -251,6 +264,9 @@
 func (n *Node) decodeMembers(items []sequoiaregistry.Item) (members map[string]sequoiaowner.Member, unreadable map[string]bool) {
 	members, unreadable = map[string]sequoiaowner.Member{}, map[string]bool{}
 	for _, it := range items {
+		if it.Key == quarantineKey {
+			continue
+		}
 		m, err := decodeMember(it)
 		if err != nil {
 			n.log.Event("member rejected", "Member", it.Key, "Revision", it.Revision, "Error", err)
--- a/internal/sequoiaowner/authority.go
+++ b/internal/sequoiaowner/authority.go
@@ -28,8 +28,8 @@
 // the recovery before its authority is extended.
 func (c *Core) RegistrationConfirmed() bool { return c.registrationConfirmed && !c.Recovering() }
 
-// recentlyConfirmed reports whether the last confirmation is recent enough that the store is likely to respond.
-func (c *Core) recentlyConfirmed(now time.Time) bool {
+// RecentlyConfirmed reports whether the last confirmation is recent enough that the store is likely to respond.
+func (c *Core) RecentlyConfirmed(now time.Time) bool {
 	return c.registrationConfirmed && now.Sub(c.confirmedAt) <= maxConfirmationAge
 }
 
--- a/internal/sequoiaowner/moves.go
+++ b/internal/sequoiaowner/moves.go
@@ -38,7 +38,7 @@
 func (c *Core) BeginMove(now time.Time, from, to sequoiakeyspace.Key, dest Member, reason string) bool {
 	held := c.HeldRanges()
 	i := slices.IndexFunc(held, func(r sequoiakeyspace.Range) bool { return r.Contains(from) && r.Contains(to) })
-	if i < 0 || !dest.Usable() || !c.recentlyConfirmed(now) {
+	if i < 0 || !dest.Usable() || !c.RecentlyConfirmed(now) {
 		return false
 	}
 	r := held[i]
@@ -62,7 +62,7 @@
 	held := slices.DeleteFunc(c.HeldRanges(), func(r sequoiakeyspace.Range) bool {
 		return !u.Lost && c.heldWithEarlierFence(now, r)
 	})
-	if len(others) == 0 || len(held) == 0 || !u.Lost && !c.recentlyConfirmed(now) {
+	if len(others) == 0 || len(held) == 0 || !u.Lost && !c.RecentlyConfirmed(now) {
 		return
 	}
 	total := 0.0
--- a/internal/sequoiaowner/plan.go
+++ b/internal/sequoiaowner/plan.go
@@ -50,7 +50,7 @@
 		}
 		return c.planNewFences()
 	}
-	if c.table == nil || !c.recentlyConfirmed(now) {
+	if c.table == nil || !c.RecentlyConfirmed(now) {
 		return nil
 	}
 	if w := c.planNewFences(); w != nil {
--- a/internal/sequoiaowner/presence.go
+++ b/internal/sequoiaowner/presence.go
@@ -120,7 +120,7 @@
 // fleet only a few do this after a loss.
 func (c *Core) startObservation(now time.Time) bool {
 	p := &c.presence
-	if p.observing || now.Before(p.nextObserve) || c.stopping || !c.recentlyConfirmed(now) {
+	if p.observing || now.Before(p.nextObserve) || c.stopping || !c.RecentlyConfirmed(now) {
 		return false
 	}
 	delay := c.staggerDelay()
--- a/internal/sequoiaowner/recovery.go
+++ b/internal/sequoiaowner/recovery.go
@@ -148,7 +148,7 @@
 	}
 	waited := now.Sub(c.recovery.since) - c.staggerDelay()
 	switch {
-	case c.stopping || !c.recentlyConfirmed(now):
+	case c.stopping || !c.RecentlyConfirmed(now):
 		return nil
 	case c.recovery.restored != nil:
 		if waited < 0 || c.table == nil && waited < unknownTableDelay {
--- a/internal/sequoiaquarantine/runs.go
+++ b/internal/sequoiaquarantine/runs.go
@@ -9,46 +9,68 @@
 const maxLost = 64
 
 // Run is a request that was sent to the upstream.
-type Run struct {
+type Run[T any] struct {
 	Identity Identity
-	// Started is when the request was sent, and lost when its connection was lost.
+	// Known is what was known of the request when it was sent.
+	Known Mark
+	// Started is when the request was sent.
 	Started time.Time
-	lost    time.Time
+	// Owner is the caller's own record of the request.
+	Owner T
+
+	// lost is when the connection was lost.
+	lost time.Time
+	// fingerprint is nil until it is needed.
+	fingerprint *Fingerprint
+}
+
+// Fingerprint returns the fingerprint of the request.
+func (run *Run[T]) Fingerprint() Fingerprint {
+	if run.fingerprint == nil {
+		f := run.Identity.Fingerprint()
+		run.fingerprint = &f
+	}
+	return *run.fingerprint
 }
 
 // Runs holds the requests in progress at one upstream, to tell which ones it was working on when it ended. It is not
 // safe for concurrent use.
-type Runs struct {
-	running map[*Run]struct{}
+type Runs[T any] struct {
+	running map[*Run[T]]struct{}
 	// lost holds the runs whose connection was lost and after which the upstream has not answered yet. Either the
 	// upstream has ended or only the connection was closed.
-	lost []*Run
+	lost []*Run[T]
 }
 
 // NewRuns returns an empty Runs.
-func NewRuns() *Runs { return &Runs{running: map[*Run]struct{}{}} }
+func NewRuns[T any]() *Runs[T] { return &Runs[T]{running: map[*Run[T]]struct{}{}} }
 
-// Begin adds a request that is being sent to the upstream.
-func (r *Runs) Begin(now time.Time, id Identity) *Run {
-	run := &Run{Identity: id, Started: now}
-	r.running[run] = struct{}{}
-	return run
+// Begin adds a run that is being sent to the upstream.
+func (r *Runs[T]) Begin(run *Run[T]) { r.running[run] = struct{}{} }
+
+// Running calls f for each run that is in progress.
+func (r *Runs[T]) Running(f func(run *Run[T])) {
+	for run := range r.running {
+		f(run)
+	}
 }
 
 // Answered records the response to a run. The upstream was alive when the run began, so what was lost before did not end
 // it.
-func (r *Runs) Answered(run *Run) {
+func (r *Runs[T]) Answered(run *Run[T]) {
 	delete(r.running, run)
-	r.lost = slices.DeleteFunc(r.lost, func(l *Run) bool { return l.lost.Before(run.Started) })
+	r.lost = slices.DeleteFunc(r.lost, func(l *Run[T]) bool { return l.lost.Before(run.Started) })
 }
 
 // Lost records that the connection of a run was lost without a response.
-func (r *Runs) Lost(now time.Time, run *Run) {
+func (r *Runs[T]) Lost(now time.Time, run *Run[T]) {
 	if _, ok := r.running[run]; !ok {
 		return
 	}
 	delete(r.running, run)
 	run.lost = now
+	_ = run.Fingerprint()
+	run.Identity.Body = nil // It may be large.
 	if len(r.lost) >= maxLost {
 		r.lost = slices.Delete(r.lost, 0, 1)
 	}
@@ -56,10 +78,10 @@
 }
 
 // Ended records that a run has ended in another way: it was not sent, or its caller has left.
-func (r *Runs) Ended(run *Run) { delete(r.running, run) }
+func (r *Runs[T]) Ended(run *Run[T]) { delete(r.running, run) }
 
 // UpstreamEnded returns the runs that were in progress when the upstream ended, and forgets them.
-func (r *Runs) UpstreamEnded() []*Run {
+func (r *Runs[T]) UpstreamEnded() []*Run[T] {
 	runs := r.lost
 	for run := range r.running {
 		runs = append(runs, run)
--- a/internal/sequoiaquarantine/runs_test.go
+++ b/internal/sequoiaquarantine/runs_test.go
@@ -40,10 +40,13 @@
 })
 
 var _ = ginkgo.Describe("Runs", func() {
-	start := time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
-	begin := func(r *Runs, ms int, path string) *Run { return r.Begin(at(ms), Identity{Path: path}) }
-	paths := func(runs []*Run) (out []string) {
+	begin := func(r *Runs[int], ms int, path string) *Run[int] {
+		run := &Run[int]{Identity: Identity{Path: path}, Started: at(ms)}
+		r.Begin(run)
+		return run
+	}
+	paths := func(runs []*Run[int]) (out []string) {
 		for _, run := range runs {
 			out = append(out, run.Identity.Path)
 		}
@@ -51,7 +54,7 @@
 	}
 
 	ginkgo.It("names the requests in progress at the end of the upstream, whose connections were lost or not", func() {
-		r := NewRuns()
+		r := NewRuns[int]()
 		begin(r, 0, "/running")
 		lost := begin(r, 1, "/lost")
 		r.Answered(begin(r, 2, "/answered"))
@@ -63,7 +66,7 @@
 
 	// Guards against a request that is blamed for the end of an upstream that has only closed its connection earlier.
 	ginkgo.It("forgets a lost connection once the upstream has answered a later request", func() {
-		r := NewRuns()
+		r := NewRuns[int]()
 		lost, concurrent := begin(r, 0, "/lost"), begin(r, 1, "/concurrent")
 		r.Lost(at(5), lost)
 		r.Answered(concurrent)
@@ -78,7 +81,7 @@
 	})
 
 	ginkgo.It("remembers a limited number of lost connections", func() {
-		r := NewRuns()
+		r := NewRuns[int]()
 		for i := range 3 * maxLost {
 			r.Lost(at(i), begin(r, i, "/x"))
 		}
