Take no refusal that an upstream writes again for the answer to another attempt

What callers saw: a request that had run was answered 503, "not run, try again" (REFUSED), and one without a key could be sent to a second upstream (TWICE), if a faulty upstream wrote an earlier refusal once more on a kept connection where the next response was due.

Cause: a response without an identifier counted as the response to whatever request was waiting; and one with an identifier belongs to the request, but to which attempt it does not say: the router sends a refused request to the same upstream again with the same identifier.

Change: a response must name the request that waits for it. A connection on which a request was refused does not carry the same request again; it carries others, and is closed after 64 refusals. In `run`, whose upstreams name no requests, a connection is closed after a refusal.

Ruled out: closing each connection after a refusal on the platform, too.

--- a/internal/sequoiahttp/exchange.go
+++ b/internal/sequoiahttp/exchange.go
@@ -38,6 +38,8 @@
 	// maxIdleTime is shorter than the usual idle timeouts of servers (5 s and more), so that a server rarely closes a
 	// connection while a request is being sent.
 	maxIdleTime = 4 * time.Second
+	// maxRefused is the number of refused requests after which a connection is closed.
+	maxRefused = 64
 	// maxUnmatched is the number of late responses to earlier requests that are discarded before the connection is
 	// closed.
 	maxUnmatched = 2
@@ -93,6 +95,12 @@
 	// Matches, if set, reports whether a response with this header belongs to the request. Any other response is a late
 	// response to an earlier request and is read and discarded.
 	Matches func(h http.Header) bool
+	// ID identifies the request in its response; it is empty if responses name no requests.
+	ID string
+	// Refusal, if set, reports whether a response says that the request was not run. A faulty server may write such a
+	// response once more where the next one is due, so its connection is not used for a request with the same ID again,
+	// and not at all if the request has no ID.
+	Refusal func(status int, h http.Header) bool
 	// OnConnected, if set, is called once the request has a connection, before a byte of it is sent.
 	OnConnected func()
 	// MaxIdle, if positive, is the maximum idle time of a reused connection.
@@ -188,7 +196,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &Error{Err: err}
 	}
-	cn, err := c.get(ctx, addr, cmp.Or(req.MaxIdle, maxIdleTime))
+	cn, err := c.get(ctx, addr, req)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
@@ -197,7 +205,7 @@
 		req.OnConnected()
 	}
 	stop := context.AfterFunc(ctx, func() { c.interrupt(cn) })
-	resp, reusable, err := c.exchange(cn, hr, req.Matches)
+	resp, reusable, err := c.exchange(cn, hr, req)
 	if !stop() {
 		reusable = false
 	}
@@ -250,13 +258,14 @@
 	}
 }
 
-func (c *Client) get(ctx context.Context, addr netip.AddrPort, maxIdle time.Duration) (*conn, error) {
+func (c *Client) get(ctx context.Context, addr netip.AddrPort, req *Request) (*conn, error) {
+	maxIdle := min(cmp.Or(req.MaxIdle, maxIdleTime), maxIdleTime)
 	for {
-		cn := c.pop(addr)
+		cn := c.pop(addr, req.ID)
 		if cn == nil {
 			break
 		}
-		if time.Since(cn.idleSince) < min(maxIdle, maxIdleTime) && idleAndOpen(cn.Conn) {
+		if time.Since(cn.idleSince) < maxIdle && idleAndOpen(cn.Conn) {
 			cn.sent, cn.received = false, false
 			return cn, nil
 		}
@@ -287,16 +296,18 @@
 	return nil
 }
 
-func (c *Client) pop(addr netip.AddrPort) *conn {
+// pop removes the connection from the pool that was used last among those that may carry a request with the ID.
+func (c *Client) pop(addr netip.AddrPort, id string) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cns := c.idle[addr]
-	if len(cns) == 0 {
-		return nil
+	for i, cn := range slices.Backward(cns) {
+		if id == "" || !slices.Contains(cn.refused, id) {
+			c.idle[addr] = slices.Delete(cns, i, i+1)
+			return cn
+		}
 	}
-	cn := cns[len(cns)-1]
-	c.idle[addr] = cns[:len(cns)-1]
-	return cn
+	return nil
 }
 
 func (c *Client) put(addr netip.AddrPort, cn *conn) {
--- a/internal/sequoiahttp/response.go
+++ b/internal/sequoiahttp/response.go
@@ -29,6 +29,8 @@
 	// sent is true once a byte of the current request may have been sent, and received once a byte has arrived since.
 	sent     bool
 	received bool
+	// refused holds the identifiers of the requests that were refused on this connection.
+	refused []string
 	// allowed is the number of bytes that may still arrive.
 	allowed int64
 }
@@ -60,26 +62,30 @@
 
 // exchange sends a request and reads its response. It returns reusable only if the response was read completely, no
 // bytes follow it and the server keeps the connection open.
-func (c *Client) exchange(cn *conn, req *http.Request, matches func(http.Header) bool) (resp *Response, reusable bool, err error) {
-	if err := req.Write(cn); err != nil {
+func (c *Client) exchange(cn *conn, encoded *http.Request, req *Request) (resp *Response, reusable bool, err error) {
+	if err := encoded.Write(cn); err != nil {
 		return nil, false, err
 	}
 	headBytes := int64(maxHeadBytes)
 	for range maxUnmatched + 1 {
 		cn.allowed = headBytes
-		hr, err := cn.readHead(req, c.allowUntilClose)
+		hr, err := cn.readHead(encoded, c.allowUntilClose)
 		if err != nil {
 			return nil, false, err
 		}
 		headBytes = cn.allowed
 		cn.allowed = framingFactor * (c.maxResponseBytes + maxHeadBytes)
-		matched := matches == nil || matches(hr.Header)
+		matched := req.Matches == nil || req.Matches(hr.Header)
 		resp, err = c.readBody(hr, matched)
 		if err != nil {
 			return nil, false, err
 		}
 		reusable = !hr.Close && cn.r.Buffered() == 0
 		if matched {
+			if req.Refusal != nil && req.Refusal(hr.StatusCode, hr.Header) {
+				cn.refused = append(cn.refused, req.ID)
+				reusable = reusable && req.ID != "" && len(cn.refused) < maxRefused
+			}
 			return resp, reusable, nil
 		}
 		if !reusable && cn.r.Buffered() == 0 {
--- a/internal/sequoiahttp/response_test.go
+++ b/internal/sequoiahttp/response_test.go
@@ -10,6 +10,7 @@
 	"runtime"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -215,6 +216,62 @@
 	})
 })
 
+var _ = ginkgo.Describe("A connection on which a request was refused", func() {
+	request := func(id string) *Request {
+		return &Request{
+			Method: http.MethodGet, Path: "/" + id, Header: http.Header{}, ID: id,
+			Refusal: func(status int, _ http.Header) bool { return status == http.StatusServiceUnavailable },
+		}
+	}
+	// newRefusingServer returns a server that refuses all requests, and the number of its connections.
+	newRefusingServer := func() (netip.AddrPort, *atomic.Int64) {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		accepted := &atomic.Int64{}
+		srv := &http.Server{
+			Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }),
+			ConnState: func(_ net.Conn, s http.ConnState) {
+				if s == http.StateNew {
+					accepted.Add(1)
+				}
+			},
+		}
+		go func() { _ = srv.Serve(ln) }()
+		ginkgo.DeferCleanup(srv.Close)
+		return ln.Addr().(*net.TCPAddr).AddrPort(), accepted
+	}
+	do := func(c *Client, addr netip.AddrPort, id string) {
+		_, err := c.Do(context.Background(), addr, request(id))
+		Expect(err).NotTo(HaveOccurred())
+	}
+
+	// Guards against a refusal that is written again and taken for the response to a later attempt of the same request.
+	ginkgo.It("carries other requests, but not the same one again", func() {
+		addr, accepted := newRefusingServer()
+		c := New()
+		for i := range 10 {
+			do(c, addr, strconv.Itoa(i))
+		}
+		Expect(accepted.Load()).To(Equal(int64(1)))
+		do(c, addr, "3")
+		Expect(accepted.Load()).To(Equal(int64(2)))
+		do(c, addr, "3")
+		Expect(accepted.Load()).To(Equal(int64(3)))
+	})
+
+	ginkgo.It("is closed if requests have no identifier, or after many refusals", func() {
+		addr, accepted := newRefusingServer()
+		c := New()
+		do(c, addr, "")
+		do(c, addr, "")
+		Expect(accepted.Load()).To(Equal(int64(2)))
+		for i := range 2 * maxRefused {
+			do(c, addr, strconv.Itoa(i))
+		}
+		Expect(accepted.Load()).To(Equal(int64(4)))
+	})
+})
+
 // newServerWith returns the address of a server that sends the same bytes as response to each request.
 func newServerWith(response string) netip.AddrPort {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/sequoianode/dialect.go
+++ b/internal/sequoianode/dialect.go
@@ -55,6 +55,9 @@
 	Malformed error
 }
 
+// Refused reports whether the upstream that sent the response did not run the request.
+func (a ResponseAttributes) Refused() bool { return a.NotRun || a.WrongUpstream }
+
 // Announcement is a heartbeat or deregistration sent by an upstream.
 type Announcement struct {
 	Upstream sequoiaowner.Upstream
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -239,10 +239,9 @@
 	n.dialect.PrepareUpstream(h, UpstreamCall{Remaining: remaining, UpstreamID: u.ID, Origin: req.Origin})
 	call := &sequoiahttp.Request{
 		Method: req.Method, Path: req.Path, Host: req.Host, Header: h, Body: req.Body,
-		Matches: func(h http.Header) bool {
-			id := n.dialect.RequestID(h)
-			return id == "" || id == req.RequestID
-		},
+		Matches: func(h http.Header) bool { return req.RequestID == "" || n.dialect.RequestID(h) == req.RequestID },
+		ID:      req.RequestID,
+		Refusal: func(status int, h http.Header) bool { return n.dialect.ReadResponse(status, h).Refused() },
 	}
 	if !req.Repeatable {
 		call.MaxIdle = maxUnsafeIdle
@@ -264,7 +263,7 @@
 		n.quarantine.answered(j, req)
 	}
 	switch {
-	case v.NotRun || v.WrongUpstream:
+	case v.Refused():
 		n.log.Event("upstream refused a request", "RequestID", req.RequestID, "Status", resp.Status, "Key", req.Key)
 		return notRunResponse(reasonUpstreamRefused, upstreamRetryAfter)
 	case !v.Signed && resp.Status < http.StatusMultipleChoices:
--- a/internal/sequoiaproxy/proxy_test.go
+++ b/internal/sequoiaproxy/proxy_test.go
@@ -358,6 +358,31 @@
 		Expect(runs.Load()).To(Equal(int32(1)))
 	})
 
+	// Guards against a caller that is told that its request was not run because its upstream wrote an earlier refusal again.
+	ginkgo.It("takes no refusal that is written again for the answer to a request that ran", func() {
+		p := newProcess(ginkgo.GinkgoTB(), 1)
+		const refusal = "HTTP/1.1 503 X\r\nSequoia-Refused: Shed\r\nContent-Length: 0\r\n\r\n"
+		serveUpstream(ginkgo.GinkgoTB(), p, func(c net.Conn, r *bufio.Reader) {
+			for again := ""; ; {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, again)
+				if again = ""; req.URL.Path == "/shed" {
+					again = refusal
+					_, _ = io.WriteString(c, refusal)
+					continue
+				}
+				reply(c, 200, "ran")
+			}
+		})
+		for range 5 {
+			expectOutcome(p.get("/s/dispatch/shed", nil), 503, "NotRun", sequoiarouter.ReasonShed)
+			expectOutcome(p.get("/s/dispatch/run", nil), 200, "Answered", "")
+		}
+	})
+
 	ginkgo.It("cancels the upstream's request when the caller disconnects", func() {
 		p := newProcess(ginkgo.GinkgoTB(), 1)
 		closed := make(chan struct{})
--- a/internal/sequoiaproxy/upstream.go
+++ b/internal/sequoiaproxy/upstream.go
@@ -106,6 +106,7 @@
 	}
 	return &sequoiahttp.Request{
 		Method: req.Method, Path: req.Path, Host: hostOf(req.Header), Header: h, Body: req.Body,
+		Refusal: func(_ int, h http.Header) bool { return h.Get(headerRefused) != "" },
 	}
 }
 
