Release keys on a connection that carries nothing else

Found while looking for the cause of the report on repeated refusals elsewhere: orders to an upstream name no request either. If a faulty upstream writes the response to a grant once more where the response to a release is due, the release counts as done, without its handover, while work on the keys still runs, and the keys may be granted to another upstream.

A release now has a connection of its own, which is closed after it; releases are rare. A grant still shares connections: a repeated acceptance of a grant leads to requests that the upstream refuses, a repeated rejection to a new fence.

--- a/internal/sequoiahttp/exchange.go
+++ b/internal/sequoiahttp/exchange.go
@@ -101,6 +101,9 @@
 	// response once more where the next one is due, so its connection is not used for a request with the same ID again,
 	// and not at all if the request has no ID.
 	Refusal func(status int, h http.Header) bool
+	// OwnConnection makes the request use a connection that carries nothing else. Use it if a response names no request
+	// and must not be mistaken for an earlier one that the server writes again.
+	OwnConnection bool
 	// OnConnected, if set, is called once the request has a connection, before a byte of it is sent.
 	OnConnected func()
 	// MaxIdle, if positive, is the maximum idle time of a reused connection.
@@ -206,7 +209,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { c.interrupt(cn) })
 	resp, reusable, err := c.exchange(cn, hr, req)
-	if !stop() {
+	if !stop() || req.OwnConnection {
 		reusable = false
 	}
 	if c.reuseCancelled && err != nil && ctx.Err() != nil {
@@ -260,7 +263,7 @@
 
 func (c *Client) get(ctx context.Context, addr netip.AddrPort, req *Request) (*conn, error) {
 	maxIdle := min(cmp.Or(req.MaxIdle, maxIdleTime), maxIdleTime)
-	for {
+	for !req.OwnConnection {
 		cn := c.pop(addr, req.ID)
 		if cn == nil {
 			break
--- a/internal/sequoianode/orders.go
+++ b/internal/sequoianode/orders.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiahttp"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
@@ -84,23 +83,32 @@
 	return o, nil
 }
 
-// sendCommand sends a grant or release request to the upstream. err is the error from building the request, which is
-// returned unchanged.
-func (n *Node) sendCommand(
-	ctx context.Context, timeout time.Duration, req *sequoiahttp.Request, err error,
-) (*sequoiahttp.Response, error) {
+// sendGrant sends a grant request to the upstream.
+func (n *Node) sendGrant(ctx context.Context, g sequoiaowner.Grant) (*sequoiahttp.Response, error) {
+	req, err := n.dialect.Grant(g)
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+	defer cancel()
+	return n.commandClient.Do(ctx, n.settings.Upstream, req)
+}
+
+// sendRelease sends a release request to the upstream, on a connection that carries nothing else.
+func (n *Node) sendRelease(ctx context.Context, r sequoiaowner.Release) (*sequoiahttp.Response, error) {
+	req, err := n.dialect.Release(r)
+	if err != nil {
+		return nil, err
+	}
+	req.OwnConnection = true
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	return n.commandClient.Do(ctx, n.settings.Upstream, req)
 }
 
 // grant sends a grant to the upstream and records the result.
 func (n *Node) grant(ctx context.Context, g sequoiaowner.Grant) {
-	req, err := n.dialect.Grant(g)
-	resp, err := n.sendCommand(ctx, grantTimeout, req, err)
+	resp, err := n.sendGrant(ctx, g)
 	confirmed := err == nil && resp.Status == http.StatusOK
 	fenced := err == nil && n.dialect.Fenced(resp.Status)
 	n.mu.Lock()
@@ -121,8 +129,7 @@
 
 // release asks the upstream to release keys and records the result.
 func (n *Node) release(ctx context.Context, r sequoiaowner.Release) {
-	req, err := n.dialect.Release(r)
-	resp, err := n.sendCommand(ctx, releaseTimeout, req, err)
+	resp, err := n.sendRelease(ctx, r)
 	confirmed := err == nil && resp.Status == http.StatusOK
 	handover := ""
 	if confirmed {
