Give no keys to a member entry that no process has written

What callers saw, in a test of ours: requests for a part of the keys were refused for good, because another writer had left an entry among those of the processes that could be read, but had no address, a wrong one or no slots; its upstream was given keys. Deep nesting, numbers too large and ports out of range were rejected before, and ended no process.

Cause: an entry was a member as soon as it could be decoded. The class of fault: data of others is checked for its form, not for what its use needs.

Change: an entry needs a lease, a process, an address that can be connected to, and, if it names an upstream, a service and 1 to 65,536 slots. A process whose own entry another writer has replaced writes it again.

Looked through beside it: an entry's bytes are decoded one by one, so an odd one does not hide the others of a list; registration records are used for their revisions only; the table, the configuration and the quarantine records are decoded strictly and keep what was there.

A body without a length that ends with an orderly close cannot be told from a whole one.

--- a/internal/sequoiahttp/response_test.go
+++ b/internal/sequoiahttp/response_test.go
@@ -272,6 +272,52 @@
 	})
 })
 
+var _ = ginkgo.Describe("A response that is cut off", func() {
+	const head = "HTTP/1.1 200 OK\r\nAttempt: 7\r\nSignature: s\r\n"
+
+	// serveOnce accepts one connection, reads a request, sends the bytes and closes.
+	serveOnce := func(ln net.Listener, response string) {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, response)
+		}
+	}
+
+	// Guards against a caller that gets a success with an empty or short body because its upstream broke off.
+	ginkgo.DescribeTable("at any byte is no response",
+		func(response string, complete int) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			ginkgo.DeferCleanup(ln.Close)
+			addr := ln.Addr().(*net.TCPAddr).AddrPort()
+			for n := range complete {
+				go serveOnce(ln, response[:n])
+				c := New(WithResponsesUntilClose())
+				resp, err := c.Do(context.Background(), addr, &Request{Method: http.MethodGet, Path: "/", Header: http.Header{}})
+				Expect(err).To(HaveOccurred(), "cut after %d bytes: %q, got %v", n, response[:n], resp)
+				Expect(NotSent(err)).To(BeFalse())
+			}
+			go serveOnce(ln, response)
+			c := New(WithResponsesUntilClose())
+			resp, err := c.Do(context.Background(), addr, &Request{Method: http.MethodGet, Path: "/", Header: http.Header{}})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(resp.Body)).To(Equal("0123456789"))
+		},
+		ginkgo.Entry("with a length", head+"Content-Length: 10\r\n\r\n0123456789", len(head+"Content-Length: 10\r\n\r\n0123456789")),
+		ginkgo.Entry("in chunks", head+"Transfer-Encoding: chunked\r\n\r\n6\r\n012345\r\n4\r\n6789\r\n0\r\n\r\n",
+			len(head+"Transfer-Encoding: chunked\r\n\r\n6\r\n012345\r\n4\r\n6789\r\n0\r\n\r\n")),
+		ginkgo.Entry("in the head of one that ends with its connection", head+"\r\n0123456789", len(head+"\r\n")),
+		ginkgo.Entry("with a length, after an informational response", "HTTP/1.1 103 X\r\n\r\n"+head+"Content-Length: 10\r\n\r\n0123456789",
+			len("HTTP/1.1 103 X\r\n\r\n"+head+"Content-Length: 10\r\n\r\n0123456789")),
+		ginkgo.Entry("with bare line feeds", strings.ReplaceAll(head, "\r", "")+"Content-Length: 10\n\n0123456789",
+			len(strings.ReplaceAll(head, "\r", "")+"Content-Length: 10\n\n0123456789")),
+	)
+})
+
 // newServerWith returns the address of a server that sends the same bytes as response to each request.
 func newServerWith(response string) netip.AddrPort {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/sequoianode/dialect.go
+++ b/internal/sequoianode/dialect.go
@@ -58,6 +58,9 @@
 // Refused reports whether the upstream that sent the response did not run the request.
 func (a ResponseAttributes) Refused() bool { return a.NotRun || a.WrongUpstream }
 
+// MaxSlots is the largest number of slots that an upstream may announce. The length of its queue is a multiple of it.
+const MaxSlots = 1 << 16
+
 // Announcement is a heartbeat or deregistration sent by an upstream.
 type Announcement struct {
 	Upstream sequoiaowner.Upstream
--- a/internal/sequoianode/sync.go
+++ b/internal/sequoianode/sync.go
@@ -236,7 +236,7 @@
 	m, err := decodeMember(it)
 	if err != nil {
 		n.log.Event("member rejected", "Member", instance, "Revision", it.Revision, "Error", err)
-		return false
+		return instance == n.settings.Instance
 	}
 	n.core.SetMember(now, n.directory.withLeaving(m))
 	own := n.ownMember()
@@ -246,14 +246,25 @@
 // errMember reports a member entry that cannot be read.
 var errMember = errors.New("malformed member entry")
 
-// decodeMember decodes a member's entry.
+// decodeMember decodes a member's entry. It returns errMember if no process has written it: an upstream that does not
+// exist would be given keys and requests.
 func decodeMember(it sequoiaregistry.Item) (sequoiaowner.Member, error) {
 	m := sequoiaowner.Member{}
 	if err := json.Unmarshal(it.Value, &m); err != nil {
 		return m, errors.Wrap(errMember, err.Error())
 	}
-	if m.Instance != strings.TrimPrefix(it.Key, memberPrefix) {
+	u, ip := m.Upstream, m.Address.Addr()
+	switch {
+	case m.Instance != strings.TrimPrefix(it.Key, memberPrefix):
 		return m, errors.Wrapf(errMember, "the entry %s is of instance %q", it.Key, m.Instance)
+	case it.Lease == 0:
+		return m, errors.Wrapf(errMember, "the entry %s is under no lease", it.Key)
+	case m.Process == "":
+		return m, errors.Wrapf(errMember, "the entry %s names no process", it.Key)
+	case !m.Address.IsValid() || m.Address.Port() == 0 || ip.IsUnspecified() || ip.IsMulticast():
+		return m, errors.Wrapf(errMember, "the entry %s has address %q", it.Key, m.Address)
+	case u.ID != "" && (u.Service == "" || u.Slots <= 0 || u.Slots > MaxSlots):
+		return m, errors.Wrapf(errMember, "the entry %s has service %q and %d slots", it.Key, u.Service, u.Slots)
 	}
 	m.Revision = it.Revision
 	return m, nil
