End kept connections of `run` with a truthful refusal at a planned stop

What callers saw: a request that no upstream ran was reported as one that may have run.

Cause: the process closed its kept connections after 150 ms without a request, while callers use each of them about every 225 ms; the failed requests had been sent 1 ms after that time, or arrived late on a busy machine. No wait is long enough: a close may always cross a request.

Change: at the end of a drain the front writes 408 with Sequoia-Outcome: NotRun on idle connections, runs nothing more on them and reads on until the client closes, at most 0.5 s. For `run` only.

--- a/internal/sequoiafront/conn.go
+++ b/internal/sequoiafront/conn.go
@@ -23,6 +23,8 @@
 	mu      sync.Mutex
 	jobs    []func()
 	running bool
+	// refusing is true once the server has refused further requests. What arrives after that is not run.
+	refusing bool
 	// idle is signaled when running becomes false.
 	idle sync.Cond
 }
@@ -59,7 +61,7 @@
 	for err == nil {
 		var n int
 		n, err = c.Read(b)
-		if n == 0 {
+		if n == 0 || c.isRefusing() {
 			continue
 		}
 		if parseErr := c.parser.Parse(b[:n]); parseErr != nil {
@@ -73,6 +75,30 @@
 	c.waitIdle()
 }
 
+func (c *serverConn) isRefusing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refusing
+}
+
+// refuseRequests writes a response that refuses any request that may be on its way, unless one is in progress, and ends
+// the connection once the client has closed its side.
+func (c *serverConn) refuseRequests(response []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.running || c.refusing {
+		return
+	}
+	c.refusing = true
+	go func() {
+		_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+		_, _ = c.Write(response)
+		if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+			_ = half.CloseWrite()
+		}
+	}()
+}
+
 // waitIdle waits until no handler is running or queued.
 func (c *serverConn) waitIdle() {
 	c.mu.Lock()
@@ -95,6 +121,9 @@
 func (c *serverConn) enqueue(job func()) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.refusing {
+		return false
+	}
 	if len(c.jobs) >= maxPipelined {
 		_ = c.Close()
 		return false
--- a/internal/sequoiafront/front.go
+++ b/internal/sequoiafront/front.go
@@ -3,6 +3,7 @@
 package sequoiafront
 
 import (
+	"bytes"
 	"net"
 	"net/http"
 	"net/netip"
@@ -37,13 +38,18 @@
 	// last response before that has had time to send the next request on the same connection, and to be told to close it.
 	drainSettleTime   = 150 * time.Millisecond
 	drainPollInterval = 5 * time.Millisecond
+	// lingerTime is how long the server still reads from a connection that it has refused further requests on.
+	// Closing it with unread bytes would discard the refusal on its way to the client.
+	lingerTime = 500 * time.Millisecond
 	// acceptRetryDelay is the delay after a failed accept, for example when the process is out of file descriptors.
 	acceptRetryDelay = 20 * time.Millisecond
 )
 
 // Server is a set of listeners that share one count of requests in progress.
 type Server struct {
-	maxBody    int
+	maxBody int
+	// refusal is the response that ends an idle connection in a drain, nil to end it without one.
+	refusal    []byte
 	inProgress atomic.Int64
 	openConns  sync.WaitGroup
 	// draining is true once Drain has been called.
@@ -55,9 +61,27 @@
 	conns     map[*serverConn]struct{}
 }
 
+// Option changes a setting of a Server.
+type Option func(*Server)
+
+// WithRefusal makes Drain end idle connections with a response that says that the request was not run, with status 408
+// and the header. A client that has sent a request meanwhile takes it for the response, and the request was not run; one
+// that has not takes the connection for closed (RFC 9110, section 15.5.9).
+func WithRefusal(h http.Header) Option {
+	var b bytes.Buffer
+	b.WriteString(statusLine(http.StatusRequestTimeout))
+	_ = h.Write(&b) // A Buffer never returns an error.
+	b.WriteString("Connection: close\r\nContent-Length: 0\r\n\r\n")
+	return func(s *Server) { s.refusal = b.Bytes() }
+}
+
 // New returns a Server that rejects request bodies above maxBody bytes.
-func New(maxBody int) *Server {
-	return &Server{maxBody: maxBody, conns: map[*serverConn]struct{}{}}
+func New(maxBody int, opts ...Option) *Server {
+	s := &Server{maxBody: maxBody, conns: map[*serverConn]struct{}{}}
+	for _, o := range opts {
+		o(s)
+	}
+	return s
 }
 
 // AddInProgress adds n to the count of requests in progress, for requests that arrive by other means.
@@ -66,8 +90,9 @@
 // InProgress returns the number of requests in progress.
 func (s *Server) InProgress() int { return int(s.inProgress.Load()) }
 
-// Drain prepares Close: it stops accepting connections, tells clients to close theirs, and returns once no request has
-// been in progress for drainSettleTime, or after limit. Without it, Close cuts off requests that have just arrived.
+// Drain prepares Close: it stops accepting connections, tells clients to close theirs, waits until no request has been in
+// progress for drainSettleTime, and refuses further requests on the connections that are left, if WithRefusal is set. It
+// returns after limit at the latest. Without it, Close cuts off requests that have just arrived.
 func (s *Server) Drain(limit time.Duration) {
 	s.draining.Store(true)
 	s.closeListeners()
@@ -78,6 +103,22 @@
 		}
 		time.Sleep(drainPollInterval)
 	}
+	if s.refusal == nil {
+		return
+	}
+	for time.Now().Before(end) && s.refuseRequests() {
+		time.Sleep(drainPollInterval)
+	}
+}
+
+// refuseRequests ends the idle connections. It reports whether connections are left.
+func (s *Server) refuseRequests() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.refuseRequests(s.refusal)
+	}
+	return len(s.conns) > 0
 }
 
 func (s *Server) closeListeners() {
--- a/internal/sequoiafront/front_test.go
+++ b/internal/sequoiafront/front_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -202,6 +204,31 @@
 		}
 	})
 
+	// Guards against a request that is cut off because it crosses the close of its connection (i7-signal-in-progress: a
+	// caller that sends a request every 225 ms was told that the request may have run).
+	ginkgo.It("answers or refuses every request on the connections of clients that pause between requests", func() {
+		var cutOff, answered, refused atomic.Int64
+		for range 10 {
+			s := sequoiafront.New(1<<20, sequoiafront.WithRefusal(http.Header{"Outcome": {"NotRun"}}))
+			addr, err := s.Listen(netip.MustParseAddrPort(serverAddress), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				sequoiafront.WriteResponse(w, r, http.StatusOK, []byte("whole"))
+			}))
+			Expect(err).NotTo(HaveOccurred())
+			var clients sync.WaitGroup
+			for i := range 200 {
+				clients.Go(func() {
+					sendAfterPause(addr, 150*time.Millisecond+time.Duration(i)*time.Millisecond/2, &answered, &refused, &cutOff)
+				})
+			}
+			time.Sleep(50 * time.Millisecond)
+			s.Drain(2 * time.Second)
+			s.Close()
+			clients.Wait()
+		}
+		Expect(answered.Load()).To(BeNumerically(">", 0))
+		Expect(cutOff.Load()).To(BeZero(), "%d requests were answered, %d refused", answered.Load(), refused.Load())
+	})
+
 	ginkgo.It("ends after its limit if a request does not end", func() {
 		s := sequoiafront.New(1 << 20)
 		ginkgo.DeferCleanup(s.Close)
@@ -212,6 +239,48 @@
 	})
 })
 
+// latency is the time from when a client decides to use a connection until its request arrives.
+const latency = 5 * time.Millisecond
+
+// sendAfterPause sends a request, and a second one after a pause on the same connection unless that has been closed.
+func sendAfterPause(addr netip.AddrPort, pause time.Duration, answered, refused, cutOff *atomic.Int64) {
+	c, err := dialFrom(addr, clientOctet)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	responses := bufio.NewReader(c)
+	for n := range 2 {
+		if n > 0 {
+			time.Sleep(pause)
+		}
+		_ = c.SetReadDeadline(time.Now().Add(time.Millisecond))
+		if _, err := responses.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
+			return // The server has closed the connection or refused further requests.
+		}
+		time.Sleep(latency)
+		_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		_, writeErr := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		resp, err := http.ReadResponse(responses, nil)
+		switch {
+		case writeErr != nil || err != nil:
+			cutOff.Add(1)
+			return
+		case resp.StatusCode == http.StatusRequestTimeout && resp.Header.Get("Outcome") == "NotRun":
+			refused.Add(1)
+			return
+		}
+		if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "whole" {
+			cutOff.Add(1)
+			return
+		}
+		answered.Add(1)
+		if resp.Close {
+			return
+		}
+	}
+}
+
 // keepSending sends one request after another on one connection until it is told to close the connection.
 func keepSending(addr netip.AddrPort, answered, cutOff *atomic.Int64) {
 	c, err := dialFrom(addr, clientOctet)
--- a/internal/sequoiaproxy/proxy.go
+++ b/internal/sequoiaproxy/proxy.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -105,7 +106,9 @@
 	for _, o := range opts {
 		o(p)
 	}
-	p.server = sequoiafront.New(p.maxBody)
+	p.server = sequoiafront.New(p.maxBody, sequoiafront.WithRefusal(http.Header{
+		headerOutcome: {sequoiarouter.NotRun.String()}, headerReason: {sequoiarouter.ReasonDraining},
+	}))
 	p.upstream = sequoiahttp.New(append(p.removedSafeguards.clientOptions(), sequoiahttp.WithMaxResponse(p.maxResponse))...)
 	p.metrics = newMetrics(p.registry, router)
 	p.stopped.Go(p.run)
