Do not run requests that were cancelled while the process was stalled

Cause shown by a test: a process that does not run for a while, paused or without processor time, finds the requests and what came after them, cancellations and the ends of connections, in its sockets. It handled them in this order and passed a request on to its upstream before it had read that its client was gone.

Change: a process that has made no liveness check for three intervals waits 10 ms before it runs a request that it reads, and runs none whose context has ended meanwhile.

--- a/internal/sequoiapeer/forward.go
+++ b/internal/sequoiapeer/forward.go
@@ -59,6 +59,11 @@
 	readBuffer = 32 << 10
 	// maxWriteBuffer limits in bytes the data buffered for a peer that does not read.
 	maxWriteBuffer = 4 * MaxFrame
+	// stallChecks is the number of intervals without a liveness check after which this process counts as stalled.
+	stallChecks = 3
+	// resumeDelay is how long a process that was stalled waits before it runs a request. Meanwhile it reads what has
+	// arrived after the request, which may be its cancellation or the end of the connection.
+	resumeDelay = 10 * time.Millisecond
 	// maxPooledBuffer is the largest encoding buffer in bytes that is kept for reuse.
 	maxPooledBuffer = 64 << 10
 )
@@ -103,6 +108,8 @@
 	// opening tracks the goroutines that accept or dial connections, running those that serve requests.
 	opening, running sync.WaitGroup
 	unauthenticated  atomic.Int64
+	// lastCheck is the boot time of the latest liveness check, in nanoseconds.
+	lastCheck atomic.Int64
 
 	mu     sync.Mutex
 	conns  map[*forwardConn]struct{}
@@ -192,6 +199,7 @@
 	if err := loops.AwaitStart(); err != nil {
 		return nil, err
 	}
+	f.lastCheck.Store(sequoiatimer.BootTime().UnixNano())
 	f.checks = f.timers.Every(f.interval, func(time.Time) { f.checkConnections() })
 	return f, nil
 }
@@ -563,7 +571,13 @@
 	}
 }
 
+// stalled reports whether this process did not run for a while until now: it was paused, or had no processor time.
+func (f *Forwarder) stalled() bool {
+	return sequoiatimer.BootTime().UnixNano()-f.lastCheck.Load() > int64(f.checksDuration(stallChecks))
+}
+
 func (f *Forwarder) checkConnections() {
+	f.lastCheck.Store(sequoiatimer.BootTime().UnixNano())
 	for _, c := range f.connections() {
 		c.check()
 	}
--- a/internal/sequoiapeer/forward_test.go
+++ b/internal/sequoiapeer/forward_test.go
@@ -545,3 +545,92 @@
 		Expect(err).To(MatchError(ErrClosed))
 	})
 })
+
+// holdingDial returns a dial function whose connections hold back what the client sends, its close included, while held
+// is true. What was held is delivered in order, with a pause between the pieces.
+func holdingDial(held *atomic.Bool) func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	const pause = time.Millisecond
+	return func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+		far, err := dialTCP(ctx, addr)
+		if err != nil {
+			return nil, err
+		}
+		listener, err := net.Listen("tcp", loopback.String())
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close()
+		conn, err := dialTCP(ctx, listener.Addr().(*net.TCPAddr).AddrPort())
+		if err != nil {
+			return nil, err
+		}
+		accepted, err := listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		pieces := make(chan []byte, 64)
+		go func() {
+			defer close(pieces)
+			for {
+				b := make([]byte, 4096)
+				n, err := accepted.Read(b)
+				if err != nil {
+					return
+				}
+				pieces <- b[:n]
+			}
+		}()
+		go func() {
+			defer far.Close()
+			for piece := range pieces {
+				for held.Load() {
+					time.Sleep(pause)
+				}
+				_, _ = far.Write(piece)
+				time.Sleep(pause)
+			}
+			for held.Load() {
+				time.Sleep(pause)
+			}
+		}()
+		go func() {
+			defer accepted.Close()
+			_, _ = io.Copy(accepted, far)
+		}()
+		return conn, nil
+	}
+}
+
+var _ = ginkgo.Describe("A process that was stalled", func() {
+	// Guards against requests that run after their clients have left, because the process did not run when they arrived
+	// (grown Pinehollow, "mix --seed 634312888970": 0.6 s after the client had gone).
+	ginkgo.It("does not run requests that were cancelled meanwhile, and runs the others", func() {
+		var run atomic.Int64
+		server := startForwarder(testKey, func(ctx context.Context, req *sequoiarouter.Request) *sequoiarouter.Response {
+			run.Add(1)
+			return echo(ctx, req)
+		})
+		var held atomic.Bool
+		client := startForwarder(testKey, nil)
+		client.Dial = holdingDial(&held)
+		_, err := client.Forward(context.Background(), server.Addr(), request("first", time.Second))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(run.Load()).To(Equal(int64(1)))
+
+		held.Store(true)
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		_, err = client.Forward(ctx, server.Addr(), request("cancelled", time.Second))
+		Expect(err).To(MatchError(ErrUnknown))
+		answered := make(chan error, 1)
+		go func() {
+			_, err := client.Forward(context.Background(), server.Addr(), request("waiting", 2*time.Second))
+			answered <- err
+		}()
+		time.Sleep(100 * time.Millisecond)
+		server.lastCheck.Store(0)
+		held.Store(false)
+		Eventually(answered, "2s").Should(Receive(BeNil()))
+		Expect(run.Load()).To(Equal(int64(2)))
+	})
+})
--- a/internal/sequoiapeer/forwardconn.go
+++ b/internal/sequoiapeer/forwardconn.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
 
 const (
@@ -489,7 +490,13 @@
 		cancel()
 		return c.respond(fr.number, &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: "TooManyRequests"})
 	}
-	c.forwarder.running.Go(func() { c.serve(ctx, fr.number, req) })
+	stalled := c.forwarder.stalled()
+	c.forwarder.running.Go(func() {
+		if stalled {
+			_ = sequoiatimer.Sleep(ctx, resumeDelay)
+		}
+		c.serve(ctx, fr.number, req)
+	})
 	return nil
 }
 
@@ -515,7 +522,12 @@
 }
 
 func (c *forwardConn) serve(ctx context.Context, number uint64, req *sequoiarouter.Request) {
-	resp := c.forwarder.Serve(ctx, req)
+	var resp *sequoiarouter.Response
+	if ctx.Err() == nil {
+		resp = c.forwarder.Serve(ctx, req)
+	} else {
+		resp = &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: "Cancelled"}
+	}
 	c.mu.Lock()
 	cancel := c.serving[number]
 	delete(c.serving, number)
