Count a process as stalled also after its first check

The process now counts as stalled for one more interval.

Test, which failed before: the entry "if it makes a liveness check first".

--- a/internal/sequoiapeer/forward.go
+++ b/internal/sequoiapeer/forward.go
@@ -108,8 +108,9 @@
 	// opening tracks the goroutines that accept or dial connections, running those that serve requests.
 	opening, running sync.WaitGroup
 	unauthenticated  atomic.Int64
-	// lastCheck is the boot time of the latest liveness check, in nanoseconds.
-	lastCheck atomic.Int64
+	// lastCheck is the boot time of the latest liveness check, and resumed that of the latest one after which this process
+	// counted as stalled, both in nanoseconds.
+	lastCheck, resumed atomic.Int64
 
 	mu     sync.Mutex
 	conns  map[*forwardConn]struct{}
@@ -571,13 +572,17 @@
 	}
 }
 
-// stalled reports whether this process did not run for a while until now: it was paused, or had no processor time.
+// stalled reports whether this process did not run for a while until just now: it was paused, or had no processor time.
 func (f *Forwarder) stalled() bool {
-	return sequoiatimer.BootTime().UnixNano()-f.lastCheck.Load() > int64(f.checksDuration(stallChecks))
+	now := sequoiatimer.BootTime().UnixNano()
+	return now-f.lastCheck.Load() > int64(f.checksDuration(stallChecks)) || now-f.resumed.Load() < int64(f.interval)
 }
 
 func (f *Forwarder) checkConnections() {
-	f.lastCheck.Store(sequoiatimer.BootTime().UnixNano())
+	now := sequoiatimer.BootTime().UnixNano()
+	if now-f.lastCheck.Swap(now) > int64(f.checksDuration(stallChecks)) {
+		f.resumed.Store(now)
+	}
 	for _, c := range f.connections() {
 		c.check()
 	}
--- a/internal/sequoiapeer/forward_test.go
+++ b/internal/sequoiapeer/forward_test.go
@@ -604,7 +604,7 @@
 var _ = ginkgo.Describe("A process that was stalled", func() {
 	// Guards against requests that run after their clients have left, because the process did not run when they arrived
 	// (grown Pinehollow, "mix --seed 634312888970": 0.6 s after the client had gone).
-	ginkgo.It("does not run requests that were cancelled meanwhile, and runs the others", func() {
+	ginkgo.DescribeTable("does not run requests that were cancelled meanwhile, and runs the others", func(checksFirst bool) {
 		var run atomic.Int64
 		server := startForwarder(testKey, func(ctx context.Context, req *sequoiarouter.Request) *sequoiarouter.Response {
 			run.Add(1)
@@ -629,8 +629,14 @@
 		}()
 		time.Sleep(100 * time.Millisecond)
 		server.lastCheck.Store(0)
+		if checksFirst {
+			server.checkConnections()
+		}
 		held.Store(false)
 		Eventually(answered, "2s").Should(Receive(BeNil()))
 		Expect(run.Load()).To(Equal(int64(2)))
-	})
+	},
+		ginkgo.Entry("if it reads them first", false),
+		ginkgo.Entry("if it makes a liveness check first", true),
+	)
 })
