Await the run of a request before its number is used again in the test

Cause: the spec writes the same request twice at once. The second one ends the connection, and since a request whose connection has ended before it is run is not run. That is right: its client gets no response. So the spec asked for a run that is not promised.

Change: the spec awaits the run of the first request before it writes the second, and then checks that there is no other run. Both at once have a spec of their own, which allows one run at most. The invalid frame is now checked to run nothing by itself.

--- a/internal/sequoiapeer/forward_test.go
+++ b/internal/sequoiapeer/forward_test.go
@@ -314,14 +314,29 @@
 		b[headerSize+5]++
 		r.write(b)
 		r.expectClosed()
+		Consistently(runs.Load, "100ms").Should(BeZero())
 		r = rawClient(server)
-		r.write(append(requestFrame(1), requestFrame(1)...))
-		r.expectClosed()
+		r.write(requestFrame(1))
 		Eventually(runs.Load).Should(Equal(int64(1)))
+		r.write(requestFrame(1))
+		r.expectClosed()
 		Consistently(runs.Load, "100ms").Should(Equal(int64(1)))
 		Expect(server.Stats().Invalid).To(Equal(uint64(2)))
 	})
 
+	ginkgo.It("runs a request at most once whose number is used again before it is run", func() {
+		var runs atomic.Int64
+		server := startForwarder(testKey, func(ctx context.Context, req *sequoiarouter.Request) *sequoiarouter.Response {
+			runs.Add(1)
+			return echo(ctx, req)
+		})
+		r := rawClient(server)
+		r.write(append(requestFrame(1), requestFrame(1)...))
+		r.expectClosed()
+		Consistently(runs.Load, "100ms").Should(BeNumerically("<=", 1))
+		Expect(server.Stats().Invalid).To(Equal(uint64(1)))
+	})
+
 	ginkgo.It("returns ErrNotSent if the shared keys differ, and rejects the peer on both sides", func() {
 		server := startForwarder(testKey, echo)
 		client := startForwarder(otherKey, nil)
