Pass table updates on through groups of processes

Cause: the writer sends each change of the table to all 66 others itself.

Change: a process sends an update to at most eight groups, to one process of each with the addresses of the others, which passes it on in the same way. If that process does not take it, the next one of the group gets it. Members whose entry has disappeared for 15 s get none. Up to eight others, as on the small sites, get it directly as before.

Ruled out: limiting changes as whole tables are limited; each process needs them at once, since requests to earlier owners are refused.

Older processes ignore the addresses; those behind them learn of the revision from responses.

Tests: sequoianode "a broadcast of a table update".

--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -376,8 +376,10 @@
 		n.fetchTable(ctx, instance)
 		return true
 	}
-	if u, ok := n.updateSince(revision); ok {
-		n.broadcastUpdate(context.WithoutCancel(ctx), u, []string{instance})
+	if addr, reachable := n.directory.address(instance); reachable {
+		if u, ok := n.updateSince(revision); ok {
+			n.broadcastUpdate(context.WithoutCancel(ctx), u, []netip.AddrPort{addr})
+		}
 	}
 	return sequoiatimer.Sleep(ctx, tableRetryDelay) == nil
 }
--- a/internal/sequoianode/commit.go
+++ b/internal/sequoianode/commit.go
@@ -135,7 +135,7 @@
 	}
 	n.notifyOwnershipChanged()
 	n.mu.Unlock()
-	n.broadcastUpdate(context.Background(), u, n.directory.instances())
+	n.broadcastUpdate(context.Background(), u, n.directory.others())
 }
 
 // fetchTables fetches newer tables from all other processes. It reports whether there was one.
--- a/internal/sequoianode/directory.go
+++ b/internal/sequoianode/directory.go
@@ -148,6 +148,33 @@
 	return slices.Collect(maps.Keys(d.peers))
 }
 
+// isOther reports whether a peer is another process that probably runs: it is not marked unreachable, and its entry is
+// there or has disappeared only recently. The caller must hold mu.
+func (d *directory) isOther(now time.Time, instance string, p *peer) bool {
+	return instance != d.settings.Instance && !now.Before(p.unreachableUntil) &&
+		(p.removedAt.IsZero() || now.Sub(p.removedAt) < unreachableTimeout)
+}
+
+// others returns the addresses of the other processes, those of a failure domain next to each other, in an order that is
+// random otherwise.
+func (d *directory) others() []netip.AddrPort {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	byDomain := map[string][]netip.AddrPort{}
+	for instance, p := range d.peers {
+		if d.isOther(now, instance, p) {
+			byDomain[p.member.Domain] = append(byDomain[p.member.Domain], p.member.Address)
+		}
+	}
+	var all []netip.AddrPort
+	for _, addrs := range byDomain {
+		rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+		all = append(all, addrs...)
+	}
+	return all
+}
+
 // randomPeers returns the addresses of up to n other processes in random order.
 func (d *directory) randomPeers(n int) []netip.AddrPort {
 	d.mu.Lock()
@@ -155,7 +182,7 @@
 	now := time.Now()
 	var all []netip.AddrPort
 	for instance, p := range d.peers {
-		if instance != d.settings.Instance && !now.Before(p.unreachableUntil) && (p.removedAt.IsZero() || now.Sub(p.removedAt) < unreachableTimeout) {
+		if d.isOther(now, instance, p) {
 			all = append(all, p.member.Address)
 		}
 	}
--- a/internal/sequoianode/peer.go
+++ b/internal/sequoianode/peer.go
@@ -63,7 +63,8 @@
 // errMessageNotHandled reports that another process could not handle a message.
 var errMessageNotHandled = errors.New("the other process could not handle the message")
 
-// sendMessage sends a message to another process and returns the response.
+// sendMessage sends a message to another process and returns the response. With errMessageNotHandled, it returns the
+// rejection as well.
 func (n *Node) sendMessage(
 	ctx context.Context, addr netip.AddrPort, timeout time.Duration, req *sequoiarouter.Request,
 ) (*sequoiarouter.Response, error) {
@@ -73,7 +74,7 @@
 		return nil, err
 	}
 	if resp.Outcome != sequoiarouter.Answered {
-		return nil, errors.Wrap(errMessageNotHandled, resp.Reason)
+		return resp, errors.Wrap(errMessageNotHandled, resp.Reason)
 	}
 	return resp, nil
 }
@@ -84,6 +85,7 @@
 	case req.Path == pathLoad:
 		return okResponse(json.Marshal(n.currentLoadReport()))
 	case req.Path == pathTable:
+		n.passUpdateOn(req)
 		if !n.applyUpdate(req.Body) {
 			return n.notRunResponseWithLoad(reasonNotOwner, 0)
 		}
@@ -213,23 +215,6 @@
 	return &sequoiarouter.Response{Outcome: sequoiarouter.Answered, Status: http.StatusOK, Body: body}
 }
 
-// broadcast sends a message to other processes without waiting for responses. A process that misses a table update
-// recovers through fetchIfNewer.
-func (n *Node) broadcast(ctx context.Context, instances []string, req *sequoiarouter.Request) {
-	for _, instance := range instances {
-		addr, ok := n.directory.address(instance)
-		if !ok || instance == n.settings.Instance {
-			continue
-		}
-		msg := *req
-		go func() {
-			if _, err := n.sendMessage(ctx, addr, peerTimeout, &msg); err != nil {
-				n.metrics.messagesLost.Inc()
-			}
-		}()
-	}
-}
-
 // fetchLoad fetches the load report of a member's process.
 func (b *balancer) fetchLoad(ctx context.Context, m sequoiaowner.Member) (loadReport, bool) {
 	resp, err := b.node.sendMessage(ctx, m.Address, peerTimeout, &sequoiarouter.Request{Path: pathLoad, Method: http.MethodGet})
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -169,8 +169,8 @@
 	}
 }
 
-// admit waits until the request may run, beside no other one with alone if that is true for it. It returns an empty reason on admission, otherwise the reason of the rejection
-// and the Retry-After time.
+// admit waits until the request may run. With alone, it runs beside no other request with alone. admit returns an empty
+// reason on admission, otherwise the reason of the rejection and the Retry-After time.
 func (n *Node) admit(ctx context.Context, req *sequoiarouter.Request, alone bool) (*sequoiaadmission.Ticket, string, time.Duration) {
 	type decision struct {
 		reason     string
--- a/internal/sequoianode/update.go
+++ b/internal/sequoianode/update.go
@@ -199,16 +199,6 @@
 	n.notifyOwnershipChanged()
 }
 
-// broadcastUpdate sends an update to other processes without waiting for responses.
-func (n *Node) broadcastUpdate(ctx context.Context, u update, instances []string) {
-	body, err := cbor.Marshal(u)
-	if err != nil {
-		n.log.Event("failed to encode a table update", "Error", err)
-		return
-	}
-	n.broadcast(ctx, instances, &sequoiarouter.Request{Path: pathTable, Method: http.MethodPost, Body: body})
-}
-
 // awaitRevision waits for an update that another process is already sending. It reports whether the local table reached
 // the revision in time.
 func (n *Node) awaitRevision(ctx context.Context, revision uint64) bool {
