Count requests whose callers have left before their upstream ended

Cause: the upstream ends about 0.1 s after it has begun the request. A cancelled request was no longer in progress by then, so it got no strike; others beside it did.

Change: a request whose caller has left, or whose deadline has passed, counts as in progress until the upstream has answered one that began a second later. A suspect keeps its slot for that second, so that no other suspect starts beside it.

Ruled out: forgetting it after a fixed time without an answer; an idle process learns of the end of its upstream only with the next request or announcement.

In the unit test of Runs the entry "/cancelled" stood for a request that was not sent, and is now named so.

--- a/internal/sequoianode/crash.go
+++ b/internal/sequoianode/crash.go
@@ -62,15 +62,17 @@
 	return r
 }
 
-// endRun records the end of a run without a response. lost is true if its connection was lost. r is nil if the request got
-// no connection.
-func (n *Node) endRun(r *run, lost bool) {
+// endRun records the end of a run without a response. r is nil if the request got no connection.
+func (n *Node) endRun(r *run, notSent, interrupted bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if lost {
+	switch {
+	case notSent:
+		n.runs.NotSent(r)
+	case interrupted:
+		n.runs.Abandoned(time.Now(), r)
+	default:
 		n.runs.Lost(time.Now(), r)
-	} else {
-		n.runs.Ended(r)
 	}
 }
 
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -16,6 +16,7 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiahttp"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaquarantine"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
@@ -66,7 +67,7 @@
 	t, reason, retryAfter := n.admit(ctx, req, j.alone())
 	if j = n.quarantine.judge(j, req); reason == "" && j.alone() && !t.Alone {
 		// The request became a suspect while it waited.
-		n.finish(t, false)
+		n.finish(t, nil)
 		t, reason, retryAfter = n.admit(ctx, req, true)
 		j = n.quarantine.judge(j, req)
 	}
@@ -79,7 +80,7 @@
 	if resp == nil {
 		resp = n.callUpstream(ctx, req, j, t)
 	}
-	took := n.finish(t, resp.Outcome == sequoiarouter.Answered)
+	took := n.finish(t, resp)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if req.Key != "" && resp.Outcome == sequoiarouter.Answered {
@@ -90,13 +91,18 @@
 	return resp
 }
 
-// finish frees the slot of a request in the queue and returns how long the request ran. counted is as for Queue.Done.
-func (n *Node) finish(t *sequoiaadmission.Ticket, counted bool) time.Duration {
+// finish frees the slot of a request in the queue and returns how long the request ran. resp is nil if it did not run. The
+// slot of a suspect that the upstream may still work on is freed later, so that no other suspect runs beside it.
+func (n *Node) finish(t *sequoiaadmission.Ticket, resp *sequoiarouter.Response) time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := time.Now()
 	n.quarantine.markSuspects()
-	took := n.queue.Done(now, t, counted)
+	if t.Alone && resp != nil && resp.Outcome == sequoiarouter.Unknown && resp.Reason != reasonUpstreamEnded {
+		n.timers.After(sequoiaquarantine.AbandonedTime, func(time.Time) { n.finish(t, nil) })
+		return 0
+	}
+	now := time.Now()
+	took := n.queue.Done(now, t, resp != nil && resp.Outcome == sequoiarouter.Answered)
 	n.scheduleQueue(now)
 	return took
 }
@@ -283,7 +289,7 @@
 		n.log.Event("upstream failed", "RequestID", req.RequestID, "NotSent", notSent, "Error", err)
 	}
 	ended := !interrupted && (errors.Is(err, syscall.ECONNREFUSED) || !notSent && n.upstreamRefuses(ctx, time.Now()))
-	n.endRun(r, !interrupted && !notSent)
+	n.endRun(r, notSent, interrupted)
 	crashed := ended && n.upstreamEnded()
 	if notSent {
 		return notRunResponse(reasonUnreachable, upstreamRetryAfter)
--- a/internal/sequoiaquarantine/runs.go
+++ b/internal/sequoiaquarantine/runs.go
@@ -5,8 +5,12 @@
 	"time"
 )
 
-// maxLost limits the lost runs that a Runs remembers.
-const maxLost = 64
+const (
+	// maxLost limits the runs without a response that a Runs remembers.
+	maxLost = 64
+	// AbandonedTime is how long an upstream may work on a request whose caller has left or whose deadline has passed.
+	AbandonedTime = time.Second
+)
 
 // Run is a request that was sent to the upstream.
 type Run[T any] struct {
@@ -18,8 +22,8 @@
 	// Owner is the caller's own record of the request.
 	Owner T
 
-	// lost is when the connection was lost.
-	lost time.Time
+	// over is when the upstream no longer worked on a run without a response, if it had not ended by then.
+	over time.Time
 	// fingerprint is nil until it is needed.
 	fingerprint *Fingerprint
 }
@@ -37,8 +41,8 @@
 // safe for concurrent use.
 type Runs[T any] struct {
 	running map[*Run[T]]struct{}
-	// lost holds the runs whose connection was lost and after which the upstream has not answered yet. Either the
-	// upstream has ended or only the connection was closed.
+	// lost holds the runs without a response after which the upstream has not answered a request yet. The upstream may
+	// have ended.
 	lost []*Run[T]
 }
 
@@ -55,20 +59,27 @@
 	}
 }
 
-// Answered records the response to a run. The upstream was alive when the run began, so what was lost before did not end
+// Answered records the response to a run. The upstream was alive when the run began, so what was over before did not end
 // it.
 func (r *Runs[T]) Answered(run *Run[T]) {
 	delete(r.running, run)
-	r.lost = slices.DeleteFunc(r.lost, func(l *Run[T]) bool { return l.lost.Before(run.Started) })
+	r.lost = slices.DeleteFunc(r.lost, func(l *Run[T]) bool { return l.over.Before(run.Started) })
 }
 
 // Lost records that the connection of a run was lost without a response.
-func (r *Runs[T]) Lost(now time.Time, run *Run[T]) {
+func (r *Runs[T]) Lost(now time.Time, run *Run[T]) { r.endWithoutResponse(run, now) }
+
+// Abandoned records that the caller of a run has left or its deadline has passed. The upstream may work on.
+func (r *Runs[T]) Abandoned(now time.Time, run *Run[T]) {
+	r.endWithoutResponse(run, now.Add(AbandonedTime))
+}
+
+func (r *Runs[T]) endWithoutResponse(run *Run[T], over time.Time) {
 	if _, ok := r.running[run]; !ok {
 		return
 	}
 	delete(r.running, run)
-	run.lost = now
+	run.over = over
 	_ = run.Fingerprint()
 	run.Identity.Body = nil // It may be large.
 	if len(r.lost) >= maxLost {
@@ -77,8 +88,8 @@
 	r.lost = append(r.lost, run)
 }
 
-// Ended records that a run has ended in another way: it was not sent, or its caller has left.
-func (r *Runs[T]) Ended(run *Run[T]) { delete(r.running, run) }
+// NotSent records that a run was not sent.
+func (r *Runs[T]) NotSent(run *Run[T]) { delete(r.running, run) }
 
 // UpstreamEnded returns the runs that were in progress when the upstream ended, and forgets them.
 func (r *Runs[T]) UpstreamEnded() []*Run[T] {
--- a/internal/sequoiaquarantine/runs_test.go
+++ b/internal/sequoiaquarantine/runs_test.go
@@ -58,7 +58,7 @@
 		begin(r, 0, "/running")
 		lost := begin(r, 1, "/lost")
 		r.Answered(begin(r, 2, "/answered"))
-		r.Ended(begin(r, 3, "/cancelled"))
+		r.NotSent(begin(r, 3, "/not-sent"))
 		r.Lost(at(9), lost)
 		Expect(paths(r.UpstreamEnded())).To(ConsistOf("/running", "/lost"))
 		Expect(r.UpstreamEnded()).To(BeEmpty())
@@ -80,6 +80,19 @@
 		r.Answered(later)
 	})
 
+	// Guards against a request that crashes upstream after upstream because its callers leave before it does (BUDGET on
+	// deploy/days/deadly-left.toml).
+	ginkgo.It("forgets an abandoned request once the upstream has answered one that began AbandonedTime later", func() {
+		r := NewRuns[int]()
+		r.Abandoned(at(5), begin(r, 0, "/abandoned"))
+		r.Answered(begin(r, 6, "/soon"))
+		Expect(paths(r.UpstreamEnded())).To(ConsistOf("/abandoned"))
+
+		r.Abandoned(at(15), begin(r, 10, "/abandoned"))
+		r.Answered(begin(r, 16+int(AbandonedTime.Milliseconds()), "/later"))
+		Expect(r.UpstreamEnded()).To(BeEmpty())
+	})
+
 	ginkgo.It("remembers a limited number of lost connections", func() {
 		r := NewRuns[int]()
 		for i := range 3 * maxLost {
