Read the registration under its lock when an announcement arrives

Found by the race detector in TestRequestThatCrashesUpstreams (2 of 14 runs of the test or parts of it, arm64): an upstream's announcement that arrives while a process starts read the registration while it was being set. What could follow was not seen; on arm64 a half-initialized registration.

Change: both sides hold the node's lock. An announcement without a registration needs none, since the entry is written as it is when the registration starts. No caller holds the lock.

--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -395,9 +395,13 @@
 	}
 }
 
-// memberChanged triggers an update of this process's entry in the store.
+// memberChanged triggers an update of this process's entry in the store. Announcements arrive before there is a
+// registration, which writes the entry as it is then.
 func (n *Node) memberChanged() {
-	if n.registration != nil {
-		n.registration.Changed()
+	n.mu.Lock()
+	r := n.registration
+	n.mu.Unlock()
+	if r != nil {
+		r.Changed()
 	}
 }
--- a/internal/sequoianode/sync.go
+++ b/internal/sequoianode/sync.go
@@ -87,11 +87,14 @@
 		Store: n.store, Prefix: n.dialect.ConfigurationKey, Wait: configurationWatchTimeout, Now: sequoiatimer.BootTime,
 		OnItems: n.onStoreItems, OnError: n.storeFaultHandler("configuration"),
 	}
-	n.registration = n.newRegistration(func() {
+	registration := n.newRegistration(func() {
 		members.Refresh()
 		configuration.Refresh()
 	})
-	n.registration.Start(ctx)
+	n.mu.Lock()
+	n.registration = registration
+	n.mu.Unlock()
+	registration.Start(ctx)
 	go members.Run(ctx)
 	go configuration.Run(ctx)
 }
