--- a/internal/sequoianode/broadcast_test.go
+++ b/internal/sequoianode/broadcast_test.go
@@ -121,7 +121,7 @@
 	})
 })
 
-// peerSecret is the secret that the processes of the tests of broadcasts share.
+// peerSecret is the secret that the processes of a test share.
 var peerSecret = make([]byte, secretBytes)
 
 // listenAsPeer starts another process at addr, of which only the messages are seen.
--- a/internal/sequoianode/commit_test.go
+++ b/internal/sequoianode/commit_test.go
@@ -15,7 +15,6 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoialog"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
-	"github.com/sequoiaspring/sequoiaspring/internal/sequoiapeer"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaregistry"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
@@ -140,15 +139,9 @@
 	refuse := func(context.Context, string, string, []byte) (sequoiaregistry.Reply, error) {
 		return sequoiaregistry.Reply{Status: http.StatusServiceUnavailable}, nil
 	}
-	secret := make([]byte, secretBytes)
-
 	// peerAt returns a Node that knows one other process at addr.
 	peerAt := func(addr netip.AddrPort) *Node {
-		n := newCommitNode(&tableStore{})
-		var err error
-		n.forwarder, err = sequoiapeer.NewForwarder(secret)
-		Expect(err).NotTo(HaveOccurred())
-		ginkgo.DeferCleanup(n.forwarder.Close)
+		n := newForwardingNode()
 		n.directory.setMembers(map[string]sequoiaowner.Member{"b": {Instance: "b", Address: addr}})
 		return n
 	}
@@ -165,14 +158,8 @@
 
 	// Guards against a write that counts as refused although another process has sent it to the store before.
 	ginkgo.It("does not report a write as refused that another process may have made", func() {
-		f, err := sequoiapeer.NewForwarder(secret, sequoiapeer.WithServe(
-			func(context.Context, *sequoiarouter.Request) *sequoiarouter.Response {
-				return notRunResponse(reasonUnreachable, 0)
-			}))
-		Expect(err).NotTo(HaveOccurred())
-		ginkgo.DeferCleanup(f.Close)
 		addr := freeAddress()
-		Expect(f.Listen(addr)).To(Succeed())
+		listenAsPeer(addr, func(*sequoiarouter.Request) *sequoiarouter.Response { return notRunResponse(reasonUnreachable, 0) })
 		Expect(refusedTwice(peerAt(addr), http.MethodPost)).To(MatchError(errRelayInDoubt))
 		Expect(refusedTwice(peerAt(addr), http.MethodGet)).To(Succeed())
 	})
--- a/internal/sequoiapeer/forward_test.go
+++ b/internal/sequoiapeer/forward_test.go
@@ -44,6 +44,20 @@
 	}
 }
 
+// loopbackPair returns the two ends of a connection.
+func loopbackPair(ctx context.Context) (dialed, accepted net.Conn, err error) {
+	listener, err := net.Listen("tcp", loopback.String())
+	if err != nil {
+		return nil, nil, err
+	}
+	defer listener.Close()
+	if dialed, err = dialTCP(ctx, listener.Addr().(*net.TCPAddr).AddrPort()); err != nil {
+		return nil, nil, err
+	}
+	accepted, err = listener.Accept()
+	return dialed, accepted, err
+}
+
 // relay forwards bytes between a forwarder and addr. cut silently drops all further data on the open connections,
 // without a reset; later connections work.
 type relay struct {
@@ -54,16 +68,7 @@
 func (r *relay) cut() { r.cuts.Add(1) }
 
 func (r *relay) dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
-	listener, err := net.Listen("tcp", loopback.String())
-	if err != nil {
-		return nil, err
-	}
-	defer listener.Close()
-	clientConn, err := dialTCP(ctx, listener.Addr().(*net.TCPAddr).AddrPort())
-	if err != nil {
-		return nil, err
-	}
-	accepted, err := listener.Accept()
+	clientConn, accepted, err := loopbackPair(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -570,16 +575,7 @@
 		if err != nil {
 			return nil, err
 		}
-		listener, err := net.Listen("tcp", loopback.String())
-		if err != nil {
-			return nil, err
-		}
-		defer listener.Close()
-		conn, err := dialTCP(ctx, listener.Addr().(*net.TCPAddr).AddrPort())
-		if err != nil {
-			return nil, err
-		}
-		accepted, err := listener.Accept()
+		conn, accepted, err := loopbackPair(ctx)
 		if err != nil {
 			return nil, err
 		}
