--- a/review/standin/late.go
+++ b/review/standin/late.go
@@ -17,9 +17,10 @@
 		// lateness is how long after the acknowledgement the heartbeat arrives.
 		lateness = 4000 * time.Millisecond
 		// serves is how long the backend goes on serving.
-		serves = 7 * time.Second
+		serves = 4300 * time.Millisecond
 	)
-	p.configure("stock", false, route("count", "safe", "stock", time.Second, 300*time.Millisecond))
+	p.configure("stock", false, route("count", "safe", "stock", time.Second, 300*time.Millisecond),
+		route("hold", "unsafe", "stock", time.Second, 600*time.Millisecond))
 	if err := p.addMachines(3, "stock", 6, false, workOf); err != nil {
 		return p.fail("start: %v", err)
 	}
@@ -61,7 +62,7 @@
 	})
 	for i, began := 0, time.Now(); time.Since(began) < 14*time.Second; i++ {
 		wg.Go(func() {
-			p.request(p.machines[i%3], http.MethodGet, "/count/1?work=150", -1, time.Second, nil)
+			p.request(p.machines[i%3], http.MethodPost, "/hold/1?work=400", -1, time.Second, nil)
 		})
 		time.Sleep(20 * time.Millisecond)
 	}
@@ -69,7 +70,7 @@
 	if !ok {
 		return p.fail("the backend got no acknowledgement")
 	}
-	n := 0
+	n, lost := 0, 0
 	m.backend.mu.Lock()
 	defer m.backend.mu.Unlock()
 	for _, a := range m.backend.arrivals {
@@ -80,9 +81,12 @@
 					a.id, m.backend.id, a.at.Sub(acked).Milliseconds(), drain.Milliseconds())
 			}
 			n++
+			if !a.began.IsZero() && a.status == 0 {
+				lost++
+			}
 		}
 	}
-	p.rec.say("%d requests reach the backend too late", n)
+	p.rec.say("%d requests reach the backend too late; %d of them are broken off by its exit", n, lost)
 	if n > 0 {
 		return broken
 	}
--- a/review/standin/machine.go
+++ b/review/standin/machine.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -85,23 +85,27 @@
 }
 
 // Ports are taken from below those that the system gives to outgoing connections, so that a process that is started again
-// finds its own free.
+// finds its own free. None is given out twice.
 const (
-	firstPort = 12000
-	lastPort  = 30000
+	firstPort     = 12000
+	portsPerGroup = 100
+	portGroups    = 180
 )
 
+var lastPort = atomic.Int64{}
+
 // listenFree listens on a free port of 127.0.0.1.
 func listenFree() (net.Listener, error) {
-	var err error
-	for range 100 {
-		var ln net.Listener
-		port := firstPort + rand.IntN(lastPort-firstPort)
-		if ln, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+	first := firstPort + os.Getpid()%portGroups*portsPerGroup
+	for {
+		n := int(lastPort.Add(1))
+		if n > portsPerGroup {
+			return nil, errors.New("no free port")
+		}
+		if ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+n-1)); err == nil {
 			return ln, nil
 		}
 	}
-	return nil, err
 }
 
 // freePorts returns ports of 127.0.0.1 that are free, in ascending order.
