Write a move of keys only while the process that released them is registered

Cause: a move was written on the table's revision alone. That its keys are released is known to the process that released them; after a kill its successor granted them again with the same fence, and the write, applied by the store seconds later, still met its condition.

Change: a move carries the revision of the releaser's registration record as a second condition, also when another process writes it. A successor rewrites the record before it reads the table and before it grants anything, so no move of its predecessor can be written afterwards.

Evidence: the model now moves keys for balance and delays proposals on the way to the writer. A condition on the table's revision in the proposal was ruled out: the writer rebases proposals, and an unrelated change would refuse them. New fences at each start were ruled out: one more write and dark keys for each restart.

--- a/internal/sequoianode/commit.go
+++ b/internal/sequoianode/commit.go
@@ -27,6 +27,9 @@
 	// storeRetryDelay is the pause after a write that the store did not execute. A store that refuses calls usually
 	// does so for seconds, and each process of a large fleet retries.
 	storeRetryDelay = 600 * time.Millisecond
+	// maxConditions limits the conditions of one commit besides that of the table. A transaction of the store has at most 32
+	// entries, and the table's condition and value are two of them.
+	maxConditions = 30
 	// proposeTimeout limits a proposal to the writer. It covers proposalBatchWindow and two store calls.
 	proposeTimeout = 900 * time.Millisecond
 )
@@ -221,11 +224,46 @@
 	proposals := n.proposals
 	n.proposals = nil
 	n.mu.Unlock()
-	n.commitProposals(proposals)
+	for len(proposals) > 0 {
+		batch := nextBatch(proposals)
+		n.commitProposals(batch)
+		proposals = proposals[len(batch):]
+	}
+}
+
+// nextBatch returns the first proposals that can be written together.
+func nextBatch(proposals []proposal) []proposal {
+	all := map[string]uint64{}
+	for i, p := range proposals {
+		own := conditions(p.write)
+		contradicts := false
+		for key, revision := range own {
+			known, ok := all[key]
+			contradicts = contradicts || ok && known != revision
+		}
+		maps.Copy(all, own)
+		if i > 0 && (contradicts || len(all) > maxConditions) {
+			return proposals[:i]
+		}
+	}
+	return proposals
+}
+
+// conditions returns the revisions of items in the store on which a write depends, besides the table.
+func conditions(w *sequoiaowner.Write) map[string]uint64 {
+	expected := map[string]uint64{}
+	for _, a := range w.Absent {
+		expected[memberPrefix+a.Instance] = 0
+		expected[registrationPrefix+a.Instance] = a.Registration
+	}
+	if r := w.Releaser; r.Instance != "" {
+		expected[registrationPrefix+r.Instance] = r.Registration
+	}
+	return expected
 }
 
 // commitProposals writes the proposals together. If the table is the one that the write was based on and a condition
-// fails nevertheless, it is a condition of a takeover; the other proposals are then written without the takeovers.
+// fails nevertheless, it is a condition of one of the proposals; the others are then written without it.
 func (n *Node) commitProposals(proposals []proposal) {
 	var err error
 	for range maxCommitAttempts {
@@ -234,7 +272,7 @@
 			break
 		}
 		if _, revision := n.table(); revision == base {
-			n.commitWithoutTakeovers(proposals, err)
+			n.commitValid(proposals, err)
 			return
 		}
 		err = errors.WithStack(errTableChanged)
@@ -248,11 +286,13 @@
 	}
 }
 
-// commitWithoutTakeovers rejects the takeovers among the proposals with err and writes the others.
-func (n *Node) commitWithoutTakeovers(proposals []proposal, err error) {
+// commitValid rejects the takeovers among the proposals and the moves of processes that have registered since with err,
+// and writes the others.
+func (n *Node) commitValid(proposals []proposal, err error) {
 	var others []proposal
-	for _, p := range proposals {
-		if len(p.write.Absent) > 0 {
+	valid := n.releasersRegistered(proposals)
+	for i, p := range proposals {
+		if len(p.write.Absent) > 0 || !valid[i] {
 			p.done <- err
 		} else {
 			others = append(others, p)
@@ -261,7 +301,7 @@
 	switch {
 	case len(others) == 0:
 	case len(others) == len(proposals):
-		// No takeover is the cause, so the table in the store is not the one that was read: it will be read again.
+		// No condition is the cause, so the table in the store is not the one that was read: it will be read again.
 		for _, p := range others {
 			p.done <- errors.WithStack(errTableChanged)
 		}
@@ -270,6 +310,33 @@
 	}
 }
 
+// releasersRegistered reports for each proposal whether the condition on its releaser holds. It reads the registration
+// records from the store if there are such conditions; if that fails, none of them counts as met.
+func (n *Node) releasersRegistered(proposals []proposal) []bool {
+	valid := make([]bool, len(proposals))
+	conditional := false
+	for i, p := range proposals {
+		valid[i] = p.write.Releaser.Instance == ""
+		conditional = conditional || !valid[i]
+	}
+	if !conditional {
+		return valid
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), sequoiaregistry.CallTimeout)
+	defer cancel()
+	records, err := n.readRegistrations(ctx)
+	if err != nil {
+		n.log.Event("failed to read the registrations", "Error", err)
+	}
+	for i, p := range proposals {
+		if r := p.write.Releaser; r.Instance != "" {
+			revision, ok := records[r.Instance]
+			valid[i] = ok && revision == r.Registration
+		}
+	}
+	return valid
+}
+
 // verifyWritten returns an error unless the table contains the changes of a write.
 func (n *Node) verifyWritten(w *sequoiaowner.Write) error {
 	n.mu.Lock()
@@ -296,10 +363,7 @@
 	for _, p := range proposals {
 		applied = append(applied, p.write.Apply(t)...)
 		spread = spread || p.write.Spread != ""
-		for _, a := range p.write.Absent {
-			tx.Expected[memberPrefix+a.Instance] = 0
-			tx.Expected[registrationPrefix+a.Instance] = a.Registration
-		}
+		maps.Copy(tx.Expected, conditions(p.write))
 	}
 	if len(applied) == 0 && !spread {
 		return errors.WithStack(errNotWritten)
--- a/internal/sequoianode/commit_test.go
+++ b/internal/sequoianode/commit_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -39,6 +41,14 @@
 			}
 			return sequoiaregistry.Item{Key: key, Value: s.value, Revision: s.revisions[key]}, nil
 		},
+		List: func(_ context.Context, prefix string) (items []sequoiaregistry.Item, _ uint64, _ error) {
+			for key, revision := range s.revisions {
+				if strings.HasPrefix(key, prefix) {
+					items = append(items, sequoiaregistry.Item{Key: key, Revision: revision})
+				}
+			}
+			return items, 0, nil
+		},
 		Commit: func(_ context.Context, tx sequoiaregistry.Transaction) (uint64, error) {
 			if s.beforeCommit != nil {
 				s.beforeCommit()
@@ -121,6 +131,35 @@
 		Expect(s.commits).To(HaveLen(maxCommitAttempts))
 	})
 
+	// Guards against a move that is written for a process that was restarted and has granted the released keys again.
+	ginkgo.It("does not write a move after the process that released the keys has been restarted", func() {
+		s := &tableStore{}
+		n := newCommitNode(s)
+		s.revisions[registrationPrefix+"a"], s.revisions[registrationPrefix+"b"] = 6, 4
+		outdated, current := assignment(1, 0, 10, "b"), assignment(2, 40000, 50000, "a")
+		outdated.write.Releaser = sequoiaowner.Registered{Instance: "a", Registration: 5}
+		current.write.Releaser = sequoiaowner.Registered{Instance: "b", Registration: 4}
+		n.commitProposals([]proposal{outdated, current})
+		Expect(writeResult(<-outdated.done)).To(Equal(sequoiaowner.WriteConflict))
+		Expect(<-current.done).To(Succeed())
+		Expect(s.commits[len(s.commits)-1].Expected).To(Equal(map[string]uint64{tableKey: 7, registrationPrefix + "b": 4}))
+	})
+
+	ginkgo.It("writes proposals apart whose conditions contradict each other or do not fit into one transaction", func() {
+		moveOf := func(instance string, registration uint64) proposal {
+			p := assignment(1, 0, 10, "b")
+			p.write.Releaser = sequoiaowner.Registered{Instance: instance, Registration: registration}
+			return p
+		}
+		Expect(nextBatch([]proposal{moveOf("a", 5), moveOf("a", 5), moveOf("a", 6)})).To(HaveLen(2))
+		var moves []proposal
+		for i := range maxConditions + 5 {
+			moves = append(moves, moveOf(fmt.Sprint("i", i), 1))
+		}
+		Expect(nextBatch(moves)).To(HaveLen(maxConditions))
+		Expect(nextBatch(moves[maxConditions:])).To(HaveLen(5))
+	})
+
 	ginkgo.DescribeTable("tells a write that may still be applied from one that will not",
 		func(err error, want sequoiaowner.WriteResult) {
 			n := newCommitNode(&tableStore{fail: err})
--- a/internal/sequoianode/orders.go
+++ b/internal/sequoianode/orders.go
@@ -67,7 +67,7 @@
 func (n *Node) readObservation(ctx context.Context) (*sequoiaowner.Observation, error) {
 	ctx, cancel := context.WithTimeout(ctx, sequoiaregistry.CallTimeout)
 	defer cancel()
-	records, _, err := n.store.List(ctx, registrationPrefix)
+	registrations, err := n.readRegistrations(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -75,12 +75,22 @@
 	if err != nil {
 		return nil, err
 	}
-	o := &sequoiaowner.Observation{Registrations: map[string]uint64{}, Revision: revision}
+	o := &sequoiaowner.Observation{Registrations: registrations, Revision: revision}
 	o.Members, o.Unreadable = n.decodeMembers(items)
+	return o, nil
+}
+
+// readRegistrations reads the revisions of the registration records, by instance.
+func (n *Node) readRegistrations(ctx context.Context) (map[string]uint64, error) {
+	records, _, err := n.store.List(ctx, registrationPrefix)
+	if err != nil {
+		return nil, err
+	}
+	registrations := map[string]uint64{}
 	for _, it := range records {
-		o.Registrations[strings.TrimPrefix(it.Key, registrationPrefix)] = it.Revision
+		registrations[strings.TrimPrefix(it.Key, registrationPrefix)] = it.Revision
 	}
-	return o, nil
+	return registrations, nil
 }
 
 // sendGrant sends a grant request to the upstream.
--- a/internal/sequoiaowner/authority.go
+++ b/internal/sequoiaowner/authority.go
@@ -33,10 +33,12 @@
 	return c.registrationConfirmed && now.Sub(c.confirmedAt) <= maxConfirmationAge
 }
 
-// MarkRegistered records that this process's entry was written at a revision, under a lease.
+// MarkRegistered records that this process's entry and its registration record were written at a revision, the entry
+// under a lease.
 func (c *Core) MarkRegistered(now time.Time, revision, lease uint64) {
 	era := sequoiaregistry.Era(revision)
 	c.enterEra(era)
+	c.registration = revision
 	if lease == c.lease {
 		return
 	}
--- a/internal/sequoiaowner/core.go
+++ b/internal/sequoiaowner/core.go
@@ -146,9 +146,11 @@
 	registrationConfirmed bool
 	grants                map[sequoiakeyspace.Range]*grant
 	moves                 []*move
-	// lease is the lease of this process's entry, and joinedAt is when the entry was first written under it.
-	lease    uint64
-	joinedAt time.Time
+	// lease is the lease of this process's entry, and joinedAt is when the entry was first written under it. registration
+	// is the revision of the registration record.
+	lease        uint64
+	joinedAt     time.Time
+	registration uint64
 	// viewedAt is a time up to which the members are known completely.
 	viewedAt time.Time
 	// writing is the write in progress, and inDoubt holds takeovers that may still be applied.
--- a/internal/sequoiaowner/model_node_test.go
+++ b/internal/sequoiaowner/model_node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -61,7 +62,7 @@
 	if a.Write == nil {
 		return
 	}
-	err := p.commit(store, a.Write)
+	err := p.propose(store, a.Write)
 	p.w.logf("%s writes %s of %v without %v: %v", p.name, a.Write.Reason, a.Write.Changes, a.Write.Absent, err)
 	result := sequoiaowner.WriteApplied
 	switch {
@@ -78,6 +79,31 @@
 	}
 }
 
+// propose commits a write, or sends it to another process that does so when it arrives.
+func (p *process) propose(store sequoiaregistry.Store, w *sequoiaowner.Write) error {
+	f := p.fault(faultLateProposals)
+	if f == nil || len(w.Absent) > 0 || w.Recovery != nil {
+		return p.commit(store, w)
+	}
+	writer := p.w.processes[(p.index+1)%len(p.w.processes)]
+	p.w.lateProposals = append(p.w.lateProposals, lateProposal{p.w.now.Add(f.delay), writer, w})
+	return errors.WithStack(errNoResponse)
+}
+
+// applyLateProposals commits the proposals that are due at the processes that have received them.
+func (w *world) applyLateProposals() {
+	w.lateProposals = slices.DeleteFunc(w.lateProposals, func(l lateProposal) bool {
+		if w.now.Before(l.at) {
+			return false
+		}
+		if t, _ := l.writer.core.Table(); l.writer.running() && t != nil {
+			err := l.writer.commit(l.writer.store, l.write)
+			w.logf("%s writes the late proposal %s of %v: %v", l.writer.name, l.write.Reason, l.write.Changes, err)
+		}
+		return true
+	})
+}
+
 func observe(store sequoiaregistry.Store) *sequoiaowner.Observation {
 	records, _, err := store.List(context.Background(), modelRegistration)
 	if err != nil {
@@ -115,6 +141,9 @@
 		tx.Expected[modelMember+a.Instance] = 0
 		tx.Expected[modelRegistration+a.Instance] = a.Registration
 	}
+	if w.Releaser.Instance != "" {
+		tx.Expected[modelRegistration+w.Releaser.Instance] = w.Releaser.Registration
+	}
 	revision, err := store.Commit(context.Background(), tx)
 	if err != nil {
 		return err
--- a/internal/sequoiaowner/model_search_test.go
+++ b/internal/sequoiaowner/model_search_test.go
@@ -222,6 +222,43 @@
 	return days
 }
 
+// restartedMoves returns days on which a process moves keys, is restarted and moves keys again, with the further faults
+// that late returns for a delay. The times run over those at which the new process reads the table and grants its keys.
+func restartedMoves(late func(delay time.Duration) [][]fault) [][]fault {
+	const step = 100 * time.Millisecond
+	var days [][]fault
+	for _, restart := range []string{faultKill, faultPower} {
+		for down := step; down <= 10*step; down += 3 * step {
+			for delay := 5 * step; delay <= 6*time.Second; delay += 10 * step {
+				for again := time.Duration(0); again <= 3*time.Second; again += time.Second {
+					for _, faults := range late(delay) {
+						days = append(days, append(faults, []fault{
+							{kind: faultMoves, process: 1, at: 10 * step, d: 3 * step},
+							{kind: restart, process: 1, at: 13 * step, d: down},
+							{kind: faultMoves, process: 1, at: 13*step + down + again, d: step},
+						}...))
+					}
+				}
+			}
+		}
+	}
+	return days
+}
+
+// lateMoves returns the faults that delay the write of a move: in the store, on the way to the process that writes it,
+// or in the store for that process.
+func lateMoves(delay time.Duration) [][]fault {
+	const at, d = time.Second, 300 * time.Millisecond
+	return [][]fault{
+		{{kind: faultLateWrites, process: 1, at: at, d: d, delay: delay}},
+		{{kind: faultLateProposals, process: 1, at: at, d: d, delay: delay}},
+		{
+			{kind: faultLateProposals, process: 1, at: at, d: d, delay: 200 * time.Millisecond},
+			{kind: faultLateWrites, process: 0, at: at, d: 800 * time.Millisecond, delay: delay},
+		},
+	}
+}
+
 var _ = ginkgo.Describe("Model of ownership", func() {
 	ginkgo.It("never gives a key two owners, whatever faults overlap", func() {
 		rapid.Check(ginkgo.GinkgoT(), func(t *rapid.T) {
@@ -250,6 +287,14 @@
 		Expect(playAll(3, hiddenOwner())).To(Succeed())
 	})
 
+	// Guards against a move of keys that is written after the process that released them was restarted and has granted
+	// them again.
+	ginkgo.It("never gives a key two owners if a process moves keys and is restarted before the move is written", func() {
+		for _, n := range []int{2, 3} {
+			Expect(playAll(n, restartedMoves(lateMoves))).To(Succeed())
+		}
+	})
+
 	ginkgo.It("never gives a key two owners if leases end early and an owner is lost", func() {
 		Expect(playAll(2, lapseAndLoss())).To(Succeed())
 	})
--- a/internal/sequoiaowner/model_test.go
+++ b/internal/sequoiaowner/model_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -49,6 +50,10 @@
 	faultLapse        = "outage with lapse"
 	faultRevoke       = "revoked lease"
 	faultCompact      = "compaction"
+	// faultMoves makes a process move keys to another upstream, as it does for balance.
+	faultMoves = "moves"
+	// faultLateProposals makes the changes that a process proposes reach the process that writes them late.
+	faultLateProposals = "late proposals"
 	// faultRestore is an outage after which the store comes back as it was some time before the fault, given by twice the delay.
 	faultRestore = "restore"
 )
@@ -56,7 +61,7 @@
 var faultKinds = []string{
 	faultCutFromStore, faultIsolated, faultFreeze, faultKill, faultPower, faultGone, faultSilentWatch, faultDisorder, faultRefused,
 	faultLostAnswers, faultLateWrites, faultLateGrants, faultLostMessages, faultRegister, faultOutage, faultLapse, faultRevoke,
-	faultCompact, faultRestore,
+	faultCompact, faultMoves, faultLateProposals, faultRestore,
 }
 
 // fault is one fault of a simulated day. at counts from the end of the warm-up.
@@ -82,6 +87,8 @@
 	faults    []fault
 	// restored holds the restores among the faults that have happened.
 	restored map[int]bool
+	// lateProposals are changes that have not reached the process that writes them yet.
+	lateProposals []lateProposal
 	// fences holds the highest fence of each sampled key.
 	fences [int(sequoiakeyspace.MaxKey)/sampleDistance + 1]fencedKey
 	trace  []string
@@ -119,6 +126,13 @@
 	late  []lateGrant
 }
 
+// lateProposal is a change that a process has proposed to another one, and which that one receives late.
+type lateProposal struct {
+	at     time.Time
+	writer *process
+	write  *sequoiaowner.Write
+}
+
 type lateGrant struct {
 	at    time.Time
 	grant sequoiaowner.Grant
@@ -260,6 +274,7 @@
 		for _, p := range w.processes {
 			p.step()
 		}
+		w.applyLateProposals()
 		if err := w.checkOwners(); err != nil {
 			return err
 		}
@@ -318,6 +333,7 @@
 	p.renew(now)
 	p.poll(now)
 	p.exchange(now)
+	p.beginMove(now)
 	a := p.core.Step(now)
 	for _, g := range a.Grants {
 		p.grant(g)
@@ -329,6 +345,22 @@
 	p.act(store, a)
 }
 
+// beginMove moves some keys to another upstream.
+func (p *process) beginMove(now time.Time) {
+	held := p.core.HeldRanges()
+	if !p.is(faultMoves) || p.core.MoveCount() > 0 || len(held) == 0 {
+		return
+	}
+	r := held[len(held)-1]
+	for _, name := range slices.Sorted(maps.Keys(p.core.Members())) {
+		m := p.core.Members()[name]
+		if name != p.name && p.core.BeginMove(now, r.From, r.From+(r.To-r.From)/2, m, sequoiaowner.ReasonBalance) {
+			p.w.logf("%s begins to move keys %d to %d to %s", p.name, r.From, r.From+(r.To-r.From)/2, name)
+			return
+		}
+	}
+}
+
 // applyProcessFaults kills and restarts the process.
 func (p *process) applyProcessFaults() {
 	kill, power := p.is(faultKill), p.is(faultPower) || p.isGone()
--- a/internal/sequoiaowner/moves.go
+++ b/internal/sequoiaowner/moves.go
@@ -156,7 +156,10 @@
 
 // planMoves returns the table change that assigns the keys of all released moves to their new holders.
 func (c *Core) planMoves() *Write {
-	w := &Write{}
+	if c.registration == 0 {
+		return nil
+	}
+	w := &Write{Releaser: Registered{c.instance, c.registration}}
 	for _, m := range c.moves {
 		if !m.released {
 			continue
--- a/internal/sequoiaowner/plan.go
+++ b/internal/sequoiaowner/plan.go
@@ -21,7 +21,7 @@
 	ReasonSettled  = "Settled"
 )
 
-// Write is a table change. It is valid only while the conditions in Absent hold.
+// Write is a table change. It is valid only while its conditions hold: those in Absent and Releaser.
 type Write struct {
 	// Changes are the proposed assignments. Spread, if set, is the service whose keys are assigned to Holders for the
 	// first time.
@@ -29,11 +29,22 @@
 	Spread  string
 	Holders []sequoiakeyspace.Holder
 	Absent  []Absence
+	// Releaser, if it names an instance, is the process whose upstream has released the keys.
+	Releaser Registered
 	// Recovery, if set, replaces the table. It is not sent to other processes.
 	Recovery *Recovery `cbor:"-"`
 	Reason   string
 }
 
+// Registered is a condition of a move: the process that released the keys is still the one that is registered on its
+// instance. Its successor reads and grants the keys only after it has rewritten the registration record, so a move that
+// is written later than that is refused.
+type Registered struct {
+	Instance string
+	// Registration is the revision of the instance's registration record.
+	Registration uint64
+}
+
 // Apply applies the write to a table and returns the changes that were still valid, with their new fences.
 func (w *Write) Apply(t *sequoiakeyspace.Table) sequoiakeyspace.Changes {
 	if w.Spread != "" && len(t.Services[w.Spread]) == 0 {
