Wait for grants of an earlier process before keys are released

Callers would see two upstreams work on the same keys: a process that has just been started released keys at its upstream while a grant of its predecessor was not applied yet; applied late, it gave the upstream the released keys back until 2.5 s after it was sent.

Cause: a release waits for unanswered grants that the process itself has sent, and it knew none of the process before it, nor those that reached the upstream while the process took it for an earlier incarnation.

Two new specs failed before (key 33218 held by b with fence 2 after a held it with fence 3, a grant 500 ms late), and pass now: for 2.5 s, the longest a grant lasts, unknown grants count as unanswered. A dark time is not added, the keys are granted meanwhile; only moves wait.

--- a/internal/sequoiaowner/core.go
+++ b/internal/sequoiaowner/core.go
@@ -134,12 +134,13 @@
 	lastAddresses    map[string]netip.AddrPort
 	table            *sequoiakeyspace.Table
 	// tableInstances is the set of instances that hold keys in the table.
-	tableInstances        map[string]bool
-	revision              uint64
-	keyedServices         map[string]bool
-	upstream              Upstream
-	lastSeen              time.Time
-	started               time.Time
+	tableInstances map[string]bool
+	revision       uint64
+	keyedServices  map[string]bool
+	upstream       Upstream
+	lastSeen       time.Time
+	// grantsKnownSince is since when all grants sent to the local upstream are in grants.
+	grantsKnownSince      time.Time
 	confirmedAt           time.Time
 	extendedUntil         time.Time
 	promisedUntil         time.Time
@@ -185,7 +186,7 @@
 // instance is suspended.
 func New(instance string, now time.Time, opts ...Option) *Core {
 	c := &Core{
-		instance: instance, heartbeat: defaultHeartbeat, started: now, lastSeen: now,
+		instance: instance, heartbeat: defaultHeartbeat, grantsKnownSince: now, lastSeen: now,
 		meter:   sequoiakeyspace.NewMeter(),
 		members: map[string]Member{}, presence: newPresence(), lastAddresses: map[string]netip.AddrPort{},
 		keyedServices: map[string]bool{}, endedProcesses: map[string]string{},
@@ -241,6 +242,9 @@
 	}
 	if u.ID != c.upstream.ID || u.Born != c.upstream.Born {
 		c.grants = map[sequoiakeyspace.Range]*grant{}
+		if c.upstream.ID != "" {
+			c.grantsKnownSince = now
+		}
 		c.moves = nil
 		c.recovery.continuous = nil
 	} else if c.upstream.Leaving {
--- a/internal/sequoiaowner/core_test.go
+++ b/internal/sequoiaowner/core_test.go
@@ -233,6 +233,25 @@
 		Expect(a.BeginMove(f.now, 100, 200, f.members["b"], sequoiaowner.ReasonBalance)).To(BeTrue())
 	})
 
+	// Guards against a grant that an upstream took while it was believed to be its earlier incarnation, and that outlasts
+	// the release of its keys.
+	ginkgo.It("does not move keys of a restarted upstream before grants to its earlier incarnation have ended", func() {
+		f := newFleet("a", "b")
+		f.run(5 * time.Second)
+		a, m := f.cores["a"], f.members["a"]
+		m.Upstream.Born++
+		f.rev++
+		m.Revision = f.rev
+		f.members["a"] = m
+		Expect(a.SetUpstream(f.now, m.Upstream)).To(BeTrue())
+		f.run(time.Second)
+		_, holds := a.Holds(f.now, service, 150)
+		Expect(holds).To(BeTrue())
+		Expect(a.BeginMove(f.now, 100, 200, f.members["b"], sequoiaowner.ReasonBalance)).To(BeFalse())
+		f.run(2 * time.Second)
+		Expect(a.BeginMove(f.now, 100, 200, f.members["b"], sequoiaowner.ReasonBalance)).To(BeTrue())
+	})
+
 	// Guards against the same failure when the grant is in flight as the move would begin.
 	ginkgo.It("does not begin a move while a grant of the keys is being sent", func() {
 		f := newFleet("a", "b")
--- a/internal/sequoiaowner/grants.go
+++ b/internal/sequoiaowner/grants.go
@@ -152,9 +152,16 @@
 }
 
 // hasUnansweredGrant reports whether a grant of some of the keys got no response and may still be applied, even after a
-// release.
+// release. It may be one that this process does not know.
 func (c *Core) hasUnansweredGrant(now time.Time, part sequoiakeyspace.Range) bool {
-	return c.anyGrant(part, func(g *grant) bool { return g.unansweredUntil.After(now) })
+	return c.mayHoldUnknownGrants(now) || c.anyGrant(part, func(g *grant) bool { return g.unansweredUntil.After(now) })
+}
+
+// mayHoldUnknownGrants reports whether the local upstream may hold keys by grants that are not in Core.grants: those of
+// the process that ran on the instance before this one, and those sent while this process took the upstream for an
+// earlier incarnation.
+func (c *Core) mayHoldUnknownGrants(now time.Time) bool {
+	return now.Before(c.grantsKnownSince.Add(grantDuration))
 }
 
 // hasGrantInFlight reports whether a grant of some of the keys is being sent.
--- a/internal/sequoiaowner/model_search_test.go
+++ b/internal/sequoiaowner/model_search_test.go
@@ -259,6 +259,10 @@
 	}
 }
 
+func lateGrants(delay time.Duration) [][]fault {
+	return [][]fault{{{kind: faultLateGrants, process: 1, at: 500 * time.Millisecond, d: 800 * time.Millisecond, delay: delay}}}
+}
+
 var _ = ginkgo.Describe("Model of ownership", func() {
 	ginkgo.It("never gives a key two owners, whatever faults overlap", func() {
 		rapid.Check(ginkgo.GinkgoT(), func(t *rapid.T) {
@@ -295,6 +299,11 @@
 		}
 	})
 
+	// Guards against a grant that is applied after the restarted process has released the keys.
+	ginkgo.It("never gives a key two owners if a process is restarted and releases keys before its grants are applied", func() {
+		Expect(playAll(2, restartedMoves(lateGrants))).To(Succeed())
+	})
+
 	ginkgo.It("never gives a key two owners if leases end early and an owner is lost", func() {
 		Expect(playAll(2, lapseAndLoss())).To(Succeed())
 	})
--- a/internal/sequoiaowner/moves.go
+++ b/internal/sequoiaowner/moves.go
@@ -134,10 +134,7 @@
 
 // allGrantsExpired reports whether every grant ever sent for the keys of a move has expired.
 func (c *Core) allGrantsExpired(now time.Time, m *move) bool {
-	if now.Before(c.started.Add(grantDuration)) {
-		return false
-	}
-	return !c.anyGrant(m.part, func(g *grant) bool { return g.sentUntil.After(now) })
+	return !c.mayHoldUnknownGrants(now) && !c.anyGrant(m.part, func(g *grant) bool { return g.sentUntil.After(now) })
 }
 
 // ReleaseDone records the result of a release call. confirmed is false if there was no response.
