Keep keys of a stopping process while a request may outlast its grant

Cause: a stop released all keys at once. A release waits for the work on its keys; without an answer for 2.5 s the keys counted as released, because no grant of them was left.

Change: keys of an upstream that stays are not moved while a request in progress on them has a deadline after the end of the grant. Their grants are renewed until it has ended.

Not done: moves for balance still release at once.

--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -149,6 +149,7 @@
 	}
 	n.core = sequoiaowner.New(
 		settings.Instance, sequoiatimer.BootTime(), sequoiaowner.WithHeartbeat(settings.Heartbeat), sequoiaowner.WithMeter(n.meter),
+		sequoiaowner.WithLongestRun(n.longestRun),
 	)
 	n.relay = newRelay(n, direct)
 	n.store = d.NewStore(n.relay.exchange)
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -34,6 +34,11 @@
 
 func formatKey(key sequoiakeyspace.Key) string { return strconv.Itoa(int(key)) }
 
+func parseKey(s string) (sequoiakeyspace.Key, error) {
+	v, err := strconv.ParseUint(s, 10, 16)
+	return sequoiakeyspace.Key(v), err
+}
+
 // serveForwarded handles client requests and peer messages that other processes send.
 func (n *Node) serveForwarded(ctx context.Context, req *sequoiarouter.Request) *sequoiarouter.Response {
 	if req.Service == peerService {
@@ -51,11 +56,10 @@
 func (n *Node) serveLocal(ctx context.Context, req *sequoiarouter.Request) *sequoiarouter.Response {
 	var key sequoiakeyspace.Key
 	if req.Key != "" {
-		v, err := strconv.ParseUint(req.Key, 10, 16)
-		if err != nil {
+		var err error
+		if key, err = parseKey(req.Key); err != nil {
 			return n.notRunResponseWithLoad(reasonBadRequest, 0)
 		}
-		key = sequoiakeyspace.Key(v)
 		if resp := n.awaitGrant(ctx, req.Service, key); resp != nil {
 			return resp
 		}
--- a/internal/sequoianode/stop.go
+++ b/internal/sequoianode/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
@@ -96,6 +97,18 @@
 	return n.core.Upstream().Usable()
 }
 
+// longestRun returns how much longer requests for the local upstream on the keys from through to may take, zero if there
+// are none. The caller must hold mu.
+func (n *Node) longestRun(from, to sequoiakeyspace.Key) time.Duration {
+	var longest time.Duration
+	n.runs.Open(func(r *run) {
+		if key, err := parseKey(r.Identity.Key); err == nil && from <= key && key <= to {
+			longest = max(longest, time.Until(r.Owner.Deadline))
+		}
+	})
+	return longest
+}
+
 // hasKeysToHandOver reports whether the local upstream still has keys that need new holders.
 func (n *Node) hasKeysToHandOver() bool {
 	n.mu.Lock()
--- a/internal/sequoiaowner/core.go
+++ b/internal/sequoiaowner/core.go
@@ -127,6 +127,9 @@
 	instance  string
 	heartbeat time.Duration
 	meter     *sequoiakeyspace.Meter
+	// longestRun returns how much longer requests in progress at the local upstream on some keys may take, zero if there
+	// are none.
+	longestRun func(from, to sequoiakeyspace.Key) time.Duration
 
 	members          map[string]Member
 	membersChangedAt time.Time
@@ -182,12 +185,18 @@
 	return func(c *Core) { c.meter = m }
 }
 
+// WithLongestRun sets the function that returns how much longer requests in progress at the local upstream on the keys
+// from through to may take. Step calls it.
+func WithLongestRun(f func(from, to sequoiakeyspace.Key) time.Duration) Option {
+	return func(c *Core) { c.longestRun = f }
+}
+
 // New returns the Core of the process on an instance. All times must come from a clock that keeps running while the
 // instance is suspended.
 func New(instance string, now time.Time, opts ...Option) *Core {
 	c := &Core{
 		instance: instance, heartbeat: defaultHeartbeat, grantsKnownSince: now, lastSeen: now,
-		meter:   sequoiakeyspace.NewMeter(),
+		meter:   sequoiakeyspace.NewMeter(), longestRun: func(_, _ sequoiakeyspace.Key) time.Duration { return 0 },
 		members: map[string]Member{}, presence: newPresence(), lastAddresses: map[string]netip.AddrPort{},
 		keyedServices: map[string]bool{}, endedProcesses: map[string]string{},
 		grants: map[sequoiakeyspace.Range]*grant{}, membersChangedAt: now,
--- a/internal/sequoiaowner/core_test.go
+++ b/internal/sequoiaowner/core_test.go
@@ -37,6 +37,9 @@
 	unconfirmed []sequoiaowner.Grant
 	held        map[string][]heldRange
 	storeLost   map[string]bool
+	// runs holds the key of the request that is in progress at an instance, until runUntil at the latest.
+	runs     map[string]sequoiakeyspace.Key
+	runUntil time.Time
 }
 
 type heldRange struct {
@@ -49,6 +52,7 @@
 	f := &fleet{
 		now: time.Unix(1000, 0), table: sequoiakeyspace.NewTable(), members: map[string]sequoiaowner.Member{},
 		registrations: map[string]uint64{}, cores: map[string]*sequoiaowner.Core{}, held: map[string][]heldRange{}, storeLost: map[string]bool{},
+		runs: map[string]sequoiakeyspace.Key{},
 		confirms: func(string, sequoiaowner.Grant) bool { return true },
 	}
 	for i, name := range instances {
@@ -58,7 +62,12 @@
 }
 
 func (f *fleet) start(name string, i int) {
-	c := sequoiaowner.New(name, f.now)
+	c := sequoiaowner.New(name, f.now, sequoiaowner.WithLongestRun(func(from, to sequoiakeyspace.Key) time.Duration {
+		if key, ok := f.runs[name]; ok && from <= key && key <= to {
+			return f.runUntil.Sub(f.now)
+		}
+		return 0
+	}))
 	c.SetKeyedServices([]string{service})
 	u := sequoiaowner.Upstream{ID: "u-" + name, Born: 1, Service: service, Slots: 4}
 	c.SetUpstream(f.now, u)
@@ -252,6 +261,23 @@
 		Expect(a.BeginMove(f.now, 100, 200, f.members["b"], sequoiaowner.ReasonBalance)).To(BeTrue())
 	})
 
+	// Guards against a request that runs longer than a grant lasts when its process is stopped: its keys were released at
+	// once, and the next holder ran requests on them beside it.
+	ginkgo.It("keeps keys of a stopping process while a request on them may outlast the grant", func() {
+		f := newFleet("a", "b")
+		f.run(5 * time.Second)
+		const key = 150
+		f.runs["a"], f.runUntil = key, f.now.Add(6*time.Second)
+		f.cores["a"].Stop()
+		f.run(4 * time.Second)
+		Expect(f.owner(key)).To(Equal("a"))
+		_, holds := f.cores["a"].Holds(f.now, service, key)
+		Expect(holds).To(BeTrue())
+		delete(f.runs, "a")
+		f.run(time.Second)
+		Expect(f.owner(key)).To(Equal("b"))
+	})
+
 	// Guards against the same failure when the grant is in flight as the move would begin.
 	ginkgo.It("does not begin a move while a grant of the keys is being sent", func() {
 		f := newFleet("a", "b")
--- a/internal/sequoiaowner/moves.go
+++ b/internal/sequoiaowner/moves.go
@@ -52,7 +52,8 @@
 
 // stepLeaving starts moves of all keys of an upstream that is leaving or lost, or whose process is stopping. While the
 // store may be failing, it does so only for a lost upstream: the new holder could not be written, and an upstream that
-// still works would have given up its keys for nothing.
+// still works would have given up its keys for nothing. Keys of an upstream that stays are kept, and their grants renewed,
+// while a request in progress on them may outlast the grant.
 func (c *Core) stepLeaving(now time.Time) {
 	u := c.upstream
 	if u.ID == "" || !u.Leaving && !u.Lost && !c.stopping {
@@ -73,6 +74,9 @@
 	assigned := make([]float64, len(others))
 	for _, r := range held {
 		for _, part := range c.meter.Split(r, int(c.rangeLoad(r)/share+0.5)) {
+			if u.Usable() && c.runsOutlastGrant(now, r, part) {
+				continue
+			}
 			least := slices.Index(assigned, slices.Min(assigned))
 			assigned[least] += c.rangeLoad(part)
 			c.moves = append(c.moves, &move{part: part, to: others[least].Holder(), reason: ReasonLeaving})
@@ -80,6 +84,13 @@
 	}
 }
 
+// runsOutlastGrant reports whether a request in progress on part of a range may take longer than the confirmed grant of
+// the range lasts. It would fail if the keys were released now, or run beside those of the next holder.
+func (c *Core) runsOutlastGrant(now time.Time, r, part sequoiakeyspace.Range) bool {
+	g, longest := c.grants[grantKey(r)], c.longestRun(part.From, part.To)
+	return g != nil && longest > 0 && now.Add(longest).After(g.confirmedUntil)
+}
+
 // baseKeyLoad is added to each key's measured load, so that keys without requests are distributed too.
 const baseKeyLoad = 1e-6
 
