Start no queued request that a stopping process might break off

Cause: the deadline of a request was compared with the end of the process on its arrival only.

Change: at a stop the queue rejects what might outlast the process, as not run, and goes on rejecting it. An attempt after the begin of the stop gets a deadline before the end of the process, and a request that may not be repeated gets none.

--- a/internal/sequoiaadmission/queue.go
+++ b/internal/sequoiaadmission/queue.go
@@ -21,6 +21,8 @@
 	ReasonDeadline = "Deadline"
 	// ReasonFull means that the queue has reached its maximum length.
 	ReasonFull = "Full"
+	// ReasonStopping means that the request might not end before the process does.
+	ReasonStopping = "Stopping"
 )
 
 const (
@@ -40,6 +42,9 @@
 	// minRetryAfter is the shortest time after which a rejected client is asked to retry. A slot becomes free about
 	// every 40 ms.
 	minRetryAfter = 40 * time.Millisecond
+	// StoppingRetryAfter is the Retry-After time of a process that is stopping. Its clients need about a second to switch
+	// to another one.
+	StoppingRetryAfter = 300 * time.Millisecond
 )
 
 // Ticket represents one request in the queue.
@@ -68,6 +73,8 @@
 	classMeans map[string]time.Duration
 	mean       time.Duration
 	pace       pace
+	// latestDeadline is the latest deadline of requests that may start, zero if there is none.
+	latestDeadline time.Time
 }
 
 // New returns a queue for an upstream that processes up to slots requests concurrently.
@@ -90,6 +97,22 @@
 	q.Advance(now)
 }
 
+// SetLatestDeadline rejects the queued requests that have later deadlines, and all such requests from now on. Running ones
+// are not affected. It is for a process that stops: what it starts must end before it does.
+func (q *Queue) SetLatestDeadline(deadline time.Time) {
+	q.latestDeadline = deadline
+	q.waiting = slices.DeleteFunc(q.waiting, q.rejectPastDeadline)
+}
+
+// rejectPastDeadline rejects a request whose deadline is later than the latest one. It reports whether it did so.
+func (q *Queue) rejectPastDeadline(t *Ticket) bool {
+	past := !q.latestDeadline.IsZero() && t.Deadline.After(q.latestDeadline)
+	if past {
+		t.OnDecision(ReasonStopping, StoppingRetryAfter)
+	}
+	return past
+}
+
 // Advance starts the queued requests that may run now. Call it at NextStart.
 func (q *Queue) Advance(now time.Time) { q.startWaiting(now) }
 
@@ -148,6 +171,9 @@
 
 // Submit starts, queues or rejects the request.
 func (q *Queue) Submit(now time.Time, t *Ticket) {
+	if q.rejectPastDeadline(t) {
+		return
+	}
 	duration := q.ExpectedDuration(t)
 	if now.Add(duration / 2).After(t.Deadline) {
 		t.OnDecision(ReasonDeadline, 0)
--- a/internal/sequoiaadmission/queue_test.go
+++ b/internal/sequoiaadmission/queue_test.go
@@ -180,3 +180,31 @@
 		Expect(timed).To(BeFalse())
 	})
 })
+
+var _ = ginkgo.Describe("Queue of a stopping process", func() {
+	// Guards against requests that wait in the queue of a stopping process, start late and are broken off at its end.
+	ginkgo.It("rejects queued and new requests that might outlast the process, and runs the others", func() {
+		now := time.Unix(1000, 0)
+		q := sequoiaadmission.New(1)
+		decisions := map[string]string{}
+		submit := func(name string, deadline time.Duration) *sequoiaadmission.Ticket {
+			t := &sequoiaadmission.Ticket{
+				Class: "read", Arrived: now, Objective: now.Add(deadline), Deadline: now.Add(deadline),
+				OnDecision: func(reason string, _ time.Duration) { decisions[name] = "decided " + reason },
+			}
+			q.Submit(now, t)
+			return t
+		}
+		running := submit("running", 8*time.Second)
+		submit("queued, long", 8*time.Second)
+		submit("queued, short", 4900*time.Millisecond)
+		q.SetLatestDeadline(now.Add(5 * time.Second))
+		submit("new, long", 8*time.Second)
+		Expect(decisions).To(Equal(map[string]string{
+			"running": "decided ", "queued, long": "decided " + sequoiaadmission.ReasonStopping, "new, long": "decided " + sequoiaadmission.ReasonStopping,
+		}))
+		now = now.Add(50 * time.Millisecond)
+		q.Done(now, running, true)
+		Expect(decisions).To(HaveKeyWithValue("queued, short", "decided "))
+	})
+})
--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaadmission"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiafront"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
@@ -35,7 +36,7 @@
 	reasonUpstreamRefused = "UpstreamRefused"
 	reasonUpstreamFailed  = "UpstreamFailed"
 	reasonLeaving         = "Leaving"
-	reasonStopping        = "Stopping"
+	reasonStopping        = sequoiaadmission.ReasonStopping
 	reasonCancelled       = "Cancelled"
 )
 
@@ -48,7 +49,7 @@
 	// upstreamRetryAfter is the Retry-After time of a request that no process or upstream accepted, for example because
 	// its key has no reachable owner.
 	upstreamRetryAfter = 250 * time.Millisecond
-	// notServingRetryAfter is the Retry-After time of a process that has no configuration yet or is stopping.
+	// notServingRetryAfter is the Retry-After time of a process that has no configuration yet.
 	notServingRetryAfter = 300 * time.Millisecond
 	// tableRetryDelay is the pause before a request is resent to an owner that did not have the current table yet.
 	tableRetryDelay = 15 * time.Millisecond
@@ -89,7 +90,7 @@
 		return
 	}
 	if n.exceedsStopDeadline(req.Deadline) {
-		n.writeResponse(w, r, req, notRunResponse(reasonStopping, notServingRetryAfter), began)
+		n.writeResponse(w, r, req, notRunResponse(reasonStopping, sequoiaadmission.StoppingRetryAfter), began)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
@@ -161,6 +162,7 @@
 	}
 	var j judgement
 	for i := range maxSends {
+		req.Deadline = n.limitToStop(req.Deadline)
 		j = n.quarantine.judge(j, req)
 		resp := j.refusal()
 		switch {
@@ -223,6 +225,10 @@
 	if ctx.Err() != nil || time.Until(req.Deadline) < minAttemptTime {
 		return false
 	}
+	if !req.Repeatable && n.exceedsStopDeadline(req.Deadline) {
+		// The process might end before the next attempt does, and the client could not send the request again.
+		return false
+	}
 	switch resp.Outcome {
 	case sequoiarouter.Answered:
 		if resp.Status < http.StatusInternalServerError || !req.Repeatable {
--- a/internal/sequoianode/stop.go
+++ b/internal/sequoianode/stop.go
@@ -47,7 +47,10 @@
 	n.stopDeadline.Store(plan.latestDeadline.UnixNano())
 	n.log.Event("process stopping", "InProgress", n.front.InProgress())
 	n.stopping.Store(true)
-	n.withCore(func(c *sequoiaowner.Core) { c.Stop() })
+	n.withCore(func(c *sequoiaowner.Core) {
+		c.Stop()
+		n.queue.SetLatestDeadline(plan.latestDeadline)
+	})
 	n.registration.Changed()
 	for time.Now().Before(plan.latestDeadline) {
 		if time.Since(start) >= shutdownDelay && n.front.InProgress() == 0 && !n.hasKeysToHandOver() {
@@ -55,7 +58,7 @@
 		}
 		_ = sequoiatimer.Sleep(ctx, ownershipStepInterval)
 	}
-	// From here on new requests are rejected, so that none starts between the last check and the exit.
+	// From here on new requests and attempts are rejected, so that none starts between the last check and the exit.
 	n.stopDeadline.Store(0)
 	settledAt := time.Now().Add(shutdownSettleTime)
 	left := make(chan struct{})
@@ -90,6 +93,18 @@
 	return n.stopping.Load() && deadline.UnixNano() > n.stopDeadline.Load()
 }
 
+// limitToStop returns the deadline of the next attempt of a request. That of a stopping process ends before the process
+// does, so that another process does not start what this one would break off.
+func (n *Node) limitToStop(deadline time.Time) time.Time {
+	if !n.exceedsStopDeadline(deadline) {
+		return deadline
+	}
+	if latest := n.stopDeadline.Load(); latest > 0 {
+		return time.Unix(0, latest)
+	}
+	return time.Now()
+}
+
 // expectsRestart reports whether the upstream keeps running, in which case this process will be restarted next to it.
 func (n *Node) expectsRestart() bool {
 	n.mu.Lock()
