--- a/internal/sequoiaowner/core.go
+++ b/internal/sequoiaowner/core.go
@@ -196,7 +196,7 @@
 func New(instance string, now time.Time, opts ...Option) *Core {
 	c := &Core{
 		instance: instance, heartbeat: defaultHeartbeat, grantsKnownSince: now, lastSeen: now,
-		meter:   sequoiakeyspace.NewMeter(), longestRun: func(_, _ sequoiakeyspace.Key) time.Duration { return 0 },
+		meter: sequoiakeyspace.NewMeter(), longestRun: func(_, _ sequoiakeyspace.Key) time.Duration { return 0 },
 		members: map[string]Member{}, presence: newPresence(), lastAddresses: map[string]netip.AddrPort{},
 		keyedServices: map[string]bool{}, endedProcesses: map[string]string{},
 		grants: map[sequoiakeyspace.Range]*grant{}, membersChangedAt: now,
--- a/internal/sequoiaowner/core_test.go
+++ b/internal/sequoiaowner/core_test.go
@@ -52,7 +52,7 @@
 	f := &fleet{
 		now: time.Unix(1000, 0), table: sequoiakeyspace.NewTable(), members: map[string]sequoiaowner.Member{},
 		registrations: map[string]uint64{}, cores: map[string]*sequoiaowner.Core{}, held: map[string][]heldRange{}, storeLost: map[string]bool{},
-		runs: map[string]sequoiakeyspace.Key{},
+		runs:     map[string]sequoiakeyspace.Key{},
 		confirms: func(string, sequoiaowner.Grant) bool { return true },
 	}
 	for i, name := range instances {
