Acknowledge a shutdown of the upstream once the store has it

Cause: the acknowledgement was given from memory while the entry was still being written, and a process that had just started took whatever announcement came first for the latest one.

Change: the registration record says which incarnation of the upstream is known and whether it leaves. It is written before the acknowledgement and read before any announcement is accepted. A deregistration at a process that does not know the upstream is no longer ignored; other processes remember a leaving upstream from its entry too.

Ruled out: sequence numbers alone (a new process knows none), the members' watch (it is read after announcements), acknowledging on the word of peers (they may end with the process).

--- a/internal/sequoianode/directory.go
+++ b/internal/sequoianode/directory.go
@@ -63,8 +63,7 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer
-	// leaving holds when the upstreams that are shutting down first said so in a response that this process received.
-	// An upstream keeps its entry while the process beside it restarts and forgets it.
+	// leaving holds since when upstreams are known to be shutting down, from their responses or their entries.
 	leaving map[sequoiakeyspace.Holder]time.Time
 }
 
@@ -84,8 +83,12 @@
 	d.leaving[h] = now
 }
 
-// withLeaving returns the member with its upstream marked as leaving if this process knows it from a response.
+// withLeaving returns the member with its upstream marked as leaving if this process knows it from a response or from an
+// earlier entry, which a restored store has lost.
 func (d *directory) withLeaving(m sequoiaowner.Member) sequoiaowner.Member {
+	if m.Upstream.Leaving {
+		d.markLeaving(m.Holder())
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if _, leaving := d.leaving[m.Holder()]; leaving {
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -112,6 +112,10 @@
 	meter *sequoiakeyspace.Meter
 	// sequence is the sequence number of the local upstream's latest accepted heartbeat.
 	sequence uint64
+	// predecessor is what the store says of the upstream that an earlier process on the instance knew, and recorded is what
+	// this process has written of it.
+	predecessor predecessor
+	recorded    registrationRecord
 	// leavingSince is when the local upstream started to drain; zero if it is not leaving.
 	leavingSince time.Time
 	// ownershipChanged is closed and replaced at each change that awaitOwnership waits for.
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"maps"
 	"net/http"
 	"strconv"
@@ -327,78 +326,6 @@
 	sequoiafront.WriteResponse(w, r, status, nil)
 }
 
-// serveAnnouncement handles an announcement of the local upstream. It acknowledges the announcement without involving
-// other processes, because none of them sends requests to the upstream.
-func (n *Node) serveAnnouncement(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		sequoiafront.WriteResponse(w, r, http.StatusBadRequest, nil)
-		return
-	}
-	a, ok, err := n.dialect.ReadAnnouncement(r, body)
-	switch {
-	case !ok:
-		sequoiafront.WriteResponse(w, r, http.StatusNotFound, nil)
-		return
-	case err != nil:
-		n.log.Event("announcement rejected", "Error", err)
-		sequoiafront.WriteResponse(w, r, http.StatusBadRequest, []byte(err.Error()+"\n"))
-		return
-	}
-	n.applyAnnouncement(a)
-	w.Header().Set("Content-Type", "application/json")
-	sequoiafront.WriteResponse(w, r, http.StatusOK, []byte("{}"))
-}
-
-// applyAnnouncement updates the local upstream from an announcement. It ignores an announcement that is outdated or
-// does not match the configured service or address.
-func (n *Node) applyAnnouncement(a Announcement) {
-	n.mu.Lock()
-	now := sequoiatimer.BootTime()
-	old := n.core.Upstream()
-	same := old.ID == a.Upstream.ID && (a.Deregistered || old.Born == a.Upstream.Born)
-	if a.Deregistered {
-		if !same {
-			n.mu.Unlock()
-			return
-		}
-		a.Upstream = old
-		a.Upstream.Leaving = true
-	} else if a.Upstream.Service != n.settings.Service || a.Address.IsValid() && a.Address != n.settings.Upstream || same && a.Sequence <= n.sequence {
-		n.mu.Unlock()
-		return
-	}
-	if !n.core.SetUpstream(now, a.Upstream) {
-		n.mu.Unlock()
-		return
-	}
-	if !a.Deregistered {
-		n.sequence = a.Sequence
-		n.queue.SetSlots(a.Upstream.Slots)
-	}
-	u := n.core.Upstream()
-	if !same {
-		n.recordUpstreamEnd(old)
-		n.leavingSince = time.Time{}
-		n.limit = rateLimit{}
-		n.applyLimit(time.Now())
-		n.warmUntil = time.Now().Add(a.WarmUp)
-	}
-	if u.Leaving && n.leavingSince.IsZero() {
-		n.leavingSince = time.Now()
-		if old.ID == "" {
-			// The upstream may have been leaving since before this process started, and other processes may know it.
-			n.leavingSince = n.leavingSince.Add(-n.settings.DrainPeriod)
-		}
-	}
-	changed := u != old
-	n.mu.Unlock()
-	if changed {
-		n.log.Event("upstream announced", "Upstream", u.ID, "Born", u.Born, "Slots", u.Slots, "Leaving", u.Leaving, "Gone", a.Deregistered)
-		n.memberChanged()
-	}
-}
-
 // memberChanged triggers an update of this process's entry in the store. Announcements arrive before there is a
 // registration, which writes the entry as it is then.
 func (n *Node) memberChanged() {
--- a/internal/sequoianode/sync.go
+++ b/internal/sequoianode/sync.go
@@ -104,15 +104,19 @@
 	logFault := n.storeFaultHandler("registration")
 	return &sequoiaregistry.Registration{
 		Store: n.store, Key: memberPrefix + n.settings.Instance, RecordKey: registrationPrefix + n.settings.Instance,
-		Process: n.processID, Value: n.encodedOwnMember, Now: sequoiatimer.BootTime, ReadTable: n.readTable,
+		Value: n.encodedOwnMember, Record: n.encodedRecord, OnRecord: n.onRegistrationRecord, Now: sequoiatimer.BootTime, ReadTable: n.readTable,
 		OnConfirmed:  func(sent time.Time) { n.withCore(func(c *sequoiaowner.Core) { c.ConfirmRegistration(sent) }) },
 		OnCallFailed: func() { n.withCore(func(c *sequoiaowner.Core) { c.MarkRegistrationUnconfirmed() }) },
 		Confirmed: func() (ok bool) {
 			n.withCore(func(c *sequoiaowner.Core) { ok = c.RegistrationConfirmed() })
 			return ok
 		},
-		OnRegistered: func(revision, lease uint64) {
-			n.withCore(func(c *sequoiaowner.Core) { c.MarkRegistered(sequoiatimer.BootTime(), revision, lease) })
+		OnRegistered: func(revision, lease uint64, record []byte) {
+			n.withCore(func(c *sequoiaowner.Core) {
+				c.MarkRegistered(sequoiatimer.BootTime(), revision, lease)
+				n.recorded = decodeRecord(record)
+				n.notifyOwnershipChanged()
+			})
 			n.log.Event("registered in the store", "Revision", revision, "Lease", lease)
 		},
 		OnError: func(err error) {
--- a/internal/sequoiaowner/model_node_test.go
+++ b/internal/sequoiaowner/model_node_test.go
@@ -24,6 +24,7 @@
 	core := p.core
 	return &sequoiaregistry.Registration{
 		Store: store, Key: modelMember + p.name, RecordKey: modelRegistration + p.name, Value: p.member, Now: func() time.Time { return p.w.now },
+		Record: func() []byte { return nil }, OnRecord: func(sequoiaregistry.Item) {},
 		ReadTable: func(context.Context) error { return p.readTable(store) },
 		OnConfirmed: func(sent time.Time) {
 			core.ConfirmRegistration(sent)
@@ -31,7 +32,7 @@
 		},
 		OnCallFailed: core.MarkRegistrationUnconfirmed,
 		Confirmed:    core.RegistrationConfirmed,
-		OnRegistered: func(revision, lease uint64) { core.MarkRegistered(p.w.now, revision, lease) },
+		OnRegistered: func(revision, lease uint64, _ []byte) { core.MarkRegistered(p.w.now, revision, lease) },
 		OnError:      func(error) {},
 	}
 }
--- a/internal/sequoiaregistry/registration.go
+++ b/internal/sequoiaregistry/registration.go
@@ -28,10 +28,12 @@
 	// RecordKey is the key of the registration record. It is under no lease, and every write of the entry rewrites it, so
 	// that an unchanged record shows that the entry has not been written since.
 	RecordKey string
-	// Process identifies this run of the process; it is the content of the record.
-	Process string
-	// Value returns the content of the entry.
-	Value func() []byte
+	// Value returns the content of the entry, and Record that of the record. Each write of the entry writes both.
+	Value  func() []byte
+	Record func() []byte
+	// OnRecord is called with the record in the store before this process writes it for the first time, and again if it
+	// has changed unexpectedly. It has no value if there is none.
+	OnRecord func(record Item)
 	// Now returns the time of a clock that keeps running while the instance is suspended.
 	Now func() time.Time
 	// ReadTable reads the table of key ranges, which may have changed while the entry was missing. It is called before
@@ -45,8 +47,8 @@
 	// Confirmed reports whether the entry is known to exist: it was confirmed, and since then no call has failed and no
 	// removal of the entry was observed.
 	Confirmed func() bool
-	// OnRegistered is called after each write of the entry, with its revision and its lease.
-	OnRegistered func(revision, lease uint64)
+	// OnRegistered is called after each write of the entry, with its revision, its lease and the record written with it.
+	OnRegistered func(revision, lease uint64, record []byte)
 	// OnError is called with the first of a series of errors, and with nil when a call succeeds again.
 	OnError func(err error)
 
@@ -55,11 +57,12 @@
 	wake    chan struct{}
 	lease   uint64
 	// record is the last known revision of the registration record, zero if there is none.
-	record  uint64
-	written bool
-	failing bool
-	cancel  context.CancelFunc
-	done    chan struct{}
+	record     uint64
+	recordRead bool
+	written    bool
+	failing    bool
+	cancel     context.CancelFunc
+	done       chan struct{}
 }
 
 // Start registers the process and renews its lease in the background until ctx ends.
@@ -137,9 +140,14 @@
 	}
 }
 
-// ensureRegistered creates a lease and writes the entry if necessary, renews the lease, and confirms that the entry
+// ensureRegistered reads the record if this process has not done so, creates a lease and writes the entry if necessary, renews the lease, and confirms that the entry
 // exists.
 func (g *Registration) ensureRegistered(ctx context.Context) error {
+	if !g.recordRead {
+		if err := g.call(ctx, g.readRecord); err != nil {
+			return err
+		}
+	}
 	if g.lease == 0 {
 		if err := g.newLease(ctx); err != nil {
 			return err
@@ -173,25 +181,30 @@
 // from being applied after a later one, whose entry would then be under the lease of the earlier one.
 func (g *Registration) write(ctx context.Context) error {
 	return g.call(ctx, func(ctx context.Context) error {
-		tx := Transaction{
-			Expected: map[string]uint64{g.RecordKey: g.record},
-			Puts:     []Item{{Key: g.Key, Value: g.Value(), Lease: g.lease}, {Key: g.RecordKey, Value: []byte(g.Process)}},
-		}
-		revision, err := g.Store.Commit(ctx, tx)
+		err := g.commit(ctx)
 		if errors.Is(err, ErrConflict) {
 			if err := g.readRecord(ctx); err != nil {
 				return err
 			}
-			tx.Expected = map[string]uint64{g.RecordKey: g.record}
-			revision, err = g.Store.Commit(ctx, tx)
+			err = g.commit(ctx)
 		}
-		if err != nil {
-			return err
-		}
-		g.written, g.record = true, revision
-		g.OnRegistered(revision, g.lease)
-		return nil
+		return err
+	})
+}
+
+// commit writes the entry and the record as they are now.
+func (g *Registration) commit(ctx context.Context) error {
+	record := g.Record()
+	revision, err := g.Store.Commit(ctx, Transaction{
+		Expected: map[string]uint64{g.RecordKey: g.record},
+		Puts:     []Item{{Key: g.Key, Value: g.Value(), Lease: g.lease}, {Key: g.RecordKey, Value: record}},
 	})
+	if err != nil {
+		return err
+	}
+	g.written, g.record = true, revision
+	g.OnRegistered(revision, g.lease, record)
+	return nil
 }
 
 func (g *Registration) readRecord(ctx context.Context) error {
@@ -199,10 +212,11 @@
 	if err != nil && !errors.Is(err, ErrNotFound) {
 		return err
 	}
-	g.record = it.Revision
+	g.record, g.recordRead = it.Revision, true
 	if errors.Is(err, ErrNotFound) {
 		g.record = 0
 	}
+	g.OnRecord(it)
 	return nil
 }
 
--- a/internal/sequoiaregistry/registry_test.go
+++ b/internal/sequoiaregistry/registry_test.go
@@ -310,7 +310,8 @@
 	var mu sync.Mutex
 	n, confirmed := 0, false
 	g = &sequoiaregistry.Registration{
-		Store: f.store(), Key: "m", RecordKey: "r", Process: "p", Value: func() []byte { return []byte("v") }, Now: time.Now,
+		Store: f.store(), Key: "m", RecordKey: "r", Value: func() []byte { return []byte("v") }, Now: time.Now,
+		Record: func() []byte { return []byte("p") }, OnRecord: func(sequoiaregistry.Item) {},
 		ReadTable: func(context.Context) error { return nil },
 		OnConfirmed: func(time.Time) {
 			mu.Lock()
@@ -327,7 +328,7 @@
 			defer mu.Unlock()
 			return confirmed
 		},
-		OnRegistered: func(uint64, uint64) {}, OnError: func(error) {},
+		OnRegistered: func(uint64, uint64, []byte) {}, OnError: func(error) {},
 	}
 	g.Start(ctx)
 	return g, func() int {
