Start no queued request at a leaving upstream after its drain limit

Cause: the drain limit was checked when a request entered the queue, not when its turn came.

Change: the queue has a last start. Requests that will probably not start before it are rejected as the upstream announces its shutdown, the rest when it is over, as not run: the process of the caller sends them to another upstream. A request whose key has moved meanwhile is told the new owner. The same limit holds if the upstream says only in a response that it leaves.

--- a/internal/sequoiaadmission/queue.go
+++ b/internal/sequoiaadmission/queue.go
@@ -21,6 +21,8 @@
 	ReasonDeadline = "Deadline"
 	// ReasonFull means that the queue has reached its maximum length.
 	ReasonFull = "Full"
+	// ReasonLeaving means that the upstream is leaving and gets no more requests.
+	ReasonLeaving = "Leaving"
 	// ReasonStopping means that the request might not end before the process does.
 	ReasonStopping = "Stopping"
 )
@@ -75,6 +77,8 @@
 	pace       pace
 	// latestDeadline is the latest deadline of requests that may start, zero if there is none.
 	latestDeadline time.Time
+	// lastStart is when the last request may start, zero if there is no such time.
+	lastStart time.Time
 }
 
 // New returns a queue for an upstream that processes up to slots requests concurrently.
@@ -104,6 +108,29 @@
 	q.waiting = slices.DeleteFunc(q.waiting, q.rejectPastDeadline)
 }
 
+// SetLastStart sets the time after which no request starts, because the upstream is leaving. Queued requests that will
+// probably not start before are rejected at once, while another upstream can still serve them. Call Advance at that time.
+func (q *Queue) SetLastStart(now, last time.Time) {
+	q.lastStart = last
+	late := map[*Ticket]bool{}
+	for _, t := range q.waiting {
+		late[t] = now.Add(q.expectedWait(now, t)).After(last)
+	}
+	q.waiting = slices.DeleteFunc(q.waiting, func(t *Ticket) bool {
+		if late[t] {
+			t.OnDecision(ReasonLeaving, minRetryAfter)
+		}
+		return late[t]
+	})
+	q.Advance(now)
+}
+
+// RemoveLastStart lets requests start again, at another upstream.
+func (q *Queue) RemoveLastStart() { q.lastStart = time.Time{} }
+
+// closed reports whether no request may start any more.
+func (q *Queue) closed(now time.Time) bool { return !q.lastStart.IsZero() && now.After(q.lastStart) }
+
 // rejectPastDeadline rejects a request whose deadline is later than the latest one. It reports whether it did so.
 func (q *Queue) rejectPastDeadline(t *Ticket) bool {
 	past := !q.latestDeadline.IsZero() && t.Deadline.After(q.latestDeadline)
@@ -113,7 +140,7 @@
 	return past
 }
 
-// Advance starts the queued requests that may run now. Call it at NextStart.
+// Advance starts the queued requests that may run now, or rejects them if none may start any more. Call it at NextStart.
 func (q *Queue) Advance(now time.Time) { q.startWaiting(now) }
 
 // NextStart returns the time until the next queued request may start because of the limit on requests per second. It
@@ -174,6 +201,10 @@
 	if q.rejectPastDeadline(t) {
 		return
 	}
+	if q.closed(now) {
+		t.OnDecision(ReasonLeaving, minRetryAfter)
+		return
+	}
 	duration := q.ExpectedDuration(t)
 	if now.Add(duration / 2).After(t.Deadline) {
 		t.OnDecision(ReasonDeadline, 0)
@@ -324,6 +355,13 @@
 
 // startWaiting starts queued requests while slots are free and rejects those that would miss their deadline.
 func (q *Queue) startWaiting(now time.Time) {
+	if q.closed(now) {
+		for _, t := range q.waiting {
+			t.OnDecision(ReasonLeaving, minRetryAfter)
+		}
+		q.waiting = nil
+		return
+	}
 	for q.canStart(now) {
 		best := -1
 		for i, t := range q.waiting {
--- a/internal/sequoiaadmission/queue_test.go
+++ b/internal/sequoiaadmission/queue_test.go
@@ -208,3 +208,44 @@
 		Expect(decisions).To(HaveKeyWithValue("queued, short", "decided "))
 	})
 })
+
+var _ = ginkgo.Describe("Queue of an upstream that is leaving", func() {
+	// Guards against queued requests that are sent to an upstream after the time for which it may still get requests, and
+	// against requests that wait there although another upstream could serve them.
+	ginkgo.It("starts nothing after the last start, and rejects at once what would not start before", func() {
+		now := time.Unix(1000, 0)
+		q := sequoiaadmission.New(1)
+		rejected := map[string]string{}
+		started := map[string]bool{}
+		submit := func(name string) *sequoiaadmission.Ticket {
+			t := &sequoiaadmission.Ticket{
+				Class: "read", Arrived: now, Objective: now.Add(10*time.Second + time.Duration(len(rejected)+q.Waiting())*ms),
+				Deadline:   now.Add(20 * time.Second),
+				OnDecision: func(reason string, _ time.Duration) { rejected[name], started[name] = reason, reason == "" },
+			}
+			q.Submit(now, t)
+			return t
+		}
+		first := submit("first")
+		now = now.Add(time.Second)
+		q.Done(now, first, true)
+		running := submit("running")
+		submit("next")
+		submit("second")
+		submit("third")
+		q.SetLastStart(now, now.Add(1200*time.Millisecond))
+		Expect(rejected).To(HaveKeyWithValue("second", sequoiaadmission.ReasonLeaving))
+		Expect(rejected).To(HaveKeyWithValue("third", sequoiaadmission.ReasonLeaving))
+		Expect(rejected).NotTo(HaveKey("next"))
+		now = now.Add(1300 * time.Millisecond)
+		q.Advance(now)
+		Expect(rejected).To(HaveKeyWithValue("next", sequoiaadmission.ReasonLeaving))
+		q.Done(now, running, true)
+		submit("late")
+		Expect(rejected).To(HaveKeyWithValue("late", sequoiaadmission.ReasonLeaving))
+		Expect(q.Running()).To(BeZero())
+		q.RemoveLastStart()
+		submit("at another upstream")
+		Expect(started).To(HaveKeyWithValue("at another upstream", true))
+	})
+})
--- a/internal/sequoianode/announce.go
+++ b/internal/sequoianode/announce.go
@@ -85,7 +85,7 @@
 	}
 	n.predecessor = readPredecessor(record, sequoiaregistry.Era(it.Revision))
 	if u := record.Upstream; u.Leaving && n.core.Upstream().ID == "" && n.core.SetUpstream(sequoiatimer.BootTime(), u) {
-		n.leavingSince = n.drainedSince()
+		n.beginDrain(n.drainedSince())
 		n.log.Event("upstream has announced its shutdown to an earlier process", "Upstream", u.ID, "Born", u.Born)
 	}
 }
@@ -93,6 +93,19 @@
 // drainedSince returns the begin of a drain that is over. It stands for one that began before this process.
 func (n *Node) drainedSince() time.Time { return time.Now().Add(-n.settings.DrainPeriod) }
 
+// beginDrain records since when the upstream has been leaving. When its drain limit is over, no queued request is sent to it
+// any more. The caller must hold mu.
+func (n *Node) beginDrain(since time.Time) {
+	n.leavingSince = since
+	last := since.Add(n.settings.drainLimit())
+	n.queue.SetLastStart(time.Now(), last)
+	n.timers.After(max(0, time.Until(last))+queueTimerMargin, func(time.Time) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.queue.Advance(time.Now())
+	})
+}
+
 // encodedRecord returns the content of the registration record.
 func (n *Node) encodedRecord() []byte {
 	n.mu.Lock()
@@ -219,16 +232,18 @@
 	if !same {
 		n.recordUpstreamEnd(old)
 		n.leavingSince = time.Time{}
+		n.queue.RemoveLastStart()
 		n.limit = rateLimit{}
 		n.applyLimit(time.Now())
 		n.warmUntil = time.Now().Add(a.WarmUp)
 	}
 	if u.Leaving && n.leavingSince.IsZero() {
-		n.leavingSince = time.Now()
+		since := time.Now()
 		if old.ID == "" {
 			// The upstream may have been leaving since before this process started, and other processes may know it.
-			n.leavingSince = n.drainedSince()
+			since = n.drainedSince()
 		}
+		n.beginDrain(since)
 	}
 	changed := u != old
 	n.mu.Unlock()
--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -35,7 +35,7 @@
 	reasonQuarantined     = "Quarantined"
 	reasonUpstreamRefused = "UpstreamRefused"
 	reasonUpstreamFailed  = "UpstreamFailed"
-	reasonLeaving         = "Leaving"
+	reasonLeaving         = sequoiaadmission.ReasonLeaving
 	reasonStopping        = sequoiaadmission.ReasonStopping
 	reasonCancelled       = "Cancelled"
 )
--- a/internal/sequoianode/limit.go
+++ b/internal/sequoianode/limit.go
@@ -51,7 +51,7 @@
 	if leaves {
 		current.Leaving = true
 		n.core.SetUpstream(sequoiatimer.BootTime(), current)
-		n.leavingSince = now
+		n.beginDrain(now)
 	}
 	n.mu.Unlock()
 	if leaves {
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -77,7 +77,7 @@
 	}
 	if reason != "" {
 		n.meterRejected(req, key, reason)
-		return n.notRunResponseWithLoad(reason, retryAfter)
+		return n.notRunResponseWithLoad(n.currentReason(req, key, reason), retryAfter)
 	}
 	j = n.quarantine.startTrial(ctx, j)
 	resp := j.refusal()
@@ -95,6 +95,17 @@
 	return resp
 }
 
+// currentReason returns the reason to send for a rejection. While a request waited for an upstream that is leaving, its key
+// may have been given to another one, where the request can be served.
+func (n *Node) currentReason(req *sequoiarouter.Request, key sequoiakeyspace.Key, reason string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if reason == reasonLeaving && req.Key != "" && !n.core.AssignedHere(req.Service, key) {
+		return reasonNotOwner
+	}
+	return reason
+}
+
 // finish frees the slot of a request in the queue and returns how long the request ran. resp is nil if it did not run. The
 // slot of a suspect that the upstream may still work on is freed later, so that no other suspect runs beside it.
 func (n *Node) finish(r *run, resp *sequoiarouter.Response) time.Duration {
