Ignore records of earlier processes once a process has registered

A store that was restored may hold the record of the predecessor again. A living process then marked its own record as partial, and its successor checked the upstream without need. Found by reading; the new spec failed before (complete was false).

--- a/internal/sequoianode/announce.go
+++ b/internal/sequoianode/announce.go
@@ -77,7 +77,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	defer n.notifyOwnershipChanged()
-	if record.Process == n.processID {
+	if n.recorded.Process == n.processID || record.Process == n.processID {
+		// What this process knows is later than any other record, also than one that a restored store holds.
 		return
 	}
 	if it.Value != nil && record.Process == "" {
--- a/internal/sequoianode/announce_test.go
+++ b/internal/sequoianode/announce_test.go
@@ -163,6 +163,17 @@
 		Expect(checks).To(Equal(1))
 	}, ginkgo.Entry("it leaves", true), ginkgo.Entry("it stays", false))
 
+	// Guards against a process that takes the record of its predecessor in a restored store for news.
+	ginkgo.It("are not changed by a record of an earlier process once this one has registered", func() {
+		earlier := startAnnounceNode(nil, 0)
+		Expect(accept(earlier, heartbeatOf(1))).To(Succeed())
+		record := register(earlier)
+		n := startAnnounceNode(record, 0)
+		register(n)
+		n.onRegistrationRecord(sequoiaregistry.Item{Value: record, Revision: sequoiaregistry.Revision(1, 3)})
+		Expect(n.predecessor.complete).To(BeTrue())
+	})
+
 	ginkgo.It("of a process of an older build are as before", func() {
 		n := startAnnounceNode([]byte("0123456789abcdef"), 0)
 		Expect(accept(n, heartbeatOf(1))).To(Succeed())
--- a/internal/sequoiaregistry/registration.go
+++ b/internal/sequoiaregistry/registration.go
@@ -56,7 +56,7 @@
 	changed atomic.Bool
 	wake    chan struct{}
 	lease   uint64
-	// record is the last known revision of the registration record, zero if there is none.
+	// record is the last known revision of the registration record, zero if there is none. It is unknown until recordRead.
 	record     uint64
 	recordRead bool
 	written    bool
@@ -140,8 +140,8 @@
 	}
 }
 
-// ensureRegistered reads the record if this process has not done so, creates a lease and writes the entry if necessary, renews the lease, and confirms that the entry
-// exists.
+// ensureRegistered reads the record if this process has not done so, creates a lease and writes the entry if necessary,
+// renews the lease, and confirms that the entry exists.
 func (g *Registration) ensureRegistered(ctx context.Context) error {
 	if !g.recordRead {
 		if err := g.call(ctx, g.readRecord); err != nil {
