--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -152,7 +152,7 @@
 func (n *Node) dispatch(
 	ctx context.Context, req *sequoiarouter.Request, attrs RequestAttributes, route *sequoiaroute.Route, keyed bool,
 ) *sequoiarouter.Response {
-	n.retries.countRequest(time.Now(), req.Service, n.memberCount())
+	n.retries.countRequest(req.Service, n.memberCount())
 	a := &attemptState{tried: map[string]bool{}}
 	if keyed && !attrs.HasKey {
 		return notRunResponse(reasonBadRequest, 0)
--- a/internal/sequoianode/client_test.go
+++ b/internal/sequoianode/client_test.go
@@ -130,7 +130,7 @@
 		for range members {
 			b := newRetryBudgets(settings)
 			for range requests {
-				b.countRequest(time.Unix(1000, 0), "s", members)
+				b.countRequest("s", members)
 				for b.take("s") {
 					taken++
 				}
--- a/internal/sequoiarouter/budget.go
+++ b/internal/sequoiarouter/budget.go
@@ -20,17 +20,6 @@
 	return RetryBudget{fraction: fraction, burst: burst, tokens: burst}
 }
 
-// NewEmptyRetryBudget returns a budget without tokens.
-func NewEmptyRetryBudget(fraction, burst float64) RetryBudget {
-	return RetryBudget{fraction: fraction, burst: burst}
-}
-
-// SetBurst changes the most tokens that the budget may hold. It keeps those that it has, up to that.
-func (b *RetryBudget) SetBurst(burst float64) {
-	b.burst = burst
-	b.tokens = min(b.tokens, burst)
-}
-
 // AddRequest adds the tokens that one new request earns.
 func (b *RetryBudget) AddRequest() {
 	b.tokens = min(b.burst, b.tokens+b.fraction)
