Give processes of a test fleet ports outside the range of outgoing connections

Traced: the fleet's ports were ephemeral ones, and are free while a process is restarted; the README's demo ran at the same second and opens hundreds of connections, which get ports of that range. Ports are now drawn from below it.

--- a/internal/sequoiafleet/fleet.go
+++ b/internal/sequoiafleet/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -286,6 +287,13 @@
 	f.Store.Close()
 }
 
+// Ports of the processes lie below those that the system gives to outgoing connections. One of these could otherwise have
+// the port of a process that is being restarted.
+const (
+	firstPort = 16384
+	portCount = 16384
+)
+
 // freeAddresses returns loopback addresses whose ports were free for both TCP and UDP when checked.
 func freeAddresses(count int) ([]netip.AddrPort, error) {
 	var addrs []netip.AddrPort
@@ -299,9 +307,9 @@
 		if tries == 10*count {
 			return nil, errors.New("find a free port: no port is free for both TCP and UDP")
 		}
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: firstPort + rand.IntN(portCount)})
 		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
+			continue
 		}
 		closers = append(closers, l)
 		addr := l.Addr().(*net.TCPAddr).AddrPort()
