Limit the call that ends the lease of a stopping process again

Found by reading the diff: the rewrite of the stop dropped the limit of 300 ms, so a stop with a store that does not answer would have waited, refusing everything, until the end of its grace.

--- a/internal/sequoianode/stop.go
+++ b/internal/sequoianode/stop.go
@@ -21,6 +21,8 @@
 	// closingShare is the most that this may be as a share of the grace period, whose last sixth is for the end of the
 	// process: requests in progress may be broken off only then.
 	closingShare = 1.0 / 12
+	// leaseEndTimeout limits the call that ends the lease. A lease that is not ended expires.
+	leaseEndTimeout = 300 * time.Millisecond
 )
 
 // stopPlan divides the grace period of a planned stop between those who wait for answers and the end of the process.
@@ -82,6 +84,8 @@
 	if n.expectsRestart() {
 		return
 	}
+	ctx, cancel = context.WithTimeout(ctx, leaseEndTimeout)
+	defer cancel()
 	if err := n.registration.Deregister(ctx); err != nil {
 		n.log.Event("failed to end the lease", "Error", err)
 	}
