Define what processes say of upstreams and links, and their protocol version

The parts of docs/design need a shared vocabulary before they are built: fields of a load report, of a request and of a member's entry, the limits in the settings file, and the warm-up rate of a service. A process uses new fields only towards one whose entry names protocol version 2, because the codec of frames rejects fields that it does not know.

The bounds coldOver, coldSlack and evacuation and the limits are optional; a deployment without them is served as before.

--- a/internal/sequoianode/dialect.go
+++ b/internal/sequoianode/dialect.go
@@ -137,4 +137,16 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetrySlack  float64
+	// ColdOver and ColdSlack limit what all processes together send to a cold upstream: in each second, at most ColdOver
+	// times the service's WarmupRate plus ColdSlack requests. Zero values set no limit beyond WarmupRate.
+	ColdOver, ColdSlack float64
+	// EvacuationTime is how long after an order to evacuate a failure domain its upstreams may still be sent requests; zero
+	// if the deployment has no such orders.
+	EvacuationTime time.Duration
+	// MemoryLimit is the memory in bytes above which the platform ends the process, MaxDescriptors the number of file
+	// descriptors that it may open, and LinkRate the capacity of the instance's link in bytes per second. Zero values mean
+	// that the settings do not say.
+	MemoryLimit    int64
+	MaxDescriptors int
+	LinkRate       float64
 }
--- a/internal/sequoianode/directory.go
+++ b/internal/sequoianode/directory.go
@@ -144,6 +144,16 @@
 	return p.member.Address, true
 }
 
+// protocol returns the version of the protocol that the process on an instance speaks, zero if it is not known.
+func (d *directory) protocol(instance string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p := d.peers[instance]; p != nil {
+		return p.member.Protocol
+	}
+	return 0
+}
+
 // instances returns the instances of all known peers.
 func (d *directory) instances() []string {
 	d.mu.Lock()
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -44,11 +44,15 @@
 		return n.servePeerMessage(ctx, req)
 	}
 	if n.exceedsStopDeadline(req.Deadline) {
-		return n.notRunResponseWithLoad(reasonStopping, upstreamRetryAfter)
+		resp := n.notRunResponseWithLoad(reasonStopping, upstreamRetryAfter)
+		resp.Load = resp.Load.ForVersion(req.Version)
+		return resp
 	}
 	n.front.AddInProgress(1)
 	defer n.front.AddInProgress(-1)
-	return n.serveLocal(ctx, req)
+	resp := n.serveLocal(ctx, req)
+	resp.Load = resp.Load.ForVersion(req.Version)
+	return resp
 }
 
 // serveLocal runs a request on the local upstream.
--- a/internal/sequoianode/sync.go
+++ b/internal/sequoianode/sync.go
@@ -12,6 +12,7 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaregistry"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
 
@@ -156,6 +157,7 @@
 	u.Lost = u.Lost || n.stopping.Load()
 	return sequoiaowner.Member{
 		Instance: n.settings.Instance, Address: n.settings.Forward, Domain: n.settings.Domain, Process: n.processID, Upstream: u,
+		Protocol: sequoiarouter.ProtocolVersion,
 	}
 }
 
--- a/internal/sequoiaowner/core.go
+++ b/internal/sequoiaowner/core.go
@@ -86,6 +86,10 @@
 	// Process identifies one run of the process on its instance.
 	Process  string
 	Upstream Upstream
+	// Protocol is the version of the protocol between processes that the process speaks, zero for one before version 2.
+	Protocol int `json:",omitempty"`
+	// ColdFor is how much longer the upstream was cold when the entry was written.
+	ColdFor time.Duration `json:",omitempty"`
 	// Revision is the entry's revision in the store. It is not encoded.
 	Revision uint64 `json:"-"`
 }
--- a/internal/sequoiapeer/frame.go
+++ b/internal/sequoiapeer/frame.go
@@ -124,6 +124,8 @@
 	Priority   int                 `cbor:"13,keyasint,omitempty"`
 	Objective  time.Duration       `cbor:"14,keyasint,omitempty"`
 	Route      string              `cbor:"15,keyasint,omitempty"`
+	Call       bool                `cbor:"16,keyasint,omitempty"`
+	Version    int                 `cbor:"17,keyasint,omitempty"`
 }
 
 // wireResponse is sequoiarouter.Response as encoded. The conversion between them fails to compile if their fields
@@ -171,6 +173,10 @@
 		Service: req.Service, Key: req.Key, RequestID: req.RequestID, FirstEpoch: req.FirstEpoch,
 		Repeatable: req.Repeatable, Method: req.Method, Path: req.Path, Header: req.Header, Body: req.Body,
 		Host: req.Host, Route: req.Route, Origin: req.Origin, Priority: req.Priority, Objective: req.Objective,
+		Version: req.Version,
+	}
+	if w.Version >= sequoiarouter.ProtocolVersion {
+		w.Call = req.Call
 	}
 	if !req.Deadline.IsZero() {
 		w.Remaining = req.Deadline.Sub(now)
@@ -192,6 +198,7 @@
 		Service: w.Service, Key: w.Key, RequestID: w.RequestID, FirstEpoch: w.FirstEpoch,
 		Repeatable: w.Repeatable, Forwarded: true, Method: w.Method, Path: w.Path, Header: w.Header, Body: w.Body,
 		Host: w.Host, Route: w.Route, Origin: w.Origin, Priority: w.Priority, Objective: w.Objective,
+		Call: w.Call, Version: w.Version,
 	}
 	if w.Remaining > 0 {
 		req.Deadline = now.Add(w.Remaining)
--- a/internal/sequoiaroute/config.go
+++ b/internal/sequoiaroute/config.go
@@ -26,8 +26,12 @@
 	MaxConnections int
 	// Keyed is true if upstreams have exclusive ownership of keys.
 	Keyed bool
-	// Warmup is how long requests for a key are slow after an upstream has received the key without a handover.
-	Warmup time.Duration
+	// KeyWarmup is how long requests for a key are slow after an upstream has received the key without a handover.
+	KeyWarmup time.Duration
+	// WarmupPeriod is how long an upstream is cold after its start, and WarmupRate is the number of requests per second
+	// that it tolerates meanwhile from all instances together; zero if there is no limit.
+	WarmupPeriod time.Duration
+	WarmupRate   float64
 }
 
 // Route is a rule for the requests to a host whose paths share a prefix.
--- a/internal/sequoiarouter/request.go
+++ b/internal/sequoiarouter/request.go
@@ -34,6 +34,10 @@
 	return "Invalid"
 }
 
+// ProtocolVersion is the version of the protocol between processes. A process uses fields and frames that version 2 has
+// added only towards processes whose entry in the store names it.
+const ProtocolVersion = 2
+
 // Request is a caller's complete request.
 type Request struct {
 	Service string
@@ -73,6 +77,11 @@
 	Path   string
 	Header map[string][]string
 	Body   []byte
+	// Call is true if an upstream sent the request while it worked on another one. If it fails, that work is lost.
+	Call bool
+	// Version is the protocol version of the process that forwards the request, zero for one before ProtocolVersion 2. It
+	// says which fields of a response that process can read.
+	Version int
 }
 
 // StampFirstEpoch sets FirstEpoch for the next attempt, which is sent to the owner under the assignment with the given
@@ -99,6 +108,21 @@
 	Work time.Duration
 	// StartDelay is how long one more request would wait because of the upstream's limit on requests per second.
 	StartDelay time.Duration
+	// Speed is how long work takes at the upstream at this moment, relative to the usual time. It is zero if the upstream
+	// does not say.
+	Speed float64 `cbor:",omitempty"`
+	// LinkDelay is how long one more body of 64 KB would wait for the link of the upstream's instance.
+	LinkDelay time.Duration `cbor:",omitempty"`
+	// ColdFor is how much longer the upstream is cold. Until then it must be sent few requests.
+	ColdFor time.Duration `cbor:",omitempty"`
+}
+
+// ForVersion returns the load without the fields that a process with an older protocol version rejects.
+func (l Load) ForVersion(version int) Load {
+	if version < ProtocolVersion {
+		l.Speed, l.LinkDelay, l.ColdFor = 0, 0, 0
+	}
+	return l
 }
 
 // Response is the response to a request, from the upstream or from the router.
