--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -294,7 +294,7 @@
 	if j.alone() {
 		m, ok = n.directory.chooseFor(req.Service, j.fingerprint, a.tried)
 	} else {
-		m, ok = n.directory.choose(req.Service, a.tried)
+		m, ok = n.directory.choose(req, a.tried)
 	}
 	if !ok {
 		return nil
@@ -310,10 +310,11 @@
 	if n.directory.drained(instance) {
 		return notRunResponse(reasonLeaving, upstreamRetryAfter)
 	}
-	upstream := n.directory.beginRequest(instance)
+	upstream, began := n.directory.beginRequest(instance), time.Now()
 	if instance == n.settings.Instance {
 		resp := n.serveLocal(ctx, req)
 		n.directory.endRequest(instance, resp)
+		n.directory.observe(req, time.Since(began), resp)
 		n.noteLeaving(upstream, resp)
 		return resp
 	}
@@ -326,6 +327,7 @@
 	resp, err := n.forwarder.Forward(ctx, addr, req)
 	if err == nil {
 		n.directory.endRequest(instance, resp)
+		n.directory.observe(req, time.Since(began), resp)
 		n.noteLeaving(upstream, resp)
 		n.fetchIfNewer(instance, resp.LogIndex)
 		return resp
--- a/internal/sequoianode/client_test.go
+++ b/internal/sequoianode/client_test.go
@@ -45,6 +45,11 @@
 	}
 }
 
+// partsRequest returns a request with the usual objective of the service of the test's members.
+func partsRequest() *sequoiarouter.Request {
+	return &sequoiarouter.Request{Service: "parts", Objective: 600 * time.Millisecond, Deadline: time.Now().Add(1500 * time.Millisecond)}
+}
+
 var _ = ginkgo.Describe("directory", func() {
 	newTestDirectory := func() *directory {
 		d := newDirectory(Settings{Instance: "a", Domain: "north"})
@@ -64,7 +69,7 @@
 		report(d, "near", 3)
 		report(d, "far", 0)
 		for range 20 {
-			m, ok := d.choose("parts", nil)
+			m, ok := d.choose(partsRequest(), nil)
 			Expect(ok).To(BeTrue())
 			Expect(m.Instance).To(Equal("near"))
 		}
@@ -75,7 +80,7 @@
 		d := newTestDirectory()
 		report(d, "near", 7)
 		report(d, "far", 1)
-		m, ok := d.choose("parts", nil)
+		m, ok := d.choose(partsRequest(), nil)
 		Expect(ok).To(BeTrue())
 		Expect(m.Instance).To(Equal("far"))
 	})
@@ -89,7 +94,7 @@
 			Load: sequoiarouter.Load{Slots: 6, Work: 100 * time.Millisecond, StartDelay: 300 * time.Millisecond},
 		})
 		report(d, "far", 3)
-		m, ok := d.choose("parts", nil)
+		m, ok := d.choose(partsRequest(), nil)
 		Expect(ok).To(BeTrue())
 		Expect(m.Instance).To(Equal("far"))
 	})
@@ -98,7 +103,7 @@
 		d := newTestDirectory()
 		Expect(d.markUnreachable("near")).To(BeTrue())
 		Expect(d.markUnreachable("near")).To(BeFalse(), "a second probe of the same process")
-		m, _ := d.choose("parts", nil)
+		m, _ := d.choose(partsRequest(), nil)
 		Expect(m.Instance).To(Equal("far"))
 		_, ok := d.address("near")
 		Expect(ok).To(BeFalse())
@@ -111,13 +116,13 @@
 	ginkgo.It("keeps using members whose entries have just expired", func() {
 		d := newTestDirectory()
 		d.setMembers(map[string]sequoiaowner.Member{})
-		_, ok := d.choose("parts", nil)
+		_, ok := d.choose(partsRequest(), nil)
 		Expect(ok).To(BeTrue())
 	})
 
 	ginkgo.It("sends a request to no upstream twice", func() {
 		d := newTestDirectory()
-		_, ok := d.choose("parts", map[string]bool{"near": true, "far": true})
+		_, ok := d.choose(partsRequest(), map[string]bool{"near": true, "far": true})
 		Expect(ok).To(BeFalse())
 	})
 })
--- a/internal/sequoianode/directory.go
+++ b/internal/sequoianode/directory.go
@@ -14,6 +14,7 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaquarantine"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaspread"
 )
 
 const (
@@ -22,26 +23,9 @@
 	removedMemberGracePeriod = 2500 * time.Millisecond
 	// leavingMemory is how long an upstream that is leaving is remembered. It exceeds the longest drain.
 	leavingMemory = 5 * time.Minute
-	// maxLoadAge is the age from which a reported load is ignored.
-	maxLoadAge = 1500 * time.Millisecond
 	// unreachableTimeout is how long an unreachable process gets no requests unless it answers a probe earlier. It is also
 	// how long randomPeers returns a process whose entry has disappeared.
 	unreachableTimeout = 15 * time.Second
-	// maxCandidates limits the number of upstreams that are compared for one request.
-	maxCandidates = 5
-	// defaultWork is the assumed duration of a request at an upstream that has not reported one.
-	defaultWork = 150 * time.Millisecond
-	// crossDomainDelay is added to the expected delay at an upstream in another failure domain. It covers the round
-	// trip and keeps traffic between failure domains low where this hardly affects callers.
-	crossDomainDelay = 25 * time.Millisecond
-	// utilizationWeight is the relative increase of a request's duration at a full upstream compared to an idle one.
-	utilizationWeight = 0.2
-	// queueingThreshold is the utilization above which a request is likely to wait for a slot, and queueingWeight is
-	// the weight of utilization beyond it.
-	queueingThreshold = 0.7
-	queueingWeight    = 2.0
-	// failureWeight is the relative increase of the expected delay at an upstream where all requests fail.
-	failureWeight = 6.0
 	// failureSmoothing is the weight of a new result in the moving average of the failure rate.
 	failureSmoothing = 0.15
 )
@@ -60,6 +44,8 @@
 // directory tracks the members and selects an upstream for requests that any upstream of the service may run.
 type directory struct {
 	settings Settings
+	chooser  *sequoiaspread.Chooser
+	usage    usage
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -68,7 +54,10 @@
 }
 
 func newDirectory(settings Settings) *directory {
-	return &directory{settings: settings, peers: map[string]*peer{}, leaving: map[sequoiakeyspace.Holder]time.Time{}}
+	return &directory{
+		settings: settings, chooser: sequoiaspread.New(settings.Domain, rand.IntN), usage: newUsage(),
+		peers: map[string]*peer{}, leaving: map[sequoiakeyspace.Holder]time.Time{},
+	}
 }
 
 // markLeaving records that an upstream said in a response that it is shutting down.
@@ -208,24 +197,30 @@
 	return p.member.Usable() && (p.removedAt.IsZero() || now.Sub(p.removedAt) < removedMemberGracePeriod) && !now.Before(p.unreachableUntil)
 }
 
-// choose returns the member whose upstream has the lowest expected delay among those of a service that were not tried
-// yet. It compares a random sample of at most maxCandidates.
-func (d *directory) choose(service string, tried map[string]bool) (sequoiaowner.Member, bool) {
+// choose returns the member whose upstream a request without a key should go to, among those that were not tried yet.
+func (d *directory) choose(req *sequoiarouter.Request, tried map[string]bool) (sequoiaowner.Member, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	candidates := d.candidates(now, service, tried)
-	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	var best *peer
-	for _, p := range candidates[:min(len(candidates), maxCandidates)] {
-		if best == nil || d.expectedDelay(now, p) < d.expectedDelay(now, best) {
-			best = p
-		}
+	peers := d.candidates(now, req.Service, tried)
+	candidates := make([]sequoiaspread.Candidate, len(peers))
+	for i, p := range peers {
+		candidates[i] = p.candidate(now)
 	}
-	if best == nil {
+	best := d.chooser.Choose(candidates, d.usage.expect(req))
+	if best < 0 {
 		return sequoiaowner.Member{}, false
 	}
-	return best.member, true
+	return peers[best].member, true
+}
+
+// candidate returns the peer's upstream as a candidate for a request.
+func (p *peer) candidate(now time.Time) sequoiaspread.Candidate {
+	return sequoiaspread.Candidate{
+		Domain: p.member.Domain, Running: p.load.Running, Waiting: p.load.Waiting, Age: now.Sub(p.loadReportedAt),
+		Outstanding: p.outstanding, Slots: p.member.Upstream.Slots, Work: p.load.Work,
+		StartDelay: p.load.StartDelay, LinkDelay: p.load.LinkDelay, FailureRate: p.failureRate,
+	}
 }
 
 // candidates returns the peers whose upstreams of a service are usable and were not tried yet. The caller must hold mu.
@@ -254,27 +249,6 @@
 	return best, found
 }
 
-// expectedDelay estimates the delay of one more request: its duration, which increases with utilization, and the wait
-// for a slot.
-func (d *directory) expectedDelay(now time.Time, p *peer) time.Duration {
-	work := p.load.Work
-	if work == 0 {
-		work = defaultWork
-	}
-	inProgress := float64(p.outstanding)
-	if age := now.Sub(p.loadReportedAt); age < maxLoadAge {
-		reported := float64(p.load.Running+p.load.Waiting) * (1 - float64(age)/float64(maxLoadAge))
-		inProgress = max(inProgress, reported)
-	}
-	utilization := (inProgress + 1) / float64(max(1, p.member.Upstream.Slots))
-	factor := (1 + utilizationWeight*utilization + queueingWeight*max(0, utilization-queueingThreshold)) * (1 + failureWeight*p.failureRate)
-	delay := time.Duration(float64(work)*factor) + max(0, p.load.StartDelay-now.Sub(p.loadReportedAt))
-	if p.member.Domain != d.settings.Domain {
-		delay += crossDomainDelay
-	}
-	return delay
-}
-
 // beginRequest records that a request is being sent to an instance, and returns the upstream that it is sent to.
 func (d *directory) beginRequest(instance string) sequoiakeyspace.Holder {
 	d.mu.Lock()
@@ -310,6 +284,13 @@
 	return true
 }
 
+// observe records what an upstream's response to a request has taken and transferred.
+func (d *directory) observe(req *sequoiarouter.Request, took time.Duration, resp *sequoiarouter.Response) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.usage.observe(req, took, resp)
+}
+
 // endRequest records the result of a request to an instance. resp is nil if the instance did not respond.
 func (d *directory) endRequest(instance string, resp *sequoiarouter.Response) {
 	d.mu.Lock()
