Run pipelined requests that may be repeated concurrently

Cause: the front ran the requests of a connection one after another, and deadlines counted from the start of the handler. The second of two pipelined requests waited for the whole work of the first and missed its objective.

A response that closes the connection cancels the requests after it. Arrival is the time of a request's last byte. A stop now closes a connection after its last response (WithClosing) instead of the next one. Requests that can be read in two ways are rejected: two lengths, a length beside a transfer encoding, folded lines, spaces before colons, illegal bytes in targets, a missing or second Host. Statuses below 200 and above 599 are sent as 502.

Ruled out: nbhttp's Response, which writes as soon as the handler returns, and its ServerProcessor, which copies bodies twice.

--- /dev/null
+++ b/internal/sequoiafront/body.go
@@ -0,0 +1,118 @@
+package sequoiafront
+
+import (
+	"io"
+	"net/http/httputil"
+	"os"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// firstPiece and lastPiece are the sizes in bytes of the first and the largest piece of a body of unknown length.
+	firstPiece = 4 << 10
+	lastPiece  = 256 << 10
+	// bodyGrowth is the factor by which the buffer of a body of known length grows. The last growth copies an eighth of the
+	// body, so that both buffers fit where hardly more than the body does.
+	bodyGrowth = 8
+	// smallBody is the size in bytes up to which the buffer of a body of known length is allocated at once.
+	smallBody = 16 << 10
+	// framingFactor is how many times its content the framing of a chunked body may be, beyond framingSlack bytes. Chunks of
+	// one byte have five bytes of framing each; a client may send a short body in this way.
+	framingFactor = 4
+	framingSlack  = 64 << 10
+)
+
+// nextSize returns the size in bytes of the next buffer of a body of the given length, of which have bytes have arrived.
+// It is the length divided by a power of bodyGrowth, so that a claimed length alone reserves little.
+func nextSize(have, length int) int {
+	size := length
+	for size > smallBody {
+		smaller := (size + bodyGrowth - 1) / bodyGrowth
+		if smaller <= have {
+			break
+		}
+		size = smaller
+	}
+	return size
+}
+
+// readSized reads a body of known length.
+func (c *serverConn) readSized(length int) ([]byte, error) {
+	var body []byte
+	for have := 0; have < length; {
+		if have == len(body) {
+			larger := make([]byte, nextSize(have, length))
+			copy(larger, body)
+			body = larger
+		}
+		c.extendReadDeadline()
+		n, err := c.r.Read(body[have:])
+		have += n
+		if err != nil && have < length {
+			return nil, unexpectedEOF(err)
+		}
+	}
+	return body, nil
+}
+
+// readChunked reads a chunked body of at most limit bytes, and its trailer into h.
+func (c *serverConn) readChunked(h *headReader, limit int) ([]byte, error) {
+	var pieces [][]byte
+	begin, length := c.consumed(), 0
+	chunks := httputil.NewChunkedReader(c.r)
+	for {
+		pieces = growPieces(pieces)
+		last := &pieces[len(pieces)-1]
+		c.extendReadDeadline()
+		n, err := chunks.Read((*last)[len(*last):cap(*last)])
+		*last = (*last)[:len(*last)+n]
+		if length += n; length > limit || c.consumed()-begin > int64(length)*(framingFactor+1)+framingSlack {
+			return nil, errors.WithStack(errBodyTooLarge)
+		}
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, chunkError(err)
+		}
+	}
+	h.raw = h.raw[:0]
+	if err := h.readFields(); err != nil {
+		return nil, unexpectedEOF(err)
+	}
+	return joinPieces(pieces, length), nil
+}
+
+// consumed returns the number of bytes of the connection that belong to requests that have been read.
+func (c *serverConn) consumed() int64 { return c.received - int64(c.r.Buffered()) }
+
+// chunkError returns the reason for the failure of a read of chunks: the connection, or what it has sent.
+func chunkError(err error) error {
+	var network interface{ Timeout() bool }
+	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &network) {
+		return err
+	}
+	return errors.Wrap(errMalformed, err.Error())
+}
+
+// growPieces appends a piece if the last one is full.
+func growPieces(pieces [][]byte) [][]byte {
+	if n := len(pieces); n > 0 && len(pieces[n-1]) < cap(pieces[n-1]) {
+		return pieces
+	}
+	return append(pieces, make([]byte, 0, min(firstPiece<<len(pieces), lastPiece)))
+}
+
+// joinPieces returns the content of the pieces as one slice.
+func joinPieces(pieces [][]byte, length int) []byte {
+	if len(pieces) == 1 {
+		return pieces[0]
+	}
+	body := make([]byte, 0, length)
+	for i, p := range pieces {
+		body = append(body, p...)
+		pieces[i] = nil
+	}
+	return body
+}
--- a/internal/sequoiafront/conn.go
+++ b/internal/sequoiafront/conn.go
@@ -1,155 +1,210 @@
 package sequoiafront
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
-	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 )
 
-// serverConn reads requests from one client connection and runs their handlers in order. It keeps reading while a
-// handler runs, so that closing the connection cancels the request.
+// serverConn reads the requests of one client connection. It keeps reading while handlers run, so that closing the
+// connection cancels the requests.
 type serverConn struct {
 	net.Conn
-	server *Server
-	parser *nbhttp.Parser
-	ctx    context.Context
-	cancel context.CancelCauseFunc
-
-	mu      sync.Mutex
-	jobs    []func()
-	running bool
-	// refusing is true once the server has refused further requests. What arrives after that is not run.
-	refusing bool
-	// idle is signaled when running becomes false.
-	idle sync.Cond
-}
-
-func newServerConn(s *Server, conn net.Conn, e *nbhttp.Engine) *serverConn {
-	c := &serverConn{Conn: conn, server: s}
-	c.idle.L = &c.mu
+	server   *Server
+	listener *listenConfig
+	r        *bufio.Reader
+	// received is the number of bytes that have been read from the connection, including those that r holds.
+	received int64
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+
+	mu sync.Mutex
+	// changed is signaled when an exchange ends.
+	changed  sync.Cond
+	pipeline pipeline
+	// closing is true once the last response has been or is being written. What arrives after that is not run.
+	closing bool
+}
+
+func newServerConn(s *Server, conn net.Conn, cfg *listenConfig) *serverConn {
+	c := &serverConn{Conn: conn, server: s, listener: cfg}
+	c.changed.L = &c.mu
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
-	c.parser = nbhttp.NewParser(c, e, nbhttp.NewServerProcessor(), false, c.enqueue)
+	c.r = bufio.NewReaderSize(c, readBufferSize)
 	return c
 }
 
-// setRequestContext sets the context of a request to that of its connection, and whether the connection is to be closed
-// after the response. nbhttp calls it before it queues the request.
-func setRequestContext(w http.ResponseWriter, r *http.Request) {
-	c := w.(*nbhttp.Response).Parser.Conn.(*serverConn)
-	*r = *r.WithContext(c.ctx)
-	r.Close = r.Close || c.server.draining.Load()
+// Read reads from the client and counts the bytes.
+func (c *serverConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.received += int64(n)
+	return n, err
 }
 
-// Write writes to the client with a deadline, since the client may have stopped reading.
+// Write writes to the client in pieces, each with a deadline, since the client may have stopped reading.
 func (c *serverConn) Write(b []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
+	written := 0
+	for {
+		if err := c.SetWriteDeadline(time.Now().Add(c.server.writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(b[written:min(len(b), written+writePiece)])
+		written += n
+		if err != nil || written == len(b) {
+			return written, err
+		}
 	}
-	return c.Conn.Write(b)
 }
 
-// serve reads and parses requests until the connection ends or the client sends malformed data.
+// serve reads requests until the connection ends.
 func (c *serverConn) serve() {
 	defer c.server.unregister(c)
-	err := c.SetReadDeadline(time.Now().Add(idleTimeout))
-	b := make([]byte, readBufferSize)
-	for err == nil {
-		var n int
-		n, err = c.Read(b)
-		if n == 0 || c.isRefusing() {
-			continue
+	err := c.readRequests()
+	if r := refusalOf(err); r != nil {
+		c.refuse(r)
+	}
+	if c.isClosing() {
+		c.discard()
+	}
+	c.mu.Lock()
+	c.end(err)
+	c.mu.Unlock()
+	_ = c.Close()
+	c.awaitHandlers()
+}
+
+// readRequests reads requests until one cannot be read or the connection takes no more. It reads only as far ahead as
+// maxPipelined allows.
+func (c *serverConn) readRequests() error {
+	for c.await(maxPipelined - 1) {
+		if err := c.awaitRequest(); err != nil {
+			return err
+		}
+		e, err := c.readRequest()
+		if err != nil {
+			return err
 		}
-		if parseErr := c.parser.Parse(b[:n]); parseErr != nil {
-			err = parseErr
-			c.reject(parseErr)
+		if !c.enqueue(e) {
+			break
 		}
 	}
-	c.cancel(err)
-	_ = c.Close()
-	c.parser.CloseAndClean(err)
-	c.waitIdle()
+	return errors.WithStack(errConnectionClosing)
 }
 
-func (c *serverConn) isRefusing() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.refusing
+// awaitRequest waits for the first byte of a request.
+func (c *serverConn) awaitRequest() error {
+	for {
+		c.extendReadDeadline()
+		_, err := c.r.Peek(1)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.busy() {
+			return err
+		}
+	}
 }
 
-// refuseRequests writes a response that refuses any request that may be on its way, unless one is in progress, and ends
-// the connection once the client has closed its side.
-func (c *serverConn) refuseRequests(response []byte) {
+// extendReadDeadline gives the client idleTimeout for its next bytes, unless the connection is being closed.
+func (c *serverConn) extendReadDeadline() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.running || c.refusing {
-		return
+	if !c.closing {
+		_ = c.SetReadDeadline(time.Now().Add(idleTimeout))
 	}
-	c.refusing = true
-	go func() {
-		_ = c.SetReadDeadline(time.Now().Add(lingerTime))
-		_, _ = c.Write(response)
-		if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-			_ = half.CloseWrite()
-		}
-	}()
 }
 
-// waitIdle waits until no handler is running or queued.
-func (c *serverConn) waitIdle() {
+func (c *serverConn) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for c.running {
-		c.idle.Wait()
+	return c.closing
+}
+
+// beginClose ends the connection in the direction of the client and limits for how long the rest of what it sends is
+// read. The caller must hold mu.
+func (c *serverConn) beginClose() {
+	c.limitReading()
+	c.closeWrite()
+}
+
+// limitReading makes the connection take no further requests. The caller must hold mu.
+func (c *serverConn) limitReading() {
+	c.closing = true
+	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+}
+
+func (c *serverConn) closeWrite() {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
 	}
 }
 
-// reject responds to malformed data, after the responses to the requests before it have been written.
-func (c *serverConn) reject(err error) {
-	c.waitIdle()
-	status := http.StatusBadRequest
-	if errors.Is(err, nbhttp.ErrTooLong) {
-		status = http.StatusRequestEntityTooLarge
+// discard reads what the client has sent without knowing that the connection is being closed. Closing it with unread
+// bytes would discard the last response on its way to the client.
+func (c *serverConn) discard() {
+	_, _ = io.CopyN(io.Discard, c.r, maxLingerBytes)
+}
+
+// refuse writes a response that says that a request was not run, after the responses to those before it.
+func (c *serverConn) refuse(r *refusal) {
+	if !c.await(0) {
+		return
 	}
-	_, _ = c.Write([]byte(statusLine(status) + "Connection: close\r\nContent-Length: 0\r\n\r\n"))
+	c.mu.Lock()
+	if c.closing {
+		c.mu.Unlock()
+		return
+	}
+	c.limitReading()
+	c.mu.Unlock()
+	_, _ = c.Write(c.listener.refusalResponse(r.status))
+	c.closeWrite()
 }
 
-func (c *serverConn) enqueue(job func()) bool {
+// refuseRequests writes a response that refuses any request that may be on its way, unless one is in progress, and ends
+// the connection once the client has closed its side.
+func (c *serverConn) refuseRequests(response []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.refusing {
-		return false
+	if len(c.pipeline.exchanges) > 0 || c.closing {
+		return
 	}
-	if len(c.jobs) >= maxPipelined {
-		_ = c.Close()
-		return false
+	c.limitReading()
+	go func() {
+		_, _ = c.Write(response)
+		c.closeWrite()
+	}()
+}
+
+// writeResponse writes the response to a request.
+func (c *serverConn) writeResponse(w *responseWriter, closes bool) error {
+	head, body := w.encode(closes)
+	if len(head)+len(body) <= writePiece {
+		head, body = append(head, body...), nil
+	}
+	if _, err := c.Write(head); err != nil {
+		return err
 	}
-	c.server.inProgress.Add(1)
-	c.jobs = append(c.jobs, job)
-	if !c.running {
-		c.running = true
-		go c.runJobs()
+	if len(body) == 0 {
+		return nil
 	}
-	return true
+	_, err := c.Write(body)
+	return err
 }
 
-func (c *serverConn) runJobs() {
-	for {
-		c.mu.Lock()
-		if len(c.jobs) == 0 {
-			c.running = false
-			c.idle.Broadcast()
-			c.mu.Unlock()
-			return
-		}
-		job := c.jobs[0]
-		c.jobs = c.jobs[1:]
-		c.mu.Unlock()
-		job()
-		c.server.inProgress.Add(-1)
+// continueRequest tells a client that waits before it sends the body of a request to send it, after the responses to the
+// requests before.
+func (c *serverConn) continueRequest(r *http.Request) error {
+	if c.r.Buffered() > 0 || r.ProtoMinor == 0 || !hasToken(r.Header["Expect"], "100-continue") {
+		return nil
+	}
+	if !c.await(0) {
+		return errors.WithStack(errConnectionClosing)
 	}
+	_, err := c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	return err
 }
--- a/internal/sequoiafront/front.go
+++ b/internal/sequoiafront/front.go
@@ -1,9 +1,13 @@
-// Package sequoiafront is an HTTP/1.1 server based on nbhttp. It cancels a request when its connection is closed, and
-// it writes responses with exactly the status and length that the handler set.
+// Package sequoiafront is an HTTP/1.1 server based on nbhttp's parser. It cancels a request when its connection is closed,
+// writes responses with exactly the status and length that the handler set, and runs pipelined requests concurrently if
+// they may be repeated.
+//
+// It reads each connection itself instead of using nbhttp's engine, whose event loops look up connections by file
+// descriptor, so that an event for a connection that a handler has closed can close a new connection with the same
+// descriptor, and whose blocking mode continues after a parse error.
 package sequoiafront
 
 import (
-	"bytes"
 	"net"
 	"net/http"
 	"net/netip"
@@ -13,7 +17,6 @@
 	"time"
 
 	"github.com/lesismal/nbio/logging"
-	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
@@ -21,20 +24,25 @@
 
 // Limits of a server.
 const (
-	// maxPipelined is the maximum number of pipelined requests that wait on one connection.
+	// maxPipelined is the maximum number of requests of one connection that have been read and have no response yet. The
+	// connection is not read beyond them.
 	maxPipelined    = 64
 	maxConns        = 20000
 	shutdownTimeout = time.Second
 	// maxHeaderBytes is the maximum size of a request line and its headers.
 	maxHeaderBytes = 64 << 10
+	// maxHeaderLines is the maximum number of lines of a head and its trailer, including the request line and empty lines.
+	maxHeaderLines = 256
 	// readBufferSize is the size in bytes of a connection's read buffer. Most requests fit, and each idle connection
 	// holds one such buffer.
 	readBufferSize = 4 << 10
 	// idleTimeout closes idle connections. It is longer than the idle timeouts that operators configure, so that a
 	// client does not send a request on a connection that is being closed.
 	idleTimeout = 120 * time.Second
-	// writeTimeout bounds a write to a client that does not read. It is longer than clients wait for a response.
+	// writeTimeout bounds the write of writePiece bytes to a client that does not read. It is longer than clients wait for a
+	// response.
 	writeTimeout = 30 * time.Second
+	writePiece   = 64 << 10
 	// drainSettleTime is how long no request must have been in progress at the end of a drain. A client that received its
 	// last response before that has had time to send the next request on the same connection, and to be told to close it.
 	drainSettleTime   = 150 * time.Millisecond
@@ -42,13 +50,16 @@
 	// lingerTime is how long the server still reads from a connection that it has refused further requests on.
 	// Closing it with unread bytes would discard the refusal on its way to the client.
 	lingerTime = 500 * time.Millisecond
+	// maxLingerBytes bounds what is read meanwhile.
+	maxLingerBytes = 1 << 20
 	// acceptRetryDelay is the delay after a failed accept, for example when the process is out of file descriptors.
 	acceptRetryDelay = 20 * time.Millisecond
 )
 
 // Server is a set of listeners that share one count of requests in progress.
 type Server struct {
-	maxBody int
+	maxBody      int
+	writeTimeout time.Duration
 	// refusal is the response that ends an idle connection in a drain, nil to end it without one.
 	refusal    []byte
 	inProgress atomic.Int64
@@ -69,16 +80,18 @@
 // and the header. A client that has sent a request meanwhile takes it for the response, and the request was not run; one
 // that has not takes the connection for closed (RFC 9110, section 15.5.9).
 func WithRefusal(h http.Header) Option {
-	var b bytes.Buffer
-	b.WriteString(statusLine(http.StatusRequestTimeout))
-	_ = h.Write(&b) // A Buffer never returns an error.
-	b.WriteString("Connection: close\r\nContent-Length: 0\r\n\r\n")
-	return func(s *Server) { s.refusal = b.Bytes() }
+	response := encodeRefusal(http.StatusRequestTimeout, h)
+	return func(s *Server) { s.refusal = response }
+}
+
+// WithWriteTimeout sets how long a client may take no bytes of a response before its connection is closed, in place of 30 s.
+func WithWriteTimeout(d time.Duration) Option {
+	return func(s *Server) { s.writeTimeout = d }
 }
 
 // New returns a Server that rejects request bodies above maxBody bytes.
 func New(maxBody int, opts ...Option) *Server {
-	s := &Server{maxBody: maxBody, conns: map[*serverConn]struct{}{}}
+	s := &Server{maxBody: maxBody, writeTimeout: writeTimeout, conns: map[*serverConn]struct{}{}}
 	for _, o := range opts {
 		o(s)
 	}
@@ -151,7 +164,12 @@
 
 // listenConfig is the configuration of one listener.
 type listenConfig struct {
+	handler http.Handler
 	maxBody int
+	// The following functions may be nil.
+	repeatable    func(r *http.Request) bool
+	closing       func() bool
+	refusalHeader func(status int, h http.Header)
 }
 
 // ListenOption changes a setting of a listener.
@@ -162,11 +180,28 @@
 	return func(c *listenConfig) { c.maxBody = n }
 }
 
+// WithRepeatable makes a listener run the requests of a connection concurrently if repeatable returns true for them. It
+// returns true for a request that may be run more than once.
+func WithRepeatable(repeatable func(r *http.Request) bool) ListenOption {
+	return func(c *listenConfig) { c.repeatable = repeatable }
+}
+
+// WithClosing makes a listener close connections after the last response while closing returns true.
+func WithClosing(closing func() bool) ListenOption {
+	return func(c *listenConfig) { c.closing = closing }
+}
+
+// WithRefusalHeader sets a function that adds the header of responses to requests that the front refuses. Such a request
+// was not run.
+func WithRefusalHeader(f func(status int, h http.Header)) ListenOption {
+	return func(c *listenConfig) { c.refusalHeader = f }
+}
+
 // Listen serves h on addr and returns the bound address.
 func (s *Server) Listen(addr netip.AddrPort, h http.Handler, opts ...ListenOption) (netip.AddrPort, error) {
-	cfg := listenConfig{maxBody: s.maxBody}
+	cfg := &listenConfig{handler: h, maxBody: s.maxBody}
 	for _, o := range opts {
-		o(&cfg)
+		o(cfg)
 	}
 	limitLibraryLog()
 	ln, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
@@ -178,29 +213,22 @@
 		_ = ln.Close()
 		return netip.AddrPort{}, err
 	}
-	// The engine is never started. Its event loops look up connections by file descriptor, so an event for a connection
-	// that a handler has closed can close a new connection with the same descriptor. Its blocking mode continues after
-	// a parse error. Therefore the server reads each connection itself and uses nbhttp only to parse and respond.
-	e := nbhttp.NewEngine(nbhttp.Config{
-		Handler: h, OnRequest: setRequestContext, ReadLimit: cfg.maxBody + maxHeaderBytes, MaxHTTPBodySize: cfg.maxBody,
-		KeepaliveTime: idleTimeout, SupportServerOnly: true, ServerExecutor: func(job func()) { go job() },
-	})
 	s.mu.Lock()
 	s.listeners = append(s.listeners, ln)
 	s.mu.Unlock()
-	go s.accept(ln, e)
+	go s.accept(ln, cfg)
 	return bound, nil
 }
 
 // accept accepts connections until the listener is closed, or until stopAccepting and no established connection is left.
 // Those would be reset with the requests that have been sent on them.
-func (s *Server) accept(ln *net.TCPListener, e *nbhttp.Engine) {
+func (s *Server) accept(ln *net.TCPListener, cfg *listenConfig) {
 	stopping := false
 	for !stopping || hasPendingConnection(ln) {
 		conn, err := ln.Accept()
 		switch {
 		case err == nil:
-			s.startConn(conn, e)
+			s.startConn(conn, cfg)
 		case errors.Is(err, net.ErrClosed):
 			return
 		case errors.Is(err, os.ErrDeadlineExceeded):
@@ -213,8 +241,8 @@
 	_ = ln.Close()
 }
 
-func (s *Server) startConn(conn net.Conn, e *nbhttp.Engine) {
-	c := newServerConn(s, conn, e)
+func (s *Server) startConn(conn net.Conn, cfg *listenConfig) {
+	c := newServerConn(s, conn, cfg)
 	if !s.register(c) {
 		_ = conn.Close()
 		return
--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"maps"
 	"net/http"
 	"net/netip"
@@ -72,7 +71,7 @@
 
 // serveClient handles a client's request.
 func (n *Node) serveClient(w http.ResponseWriter, r *http.Request) {
-	began := time.Now()
+	began := sequoiafront.Arrival(r)
 	cfg := n.config.Load()
 	if cfg == nil {
 		n.writeResponse(w, r, nil, notRunResponse(reasonNoConfiguration, notServingRetryAfter), began)
@@ -105,7 +104,25 @@
 	n.writeResponse(w, r, req, resp, began)
 }
 
-// readRequest reads the complete request, because nbhttp reuses its memory after the handler returns.
+// mayRunAgain reports whether a client's request may be run more than once, so that it may also run beside others of its
+// connection.
+func (n *Node) mayRunAgain(r *http.Request) bool {
+	cfg := n.config.Load()
+	if cfg == nil {
+		return false
+	}
+	route, ok := cfg.Find(r.Host, r.RequestURI)
+	return ok && route.Idempotent && (r.Method == http.MethodGet || r.Method == http.MethodHead || r.ContentLength == 0)
+}
+
+// setRefusalHeader sets the header of a response to a request that the front refuses.
+func (n *Node) setRefusalHeader(status int, h http.Header) {
+	if status == http.StatusServiceUnavailable {
+		n.dialect.SetRetryAfter(h, upstreamRetryAfter)
+	}
+}
+
+// readRequest returns the request to send to an upstream for a client's request that arrived at began.
 func (n *Node) readRequest(
 	r *http.Request, cfg *sequoiaroute.Configuration, route *sequoiaroute.Route, began time.Time,
 ) (*sequoiarouter.Request, RequestAttributes, error) {
@@ -113,7 +130,7 @@
 	if err != nil {
 		return nil, attrs, err
 	}
-	body, err := io.ReadAll(r.Body)
+	body, err := sequoiafront.ReadBody(r)
 	if err != nil {
 		return nil, attrs, errors.Wrap(err, "read the request body")
 	}
@@ -424,9 +441,6 @@
 			n.dialect.SetRetryAfter(h, resp.RetryAfter)
 		}
 	}
-	if n.stopping.Load() {
-		h.Set("Connection", "close")
-	}
 	sequoiafront.WriteResponse(w, r, status, body)
 	n.recordRequest(r, req, resp, status, time.Since(began))
 }
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -211,7 +211,11 @@
 }
 
 func (n *Node) listen() error {
-	if _, err := n.front.Listen(n.settings.Outbound, http.HandlerFunc(n.serveClient)); err != nil {
+	_, err := n.front.Listen(
+		n.settings.Outbound, http.HandlerFunc(n.serveClient), sequoiafront.WithRepeatable(n.mayRunAgain),
+		sequoiafront.WithClosing(n.stopping.Load), sequoiafront.WithRefusalHeader(n.setRefusalHeader),
+	)
+	if err != nil {
 		return err
 	}
 	if _, err := n.front.Listen(n.settings.Ready, http.HandlerFunc(n.serveReady), sequoiafront.WithMaxBody(maxControlBytes)); err != nil {
--- a/internal/sequoiaproxy/front.go
+++ b/internal/sequoiaproxy/front.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"io"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -52,7 +51,7 @@
 			return
 		}
 		mux.ServeHTTP(w, r)
-	}))
+	}), sequoiafront.WithRepeatable(isRepeatable))
 }
 
 // ListenUpstream starts the listener for the local upstream's announcements and returns its address.
@@ -83,8 +82,13 @@
 	writeResponse(w, r, resp)
 }
 
-// parseRequest parses a caller's request. It reads the whole body because nbhttp reuses the buffer after the handler
-// returns.
+// isRepeatable reports whether a caller allows more than one run of a request.
+func isRepeatable(r *http.Request) bool {
+	repeatable, err := parseFlag(r.Header, headerRepeatable)
+	return err == nil && repeatable && strings.HasPrefix(r.RequestURI, servicePrefix)
+}
+
+// parseRequest parses a caller's request.
 func (p *Proxy) parseRequest(r *http.Request) (*sequoiarouter.Request, error) {
 	service, path, _ := strings.Cut(strings.TrimPrefix(r.RequestURI, servicePrefix), "/")
 	if service == "" || strings.ContainsAny(service, "?#%") {
@@ -100,10 +104,10 @@
 	if r.Method == http.MethodConnect {
 		return nil, errors.New("method CONNECT cannot be forwarded")
 	}
-	if err := p.parseOptions(req, r.Header); err != nil {
+	if err := p.parseOptions(req, r.Header, sequoiafront.Arrival(r)); err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(r.Body)
+	body, err := sequoiafront.ReadBody(r)
 	if err != nil {
 		return nil, errors.Wrap(err, "read the body")
 	}
@@ -114,7 +118,7 @@
 	return req, nil
 }
 
-func (p *Proxy) parseOptions(req *sequoiarouter.Request, h http.Header) error {
+func (p *Proxy) parseOptions(req *sequoiarouter.Request, h http.Header, arrival time.Time) error {
 	if v := h.Get(headerFirstEpoch); v != "" {
 		n, err := strconv.ParseUint(v, 10, 64)
 		if err != nil {
@@ -138,7 +142,7 @@
 		}
 		timeout = time.Duration(n) * time.Millisecond
 	}
-	req.Deadline = time.Now().Add(min(timeout, p.maxTimeout))
+	req.Deadline = arrival.Add(min(timeout, p.maxTimeout))
 	return nil
 }
 
