Limit what a cold upstream is sent to its warm-up rate

Cause: nothing used the warm-up that upstreams announce except the choice of new places for keys, so a cold upstream that joined under load got its full share ("cold server got 17 requests in one second; allowed 15.1") and crashed.

Change: sequoiawarmup.Gate tracks whether the local upstream is cold or may be (refused or lost connections, silence), and the queue runs under the lower of the warm-up rate and the limit that the upstream names. The limit begins without a burst and only once the requests of the last second leave room, so that an upstream that is reset in a busy second, or whose process restarts, stays within the bound. Forwarded requests wait for the first configuration, which holds the rate. Other processes learn of it from entries and responses and consider a cold upstream for its share of the requests without keys.

--- a/internal/sequoiaadmission/pace.go
+++ b/internal/sequoiaadmission/pace.go
@@ -19,15 +19,22 @@
 type pace struct {
 	perSecond float64
 	tokens    float64
-	updated   time.Time
+	// updated is the time for which tokens is valid. It is in the future until the limit begins.
+	updated time.Time
+	// from is the latest time at which the limit was set to begin.
+	from time.Time
 }
 
 // set changes the limit; zero removes it. A new limit begins without a burst, because the upstream has counted the
 // requests that were started before.
-func (p *pace) set(now time.Time, perSecond float64) {
+// If from is later than in earlier calls, no request starts before it and there is no burst then.
+func (p *pace) set(now time.Time, perSecond float64, from time.Time) {
 	if p.perSecond == 0 {
 		p.tokens, p.updated = 0, now
 	}
+	if from.After(p.from) {
+		p.tokens, p.updated, p.from = min(p.tokens, 0), from, from
+	}
 	p.refill(now)
 	p.perSecond = perSecond
 	p.tokens = min(p.tokens, p.burst())
@@ -54,7 +61,7 @@
 	if missing <= startTolerance {
 		return 0
 	}
-	return time.Duration(missing / p.perSecond * float64(time.Second))
+	return max(0, p.updated.Sub(now)) + time.Duration(missing/p.perSecond*float64(time.Second))
 }
 
 // take records that a request starts.
--- a/internal/sequoiaadmission/queue.go
+++ b/internal/sequoiaadmission/queue.go
@@ -91,7 +91,13 @@
 
 // SetLimit changes the number of requests per second that may start, and starts or rejects queued requests accordingly.
 func (q *Queue) SetLimit(now time.Time, perSecond float64) {
-	q.pace.set(now, max(perSecond, minRate))
+	q.SetLimitFrom(now, perSecond, time.Time{})
+}
+
+// SetLimitFrom is SetLimit for a limit that begins at a time, without a burst: no request starts before. A call with the
+// time of an earlier call does not begin the limit again.
+func (q *Queue) SetLimitFrom(now time.Time, perSecond float64, from time.Time) {
+	q.pace.set(now, max(perSecond, minRate), from)
 	q.Advance(now)
 }
 
--- a/internal/sequoianode/announce.go
+++ b/internal/sequoianode/announce.go
@@ -200,15 +200,19 @@
 	path := cfg.Services[n.settings.Service].HealthPath
 	ctx, cancel := context.WithTimeout(ctx, upstreamCheckTimeout)
 	defer cancel()
+	sent := time.Now()
+	n.withCore(func(*sequoiaowner.Core) { n.noteStart("") })
 	resp, err := n.upstreamClient.Do(ctx, n.settings.Upstream, &sequoiahttp.Request{Method: http.MethodGet, Path: path, OwnConnection: true})
 	if err != nil {
 		return false, errors.Wrap(errNotVerified, err.Error())
 	}
-	leaving = n.dialect.ReadResponse(resp.Status, resp.Header).Leaving
+	v := n.dialect.ReadResponse(resp.Status, resp.Header)
+	leaving = v.Leaving
 	n.log.Event("upstream checked", "Status", resp.Status, "Leaving", leaving)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.predecessor.complete = true
+	n.noteWarmupResponse(time.Now(), sent, v)
 	return leaving, nil
 }
 
@@ -235,9 +239,14 @@
 		n.leavingSince = time.Time{}
 		n.queue.RemoveLastStart()
 		n.limit = rateLimit{}
-		n.applyLimit(time.Now())
 		n.warmUntil = time.Now().Add(a.WarmUp)
 	}
+	if !a.Deregistered {
+		n.noteWarmupAnnouncement(a, !same)
+	}
+	if !same {
+		n.applyLimit(time.Now())
+	}
 	if u.Leaving && n.leavingSince.IsZero() {
 		since := time.Now()
 		if old.ID == "" {
--- a/internal/sequoianode/balance.go
+++ b/internal/sequoianode/balance.go
@@ -97,7 +97,7 @@
 	rate := work * (1 - meterDecay) / balanceInterval.Seconds()
 	return loadReport{
 		Utilization: rate / float64(n.queue.Slots()), Slots: n.queue.Slots(), Capacity: n.queue.Capacity(),
-		Open: n.core.Upstream().Usable() && !n.stopping.Load() && time.Now().After(n.warmUntil) &&
+		Open: n.core.Upstream().Usable() && !n.stopping.Load() && time.Now().After(n.warmUntil) && n.warmup.gate.ColdFor(time.Now()) == 0 &&
 			n.core.RegistrationConfirmed() && len(held) < sequoiaowner.MaxRanges,
 	}
 }
--- a/internal/sequoianode/configuration.go
+++ b/internal/sequoianode/configuration.go
@@ -47,6 +47,8 @@
 		}
 	}
 	n.core.SetKeyedServices(keyed)
+	n.setWarmupRule(cfg.Services[n.settings.Service])
+	n.directory.setWarmupRates(cfg)
 	n.log.Event("configuration in force", "Version", cfg.Version, "Revision", it.Revision)
 	if old != nil {
 		n.announceConfiguration(cfg.Version)
--- a/internal/sequoianode/crash.go
+++ b/internal/sequoianode/crash.go
@@ -71,7 +71,10 @@
 	case interrupted:
 		n.runs.Abandoned(time.Now(), r)
 	default:
-		n.runs.Lost(time.Now(), r)
+		now := time.Now()
+		n.runs.Lost(now, r)
+		n.warmup.gate.ConnectionLost(now)
+		n.stepWarmup(now)
 	}
 }
 
@@ -81,6 +84,8 @@
 	u := n.core.Upstream()
 	n.recordUpstreamEnd(u)
 	n.core.MarkUpstreamLost()
+	n.warmup.gate.Refused()
+	n.stepWarmup(time.Now())
 	announced := n.endAnnounced(u)
 	n.mu.Unlock()
 	n.memberChanged()
--- a/internal/sequoianode/dialect.go
+++ b/internal/sequoianode/dialect.go
@@ -51,6 +51,9 @@
 	RateLimit float64
 	// Leaving is true if the upstream is shutting down.
 	Leaving bool
+	// ColdFor is how much longer the upstream is cold, if ColdStated is true.
+	ColdFor    time.Duration
+	ColdStated bool
 	// Malformed describes an attribute that could not be read; it is left out.
 	Malformed error
 }
@@ -66,8 +69,9 @@
 	Upstream sequoiaowner.Upstream
 	Address  netip.AddrPort
 	Sequence uint64
-	// WarmUp is how much longer the upstream responds slowly after its start.
-	WarmUp time.Duration
+	// WarmUp is how much longer the upstream is cold, if WarmUpStated is true.
+	WarmUp       time.Duration
+	WarmUpStated bool
 	// Deregistered is true if the upstream deregisters itself.
 	Deregistered bool
 }
--- a/internal/sequoianode/directory.go
+++ b/internal/sequoianode/directory.go
@@ -55,6 +55,8 @@
 	outstanding      int
 	failureRate      float64
 	unreachableUntil time.Time
+	// coldUntil is when the upstream becomes warm, as its entry or its process's latest response said.
+	coldUntil time.Time
 }
 
 // directory tracks the members and selects an upstream for requests that any upstream of the service may run.
@@ -65,6 +67,8 @@
 	peers map[string]*peer
 	// leaving holds since when upstreams are known to be shutting down, from their responses or their entries.
 	leaving map[sequoiakeyspace.Holder]time.Time
+	// warmupRates holds the requests per second that a cold upstream of each service tolerates.
+	warmupRates map[string]float64
 }
 
 func newDirectory(settings Settings) *directory {
@@ -122,6 +126,9 @@
 		if p.member.Process != m.Process {
 			p.unreachableUntil = time.Time{}
 		}
+		if p.member.Revision != m.Revision {
+			p.coldUntil = time.Now().Add(m.ColdFor)
+		}
 		p.member = m
 		p.removedAt = time.Time{}
 	}
@@ -214,7 +221,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	candidates := d.candidates(now, service, tried)
+	candidates := d.withoutCold(now, service, d.candidates(now, service, tried))
 	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	var best *peer
 	for _, p := range candidates[:min(len(candidates), maxCandidates)] {
@@ -324,6 +331,7 @@
 	}
 	if resp.Load.Slots > 0 {
 		p.load, p.loadReportedAt = resp.Load, time.Now()
+		p.coldUntil = p.loadReportedAt.Add(resp.Load.ColdFor)
 	}
 	failed := 0.0
 	if resp.Outcome == sequoiarouter.Unknown || resp.Reason == reasonUpstreamRefused || resp.Status >= 500 {
--- a/internal/sequoianode/limit.go
+++ b/internal/sequoianode/limit.go
@@ -44,6 +44,9 @@
 	same := current.ID == u.ID && current.Born == u.Born
 	changed := same && n.limit.update(sent, now, v)
 	limit := n.limit
+	if same {
+		n.noteWarmupResponse(now, sent, v)
+	}
 	if changed {
 		n.applyLimit(now)
 	}
@@ -63,11 +66,18 @@
 	}
 }
 
-// applyLimit sets the local upstream's limit in the queue. The caller must hold mu.
+// applyLimit sets the local upstream's limit in the queue: the one that it names or that for a cold upstream, whichever is
+// lower. The caller must hold mu.
 func (n *Node) applyLimit(now time.Time) {
-	if n.limit.named {
+	cold := n.warmup.limit
+	switch {
+	case cold.PerSecond > 0 && n.limit.named:
+		n.queue.SetLimitFrom(now, min(cold.PerSecond, n.limit.perSecond), cold.From)
+	case cold.PerSecond > 0:
+		n.queue.SetLimitFrom(now, cold.PerSecond, cold.From)
+	case n.limit.named:
 		n.queue.SetLimit(now, n.limit.perSecond)
-	} else {
+	default:
 		n.queue.RemoveLimit(now)
 	}
 	n.scheduleQueue(now)
--- a/internal/sequoianode/metrics.go
+++ b/internal/sequoianode/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiawarmup"
 )
 
 // metrics holds the Prometheus metrics of a process.
@@ -59,6 +60,14 @@
 		defer n.mu.Unlock()
 		return n.limit.perSecond
 	})
+	m.gauge("sequoia_upstream_cold", "1 while the local upstream is cold or may be, and gets requests at the warm-up rate.", func() float64 {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.warmup.state != sequoiawarmup.Warm {
+			return 1
+		}
+		return 0
+	})
 	m.gauge("sequoia_table_revision", "Revision of the table of keys.", func() float64 {
 		n.mu.Lock()
 		defer n.mu.Unlock()
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -123,6 +123,7 @@
 	// warmUntil is when the local upstream's warm-up ends.
 	warmUntil time.Time
 	limit     rateLimit
+	warmup    warmup
 	// runs holds the requests in progress at the local upstream.
 	runs *sequoiaquarantine.Runs[*sequoiaadmission.Ticket]
 	// queueScheduled is true while a timer for the next start of a queued request is set.
@@ -149,7 +150,7 @@
 		commandClient:  sequoiahttp.New(sequoiahttp.WithMaxIdle(2)),
 		splitter:       sequoiaroute.NewSplitter(), queue: sequoiaadmission.New(defaultSlots),
 		runs: sequoiaquarantine.NewRuns[*sequoiaadmission.Ticket](), meter: sequoiakeyspace.NewMeter(),
-		ownershipChanged: make(chan struct{}), directory: newDirectory(settings),
+		ownershipChanged: make(chan struct{}), directory: newDirectory(settings), warmup: newWarmup(time.Now(), settings),
 	}
 	n.core = sequoiaowner.New(
 		settings.Instance, sequoiatimer.BootTime(), sequoiaowner.WithHeartbeat(settings.Heartbeat), sequoiaowner.WithMeter(n.meter),
@@ -256,6 +257,6 @@
 func (n *Node) loadLocked() sequoiarouter.Load {
 	return sequoiarouter.Load{
 		Running: n.queue.Running(), Waiting: n.queue.Waiting(), Slots: n.queue.Slots(), Work: n.queue.MeanDuration(),
-		StartDelay: n.queue.StartDelay(time.Now()),
+		StartDelay: n.queue.StartDelay(time.Now()), ColdFor: n.warmup.gate.ColdFor(time.Now()),
 	}
 }
--- a/internal/sequoianode/orders.go
+++ b/internal/sequoianode/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiahttp"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
@@ -14,6 +15,7 @@
 // stepOwnership runs one step of the ownership state machine and starts the resulting actions.
 func (n *Node) stepOwnership(ctx context.Context) {
 	n.mu.Lock()
+	n.stepWarmup(time.Now())
 	before := n.core.Upstream()
 	era := n.core.Era()
 	a := n.core.Step(sequoiatimer.BootTime())
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -43,6 +43,12 @@
 	if req.Service == peerService {
 		return n.servePeerMessage(ctx, req)
 	}
+	if n.config.Load() == nil {
+		// It is not known yet how fast a cold upstream may be sent requests.
+		resp := n.notRunResponseWithLoad(reasonNoConfiguration, notServingRetryAfter)
+		resp.Load = resp.Load.ForVersion(req.Version)
+		return resp
+	}
 	if n.exceedsStopDeadline(req.Deadline) {
 		resp := n.notRunResponseWithLoad(reasonStopping, upstreamRetryAfter)
 		resp.Load = resp.Load.ForVersion(req.Version)
@@ -122,6 +128,7 @@
 		return 0
 	}
 	now := time.Now()
+	n.stepWarmup(now)
 	took := n.queue.Done(now, r.Owner, resp != nil && resp.Outcome == sequoiarouter.Answered)
 	n.scheduleQueue(now)
 	return took
@@ -206,8 +213,11 @@
 	now := time.Now()
 	t := &sequoiaadmission.Ticket{
 		Class: req.Route, Priority: req.Priority, Alone: alone, Arrived: now, Deadline: req.Deadline,
-		Objective:  objective(now, req),
-		OnDecision: func(reason string, retryAfter time.Duration) { decided <- decision{reason, retryAfter} },
+		Objective: objective(now, req),
+		OnDecision: func(reason string, retryAfter time.Duration) {
+			n.noteStart(reason)
+			decided <- decision{reason, retryAfter}
+		},
 	}
 	n.mu.Lock()
 	u := n.core.Upstream()
@@ -219,6 +229,7 @@
 	n.quarantine.markSuspects()
 	r := &run{Identity: n.identity(req), Owner: t}
 	n.runs.Add(r)
+	n.stepWarmup(now)
 	n.queue.Submit(now, t)
 	n.scheduleQueue(now)
 	n.mu.Unlock()
--- a/internal/sequoianode/sync.go
+++ b/internal/sequoianode/sync.go
@@ -157,7 +157,7 @@
 	u.Lost = u.Lost || n.stopping.Load()
 	return sequoiaowner.Member{
 		Instance: n.settings.Instance, Address: n.settings.Forward, Domain: n.settings.Domain, Process: n.processID, Upstream: u,
-		Protocol: sequoiarouter.ProtocolVersion,
+		Protocol: sequoiarouter.ProtocolVersion, ColdFor: n.warmup.gate.ColdFor(time.Now()),
 	}
 }
 
--- /dev/null
+++ b/internal/sequoianode/warmup_test.go
@@ -0,0 +1,106 @@
+package sequoianode
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaroute"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiawarmup"
+)
+
+var _ = ginkgo.Describe("a cold upstream", func() {
+	newNode := func() *Node {
+		n := startAnnounceNode(nil, 0)
+		n.dialect.Caller = func(http.Header) string { return "" }
+		n.withCore(func(*sequoiaowner.Core) {
+			n.warmup.gate = sequoiawarmup.New(time.Now().Add(-time.Minute), sequoiawarmup.WithInterval(time.Second))
+			n.setWarmupRule(sequoiaroute.Service{WarmupPeriod: 20 * time.Second, WarmupRate: 20})
+		})
+		return n
+	}
+	cold := func(sequence uint64, remaining time.Duration) Announcement {
+		a := heartbeatOf(sequence)
+		a.WarmUp, a.WarmUpStated = remaining, true
+		return a
+	}
+	// started returns how many of 40 requests start within 500 ms.
+	started := func(n *Node) int {
+		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+		defer cancel()
+		var count atomic.Int32
+		var wg sync.WaitGroup
+		for range 40 {
+			wg.Go(func() {
+				req := &sequoiarouter.Request{Service: "desk", Path: "/x", Deadline: time.Now().Add(2 * time.Second)}
+				if r, reason, _ := n.admit(ctx, req, false); reason == "" {
+					count.Add(1)
+					n.finish(r, nil)
+				}
+			})
+		}
+		wg.Wait()
+		return int(count.Load())
+	}
+
+	// Guards against an upstream that crashes because it announces itself cold and gets the whole load.
+	ginkgo.It("gets requests at the warm-up rate until it is warm", func() {
+		n := newNode()
+		Expect(accept(n, cold(1, 20*time.Second))).To(Succeed())
+		Expect(n.load().ColdFor).To(BeNumerically("~", 20*time.Second, time.Second))
+		Expect(n.ownMember().ColdFor).To(BeNumerically("~", 20*time.Second, time.Second))
+		Expect(n.currentLoadReport().Open).To(BeFalse())
+		Expect(started(n)).To(And(BeNumerically("<=", 10), BeNumerically(">=", 5)))
+		Expect(accept(n, cold(2, 0))).To(Succeed())
+		Expect(n.load().ColdFor).To(BeZero())
+		Expect(started(n)).To(Equal(40))
+	})
+
+	ginkgo.It("is known from a response of its health path", func() {
+		n := newNode()
+		Expect(accept(n, cold(1, 0))).To(Succeed())
+		n.applyUpstreamState(n.core.Upstream(), time.Now(), ResponseAttributes{ColdFor: 5 * time.Second, ColdStated: true})
+		Expect(n.load().ColdFor).To(BeNumerically("~", 5*time.Second, time.Second))
+	})
+
+	// Guards against a process that has just started and does not know yet that a cold upstream needs a limit.
+	ginkgo.It("gets no forwarded request before the configuration is known", func() {
+		n := newNode()
+		Expect(accept(n, cold(1, time.Second))).To(Succeed())
+		resp := n.serveForwarded(context.Background(), &sequoiarouter.Request{Service: "desk", Deadline: time.Now().Add(time.Second)})
+		Expect(resp.Outcome).To(Equal(sequoiarouter.NotRun))
+		Expect(resp.Reason).To(Equal(reasonNoConfiguration))
+	})
+
+	// Guards against a sender that fills a cold upstream because it is idle.
+	ginkgo.It("is considered by other processes for its share only, until a response says that it is warm", func() {
+		d := newDirectory(Settings{Instance: "a", Domain: "north"})
+		d.setWarmupRates(&sequoiaroute.Configuration{Services: map[string]sequoiaroute.Service{"parts": {WarmupRate: 4.7}}})
+		joined := member("cold", "north")
+		joined.ColdFor, joined.Revision = 20*time.Second, 3
+		d.setMembers(map[string]sequoiaowner.Member{"cold": joined, "far": member("far", "south")})
+		chosen := func() int {
+			n := 0
+			for range 1000 {
+				if m, ok := d.choose("parts", nil); ok && m.Instance == "cold" {
+					n++
+				}
+			}
+			return n
+		}
+		Expect(d.cold("cold")).To(BeTrue())
+		// A warm upstream handles 40 requests per second, so the share is 0.12.
+		Expect(chosen()).To(BeNumerically("~", 118, 60))
+		d.beginRequest("cold")
+		d.endRequest("cold", &sequoiarouter.Response{Outcome: sequoiarouter.Answered, Status: 200, Load: sequoiarouter.Load{Slots: 6}})
+		Expect(d.cold("cold")).To(BeFalse())
+		Expect(chosen()).To(Equal(1000))
+	})
+})
