--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -123,6 +123,7 @@
 	// warmUntil is when the local upstream's warm-up ends.
 	warmUntil time.Time
 	limit     rateLimit
+	warmup    warmup
 	// runs holds the requests in progress at the local upstream.
 	runs *sequoiaquarantine.Runs[*sequoiaadmission.Ticket]
 	// queueTimer is the timer of the queue's next event, nil if none is set, and queueTimerAt is its time.
@@ -150,7 +151,7 @@
 		commandClient:  sequoiahttp.New(sequoiahttp.WithMaxIdle(2)),
 		splitter:       sequoiaroute.NewSplitter(), queue: sequoiaadmission.New(defaultSlots),
 		runs: sequoiaquarantine.NewRuns[*sequoiaadmission.Ticket](), meter: sequoiakeyspace.NewMeter(),
-		ownershipChanged: make(chan struct{}), directory: newDirectory(settings),
+		ownershipChanged: make(chan struct{}), directory: newDirectory(settings), warmup: newWarmup(time.Now(), settings),
 	}
 	n.core = sequoiaowner.New(
 		settings.Instance, sequoiatimer.BootTime(), sequoiaowner.WithHeartbeat(settings.Heartbeat), sequoiaowner.WithMeter(n.meter),
@@ -212,7 +213,11 @@
 }
 
 func (n *Node) listen() error {
-	if _, err := n.front.Listen(n.settings.Outbound, http.HandlerFunc(n.serveClient)); err != nil {
+	_, err := n.front.Listen(
+		n.settings.Outbound, http.HandlerFunc(n.serveClient), sequoiafront.WithRepeatable(n.mayRunAgain),
+		sequoiafront.WithClosing(n.stopping.Load), sequoiafront.WithRefusalHeader(n.setRefusalHeader),
+	)
+	if err != nil {
 		return err
 	}
 	if _, err := n.front.Listen(n.settings.Ready, http.HandlerFunc(n.serveReady), sequoiafront.WithMaxBody(maxControlBytes)); err != nil {
@@ -257,6 +262,6 @@
 func (n *Node) loadLocked() sequoiarouter.Load {
 	return sequoiarouter.Load{
 		Running: n.queue.Running(), Waiting: n.queue.Waiting(), Slots: n.queue.Slots(), Work: n.queue.MeanDuration(),
-		StartDelay: n.queue.StartDelay(time.Now()),
+		StartDelay: n.queue.StartDelay(time.Now()), ColdFor: n.warmup.gate.ColdFor(time.Now()),
 	}
 }
--- a/internal/sequoiaspread/spread.go
+++ b/internal/sequoiaspread/spread.go
@@ -15,8 +15,8 @@
 const (
 	// maxReportAge is the age from which a reported load is ignored.
 	maxReportAge = 1500 * time.Millisecond
-	// defaultWork is the assumed duration of a request at an upstream that has not reported one.
-	defaultWork = 150 * time.Millisecond
+	// DefaultWork is the assumed duration of a request at an upstream that has not reported one.
+	DefaultWork = 150 * time.Millisecond
 	// maxHome and maxAway limit the upstreams that are compared for one request, in its failure domain and outside.
 	// Requests that all went to the best of many would meet at it, because reports are up to a second old.
 	maxHome, maxAway = 5, 2
@@ -129,7 +129,7 @@
 func ExpectedFinish(c *Candidate, req Request) time.Duration {
 	work := c.Work
 	if work == 0 {
-		work = defaultWork
+		work = DefaultWork
 	}
 	inProgress := float64(c.Outstanding)
 	if c.Age < maxReportAge {
