--- a/internal/sequoianode/warmup_test.go
+++ b/internal/sequoianode/warmup_test.go
@@ -89,7 +89,7 @@
 		chosen := func() int {
 			n := 0
 			for range 1000 {
-				if m, ok := d.choose("parts", nil); ok && m.Instance == "cold" {
+				if m, ok := d.choose(partsRequest(), nil); ok && m.Instance == "cold" {
 					n++
 				}
 			}
