Keep a connection for each grant that may be renewed at the same time

The grants of an upstream with many ranges are renewed together, and only two of their connections were kept.

Ruled out, by counting in a trial: connections closed by upstreams, connections that were found not quiet, connections idle for too long.

--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -63,6 +63,9 @@
 	maxControlBytes = 256 << 10
 	// secretBytes is the length of the shared secret for authentication between processes.
 	secretBytes = 32
+	// maxCommandConns is the number of idle connections for grants that are kept: all ranges of an upstream may be renewed
+	// at the same time, and a new connection occupies a slot of the upstream for a moment.
+	maxCommandConns = sequoiaowner.MaxRanges
 	// defaultSlots is the concurrency limit until the upstream has announced its own.
 	defaultSlots = 4
 )
@@ -148,7 +151,7 @@
 		settings: settings, dialect: d, log: log, timers: timers, processID: randomID(8),
 		front:          sequoiafront.New(maxBodyBytes),
 		upstreamClient: sequoiahttp.New(sequoiahttp.WithResponsesUntilClose(), sequoiahttp.WithMaxIdle(16)),
-		commandClient:  sequoiahttp.New(sequoiahttp.WithMaxIdle(2)),
+		commandClient:  sequoiahttp.New(sequoiahttp.WithMaxIdle(maxCommandConns)),
 		splitter:       sequoiaroute.NewSplitter(), queue: sequoiaadmission.New(defaultSlots),
 		runs: sequoiaquarantine.NewRuns[*sequoiaadmission.Ticket](), meter: sequoiakeyspace.NewMeter(),
 		ownershipChanged: make(chan struct{}), directory: newDirectory(settings), warmup: newWarmup(time.Now(), settings),
