Ready: Ask followers instead of the store for changes in large fleets

Cause: each change of a member answers the watch of every process, which makes the next call.

Change: with more than 32 members, two processes of each failure domain watch the store, chosen by rendezvous hashing (sequoiafollow.Choice), and the others ask one of them (/watch between processes). A follower answers from the latest events of its own watch (sequoiafollow.Hub), as soon as it has changes or a later confirmation. The answer carries the age of the confirmation, so that Core.ConfirmView gets a time up to which the view is complete without a common clock. The store is asked if the follower is silent, stopping, of an older build, has lost the store, or does not cover the revision or its era, and if its confirmations do not advance for the wait of a watch and 0.5 s. A process that follows makes no pause after changes. A follower that learns of a configuration from another process before its own watch repeats it.

Ruled out: asking the two followers in turn, which doubles the connections in use; chains of followers, whose delays add up; answering a watch of an earlier era with ErrCompacted, since the store itself can say so.

TestFaultsOfFollowers: a configuration is known everywhere 1.2 s after its write at the latest with a follower that is dead, frozen, hangs, is of an older build, has lost the store or stops, and after 4.15 s with a silent connection of the follower to the store, without the messages that processes send each other.

--- a/internal/sequoianode/configuration.go
+++ b/internal/sequoianode/configuration.go
@@ -106,6 +106,7 @@
 	}
 	n.log.Event("configuration from a peer", "Member", instance, "Revision", resp.LogIndex, "Bytes", len(resp.Body))
 	n.onStoreItems([]sequoiaregistry.Item{{Key: n.dialect.ConfigurationKey, Value: resp.Body, Revision: resp.LogIndex}})
+	n.watches.refreshLate(n.dialect.ConfigurationKey, resp.LogIndex)
 }
 
 // serveConfiguration returns the configuration in force, as it is in the store.
--- a/internal/sequoianode/directory.go
+++ b/internal/sequoianode/directory.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiafollow"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaquarantine"
@@ -144,6 +145,26 @@
 	return p.member.Address, true
 }
 
+// watchMembers returns the registered members for the choice of the one that is asked for changes of the store.
+func (d *directory) watchMembers() []sequoiafollow.Member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	members := make([]sequoiafollow.Member, 0, len(d.peers))
+	for instance, p := range d.peers {
+		if !p.removedAt.IsZero() {
+			continue
+		}
+		u := p.member.Upstream
+		members = append(members, sequoiafollow.Member{
+			Instance: instance, Domain: p.member.Domain,
+			// A process that is stopping publishes its upstream as lost.
+			Excluded: now.Before(p.unreachableUntil) || u.Leaving || u.Lost || p.member.Protocol < watchProtocol,
+		})
+	}
+	return members
+}
+
 // protocol returns the version of the protocol that the process on an instance speaks, zero if it is not known.
 func (d *directory) protocol(instance string) int {
 	d.mu.Lock()
--- a/internal/sequoianode/metrics.go
+++ b/internal/sequoianode/metrics.go
@@ -23,6 +23,9 @@
 	tableWrites    prometheus.Counter
 	storeFaults    prometheus.Counter
 	relayed        prometheus.Counter
+	watches        *prometheus.CounterVec
+	questions      prometheus.Counter
+	hubMisses      prometheus.Counter
 	messagesLost   prometheus.Counter
 	tablesWithheld prometheus.Counter
 	upstreamEnds   prometheus.Counter
@@ -39,8 +42,11 @@
 			Name: "sequoia_request_seconds", Help: "Time from a client's request to its response.",
 			Buckets: []float64{.005, .01, .025, .05, .1, .2, .3, .4, .6, .8, 1, 1.5, 3},
 		}, []string{"outcome"}),
+		watches: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sequoia_store_watches_total", Help: "Watches of the store by who answered them: Follower or Store.",
+		}, []string{"by"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency)
+	m.registry.MustRegister(m.requests, m.latency, m.watches)
 	m.cancelled = m.counter("sequoia_requests_cancelled_total", "Requests whose client closed its connection.")
 	m.retries = m.counter("sequoia_retries_total", "Requests sent to an upstream once more.")
 	m.retriesDenied = m.counter("sequoia_retries_denied_total", "Retries that the budget did not allow.")
@@ -48,6 +54,8 @@
 	m.tableWrites = m.counter("sequoia_table_writes_total", "Attempts to change the table of keys.")
 	m.storeFaults = m.counter("sequoia_store_lost_total", "Times at which the store was lost.")
 	m.relayed = m.counter("sequoia_store_relayed_total", "Calls to the store that another process made.")
+	m.questions = m.counter("sequoia_store_watch_questions_total", "Watches that this process answered for other processes.")
+	m.hubMisses = m.counter("sequoia_store_watch_misses_total", "Watches of other processes for which this process did not have all events.")
 	m.messagesLost = m.counter("sequoia_table_messages_lost_total", "Changes of the table that another process did not take.")
 	m.tablesWithheld = m.counter("sequoia_tables_withheld_total", "Whole tables that were not sent to another process, to spare the link.")
 	m.upstreamEnds = m.counter("sequoia_upstream_ends_total", "Times at which the local upstream ended with requests in progress.")
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -84,6 +84,7 @@
 	metrics        *metrics
 	balancer       *balancer
 	relay          *relay
+	watches        *sharedWatches
 	retries        *retryBudgets
 	quarantine     *quarantine
 	directory      *directory
@@ -159,6 +160,7 @@
 	n.store = d.NewStore(n.relay.exchange)
 	n.metrics = newMetrics(n)
 	n.retries = newRetryBudgets(settings)
+	n.watches = newSharedWatches(n)
 	n.balancer = newBalancer(n)
 	n.quarantine = newQuarantine(n)
 	return n
--- a/internal/sequoianode/peer.go
+++ b/internal/sequoianode/peer.go
@@ -44,6 +44,9 @@
 	pathQuarantine = "/quarantine"
 	// pathStore relays a store call for a process that cannot reach the store. It is followed by the path of the call.
 	pathStore = "/store"
+	// pathWatch is a watch of the store that a process asks of another one. The body is a watchQuestion, that of the
+	// response a watchAnswer.
+	pathWatch = "/watch"
 )
 
 const (
@@ -104,6 +107,8 @@
 		return n.quarantine.serveAnnouncement(req)
 	case req.Path == pathFetch:
 		return n.serveFetch(req)
+	case req.Path == pathWatch:
+		return n.watches.serve(ctx, req)
 	case strings.HasPrefix(req.Path, pathStore+"/"):
 		return n.relay.serve(ctx, req)
 	}
--- a/internal/sequoianode/stop.go
+++ b/internal/sequoianode/stop.go
@@ -49,6 +49,7 @@
 	n.stopDeadline.Store(plan.latestDeadline.UnixNano())
 	n.log.Event("process stopping", "InProgress", n.front.InProgress())
 	n.stopping.Store(true)
+	n.watches.stop()
 	n.withCore(func(c *sequoiaowner.Core) {
 		c.Stop()
 		n.queue.SetLatestDeadline(plan.latestDeadline)
--- a/internal/sequoianode/sync.go
+++ b/internal/sequoianode/sync.go
@@ -78,16 +78,25 @@
 
 // startStoreSync registers the process in the store and starts watching the members and the configuration.
 func (n *Node) startStoreSync(ctx context.Context) {
+	membersWatch, configurationWatch := n.watches.add(memberPrefix, memberQuestionWait), n.watches.add(n.dialect.ConfigurationKey, configurationQuestionWait)
 	members := &sequoiaregistry.Watcher{
-		Store: n.store, Prefix: memberPrefix, Wait: memberWatchTimeout, Now: sequoiatimer.BootTime,
-		OnItems: n.onStoreItems, OnListed: n.onMembersListed, OnError: n.storeFaultHandler("members"),
-		OnCurrent:  func(sent time.Time) { n.withCore(func(c *sequoiaowner.Core) { c.ConfirmView(sent) }) },
-		BatchDelay: func() time.Duration { return min(maxWatchPause, time.Duration(n.memberCount())*watchPausePerMember) },
+		Store: membersWatch.store(), Prefix: memberPrefix, Wait: memberWatchTimeout, CallLimit: watchCallLimit(memberWatchTimeout),
+		Now: sequoiatimer.BootTime, OnItems: n.onStoreItems, OnListed: n.onMembersListed, OnError: n.storeFaultHandler("members"),
+		OnCurrent: func(time.Time) {
+			if asOf, ok := membersWatch.currentAsOf(); ok {
+				n.withCore(func(c *sequoiaowner.Core) { c.ConfirmView(asOf) })
+			}
+		},
+		BatchDelay: func() time.Duration {
+			return membersWatch.batchDelay(min(maxWatchPause, time.Duration(n.memberCount())*watchPausePerMember))
+		},
 	}
 	configuration := &sequoiaregistry.Watcher{
-		Store: n.store, Prefix: n.dialect.ConfigurationKey, Wait: configurationWatchTimeout, Now: sequoiatimer.BootTime,
+		Store: configurationWatch.store(), Prefix: n.dialect.ConfigurationKey, Wait: configurationWatchTimeout,
+		CallLimit: watchCallLimit(configurationWatchTimeout), Now: sequoiatimer.BootTime,
 		OnItems: n.onStoreItems, OnError: n.storeFaultHandler("configuration"),
 	}
+	n.watches.onLate(n.dialect.ConfigurationKey, configuration.Refresh)
 	registration := n.newRegistration(func() {
 		members.Refresh()
 		configuration.Refresh()
--- a/internal/sequoiaregistry/follow.go
+++ b/internal/sequoiaregistry/follow.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// watchGrace is how long after its wait time the response to a watch may arrive.
-	watchGrace = 600 * time.Millisecond
+	// WatchGrace is how long after its wait time the response to a watch may arrive.
+	WatchGrace = 600 * time.Millisecond
 	// watchRetryDelay is the delay after a failed list or watch call.
 	watchRetryDelay = 150 * time.Millisecond
 )
@@ -24,6 +24,8 @@
 	// Wait is the wait time of one long poll. The store counts each poll as one call, and a dead connection is detected
 	// only when the poll times out.
 	Wait time.Duration
+	// CallLimit limits one call of Store.Watch; Wait and WatchGrace if it is zero.
+	CallLimit time.Duration
 	// BatchDelay, if set, returns the delay between receiving changes and the next watch, so that several changes at
 	// about the same time cost one call.
 	BatchDelay func() time.Duration
@@ -130,7 +132,11 @@
 }
 
 func (w *Watcher) watch(parent context.Context) error {
-	ctx, cancel := context.WithTimeout(parent, w.Wait+watchGrace)
+	limit := w.CallLimit
+	if limit == 0 {
+		limit = w.Wait + WatchGrace
+	}
+	ctx, cancel := context.WithTimeout(parent, limit)
 	defer cancel()
 	items, revision, err := w.Store.Watch(ctx, w.Prefix, w.after, w.Wait)
 	if err != nil {
@@ -148,8 +154,11 @@
 		return nil
 	}
 	w.OnItems(items)
-	if w.BatchDelay != nil {
-		_ = sequoiatimer.Sleep(parent, w.BatchDelay())
+	if w.BatchDelay == nil {
+		return nil
+	}
+	if d := w.BatchDelay(); d > 0 {
+		_ = sequoiatimer.Sleep(parent, d)
 	}
 	return nil
 }
