Ready: Let the receiver's link decide when bodies of requests may use it

Cause: at 159 uploads a second of 60 KB to 8 instances with 10 Mbit/s each, small calls with deadlines of 500 ms waited behind bodies and failed, and the requests that depend on them with them. A request travelled as one frame with its body, at most 16 MB. A call whose client had left reached an upstream 1.8 s later, because the receiver counted the time left from its arrival.

Responses above 64 KB follow in pieces as well. A request with a body that was not sent completely has not run (ErrNotSent). A request frame carries the send time of the sender's clock, and the time in queues, relative to the fastest frame lately, is taken off its remaining time. Load.LinkDelay is filled and counts when an upstream is chosen for a request with a body. Loads in responses to messages between processes are reduced to the version of the sender, which is 0 there.

Ruled out: pacing by the window of grants alone, without a rate: bodies then fill the link and every small message waits for the whole window. Refusing an overtaken body only at its deadline: its sender has no time left to try another instance; a newcomer that would make an accepted body of its rank late is refused instead.

--- a/internal/sequoiaadmission/queue.go
+++ b/internal/sequoiaadmission/queue.go
@@ -196,6 +196,11 @@
 	return time.Duration(float64(t.Objective.Sub(t.Arrived)) * initialDurationShare)
 }
 
+// ExpectedEnd returns how long a request that is submitted now is expected to wait and run.
+func (q *Queue) ExpectedEnd(now time.Time, t *Ticket) time.Duration {
+	return q.expectedWait(now, t) + q.ExpectedDuration(t)
+}
+
 // Submit starts, queues or rejects the request.
 func (q *Queue) Submit(now time.Time, t *Ticket) {
 	if q.rejectPastDeadline(t) {
--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -294,7 +294,7 @@
 	if j.alone() {
 		m, ok = n.directory.chooseFor(req.Service, j.fingerprint, a.tried)
 	} else {
-		m, ok = n.directory.choose(req.Service, a.tried)
+		m, ok = n.directory.chooseForBody(req.Service, len(req.Body), a.tried)
 	}
 	if !ok {
 		return nil
@@ -351,7 +351,7 @@
 	if errors.Is(err, sequoiapeer.ErrSilent) || errors.Is(err, sequoiapeer.ErrConnectionLost) {
 		return true
 	}
-	return errors.Is(err, sequoiapeer.ErrNotSent) && remaining > 0
+	return errors.Is(err, sequoiapeer.ErrNotSent) && !errors.Is(err, sequoiapeer.ErrTooLarge) && remaining > 0
 }
 
 // forwardErrorResponse returns the response for a forwarded request that failed with err.
--- a/internal/sequoianode/directory.go
+++ b/internal/sequoianode/directory.go
@@ -211,6 +211,11 @@
 // choose returns the member whose upstream has the lowest expected delay among those of a service that were not tried
 // yet. It compares a random sample of at most maxCandidates.
 func (d *directory) choose(service string, tried map[string]bool) (sequoiaowner.Member, bool) {
+	return d.chooseForBody(service, 0, tried)
+}
+
+// chooseForBody is choose for a request with a body of the given size in bytes.
+func (d *directory) chooseForBody(service string, size int, tried map[string]bool) (sequoiaowner.Member, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
@@ -218,7 +223,7 @@
 	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	var best *peer
 	for _, p := range candidates[:min(len(candidates), maxCandidates)] {
-		if best == nil || d.expectedDelay(now, p) < d.expectedDelay(now, best) {
+		if best == nil || d.expectedDelay(now, p, size) < d.expectedDelay(now, best, size) {
 			best = p
 		}
 	}
@@ -255,8 +260,8 @@
 }
 
 // expectedDelay estimates the delay of one more request: its duration, which increases with utilization, and the wait
-// for a slot.
-func (d *directory) expectedDelay(now time.Time, p *peer) time.Duration {
+// for a slot. A body of more than linkBody bytes also waits for the link.
+func (d *directory) expectedDelay(now time.Time, p *peer, size int) time.Duration {
 	work := p.load.Work
 	if work == 0 {
 		work = defaultWork
@@ -269,6 +274,9 @@
 	utilization := (inProgress + 1) / float64(max(1, p.member.Upstream.Slots))
 	factor := (1 + utilizationWeight*utilization + queueingWeight*max(0, utilization-queueingThreshold)) * (1 + failureWeight*p.failureRate)
 	delay := time.Duration(float64(work)*factor) + max(0, p.load.StartDelay-now.Sub(p.loadReportedAt))
+	if size > linkBody && p.member.Instance != d.settings.Instance {
+		delay += max(0, p.load.LinkDelay-now.Sub(p.loadReportedAt))
+	}
 	if p.member.Domain != d.settings.Domain {
 		delay += crossDomainDelay
 	}
--- a/internal/sequoianode/metrics.go
+++ b/internal/sequoianode/metrics.go
@@ -40,7 +40,7 @@
 			Buckets: []float64{.005, .01, .025, .05, .1, .2, .3, .4, .6, .8, 1, 1.5, 3},
 		}, []string{"outcome"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency)
+	m.registry.MustRegister(m.requests, m.latency, newLinkCollector(n))
 	m.cancelled = m.counter("sequoia_requests_cancelled_total", "Requests whose client closed its connection.")
 	m.retries = m.counter("sequoia_retries_total", "Requests sent to an upstream once more.")
 	m.retriesDenied = m.counter("sequoia_retries_denied_total", "Retries that the budget did not allow.")
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -76,8 +76,12 @@
 	timers    *sequoiatimer.Service
 	processID string
 
-	front          *sequoiafront.Server
-	forwarder      *sequoiapeer.Forwarder
+	front     *sequoiafront.Server
+	forwarder *sequoiapeer.Forwarder
+	// bodies is the forwarder once it has been started; until then it is nil.
+	bodies atomic.Pointer[sequoiapeer.Forwarder]
+	// reserveBody reserves memory for a body of another process's request.
+	reserveBody    func(n int) (release func(), ok bool)
 	upstreamClient *sequoiahttp.Client
 	commandClient  *sequoiahttp.Client
 	registration   *sequoiaregistry.Registration
@@ -150,6 +154,7 @@
 		splitter:       sequoiaroute.NewSplitter(), queue: sequoiaadmission.New(defaultSlots),
 		runs: sequoiaquarantine.NewRuns[*sequoiaadmission.Ticket](), meter: sequoiakeyspace.NewMeter(),
 		ownershipChanged: make(chan struct{}), directory: newDirectory(settings),
+		reserveBody: func(int) (func(), bool) { return func() {}, true },
 	}
 	n.core = sequoiaowner.New(
 		settings.Instance, sequoiatimer.BootTime(), sequoiaowner.WithHeartbeat(settings.Heartbeat), sequoiaowner.WithMeter(n.meter),
@@ -183,17 +188,21 @@
 	if err != nil {
 		return err
 	}
-	n.forwarder, err = sequoiapeer.NewForwarder(
-		secret, sequoiapeer.WithServe(n.serveForwarded), sequoiapeer.WithTimers(n.timers),
+	n.forwarder, err = sequoiapeer.NewForwarder(secret, append(
+		n.withLink(), sequoiapeer.WithServe(n.serveForwarded), sequoiapeer.WithTimers(n.timers),
 		sequoiapeer.WithLiveness(livenessInterval, connectTimeout),
 		sequoiapeer.WithForwardRejected(func(peer netip.AddrPort, err error) {
 			n.log.Event("peer rejected", "Peer", peer, "Error", err)
 		}),
-	)
+	)...)
 	if err != nil {
 		return err
 	}
 	defer n.forwarder.Close()
+	n.bodies.Store(n.forwarder)
+	var reported sequoiapeer.BodyStats
+	report := n.timers.Every(linkReportInterval, func(time.Time) { n.logRefusedBodies(&reported) })
+	defer report.Cancel()
 	if err := n.forwarder.Listen(n.settings.Forward); err != nil {
 		return err
 	}
@@ -256,6 +265,6 @@
 func (n *Node) loadLocked() sequoiarouter.Load {
 	return sequoiarouter.Load{
 		Running: n.queue.Running(), Waiting: n.queue.Waiting(), Slots: n.queue.Slots(), Work: n.queue.MeanDuration(),
-		StartDelay: n.queue.StartDelay(time.Now()),
+		StartDelay: n.queue.StartDelay(time.Now()), LinkDelay: n.linkDelay(),
 	}
 }
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -41,7 +41,9 @@
 // serveForwarded handles client requests and peer messages that other processes send.
 func (n *Node) serveForwarded(ctx context.Context, req *sequoiarouter.Request) *sequoiarouter.Response {
 	if req.Service == peerService {
-		return n.servePeerMessage(ctx, req)
+		resp := n.servePeerMessage(ctx, req)
+		resp.Load = resp.Load.ForVersion(req.Version)
+		return resp
 	}
 	if n.exceedsStopDeadline(req.Deadline) {
 		resp := n.notRunResponseWithLoad(reasonStopping, upstreamRetryAfter)
@@ -210,9 +212,7 @@
 		OnDecision: func(reason string, retryAfter time.Duration) { decided <- decision{reason, retryAfter} },
 	}
 	n.mu.Lock()
-	u := n.core.Upstream()
-	leaving := !n.leavingSince.IsZero() && time.Since(n.leavingSince) > n.settings.drainLimit()
-	if u.ID == "" || u.Lost || leaving || u.Service != req.Service {
+	if !n.acceptsLocked(req.Service) {
 		n.mu.Unlock()
 		return nil, reasonLeaving, upstreamRetryAfter
 	}
@@ -242,6 +242,13 @@
 	return nil, d.reason, d.retryAfter
 }
 
+// acceptsLocked reports whether the local upstream accepts requests of a service. The caller must hold mu.
+func (n *Node) acceptsLocked(service string) bool {
+	u := n.core.Upstream()
+	leaving := !n.leavingSince.IsZero() && time.Since(n.leavingSince) > n.settings.drainLimit()
+	return u.ID != "" && !u.Lost && !leaving && u.Service == service
+}
+
 // objective returns the time by which the request should be answered to meet its latency objective. It ignores the
 // transfer time between processes, which is unknown and short.
 func objective(now time.Time, req *sequoiarouter.Request) time.Time {
--- /dev/null
+++ b/internal/sequoiapeer/bodyresponse.go
@@ -0,0 +1,131 @@
+package sequoiapeer
+
+import (
+	"github.com/pkg/errors"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
+)
+
+// inlineResponse is the largest body of a response in bytes that is sent within the response's frame. A larger one follows
+// in pieces if the other process has protocol version 2, so that small responses overtake it.
+const inlineResponse = 64 << 10
+
+// wireResponseHead is a response whose body follows in pieces.
+type wireResponseHead struct {
+	Response wireResponse `cbor:"1,keyasint"`
+	BodySize int          `cbor:"2,keyasint"`
+}
+
+// incomingResponse is a response whose body is being received. Only the event loop's goroutine uses it.
+type incomingResponse struct {
+	resp *sequoiarouter.Response
+	size int
+	// arrived is the number of bytes that have arrived. They are not kept if the caller no longer waits.
+	arrived int
+}
+
+// answer sends the response to a request, with its body in pieces if it is large.
+func (c *forwardConn) answer(number uint64, req *sequoiarouter.Request, resp *sequoiarouter.Response) error {
+	if req.Version < sequoiarouter.ProtocolVersion || len(resp.Body) <= inlineResponse || len(resp.Body) > MaxBody {
+		return c.respond(number, resp)
+	}
+	head := wireResponseHead{Response: wireResponse(*resp), BodySize: len(resp.Body)}
+	head.Response.Body = nil
+	buf := getBuffer()
+	defer putBuffer(buf)
+	err := encodeResponseFrame(buf, frameResponseHead, number, &head)
+	if errors.Is(err, ErrTooLarge) {
+		return c.respond(number, resp)
+	}
+	if err != nil {
+		return err
+	}
+	b := &outgoingBody{conn: c, number: number, kind: frameResponseBody, body: resp.Body, deadline: req.Deadline}
+	c.mu.Lock()
+	c.sending[number] = b
+	c.mu.Unlock()
+	if err := c.write(buf.Bytes()); err != nil {
+		return err
+	}
+	c.forwarder.writer.grant(b, len(b.body))
+	return nil
+}
+
+// forgetResponseBody removes the body of a response that has been sent completely.
+func (c *forwardConn) forgetResponseBody(number uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.sending, number)
+}
+
+// cancelResponseBody ends the sending of a response's body, because the caller no longer waits. A short response takes its
+// place, so that the number of the request becomes free. It returns false if no such body is being sent.
+func (c *forwardConn) cancelResponseBody(number uint64) (bool, error) {
+	c.mu.Lock()
+	b := c.sending[number]
+	delete(c.sending, number)
+	c.mu.Unlock()
+	if b == nil {
+		return false, nil
+	}
+	if c.forwarder.writer.stop(b) {
+		return true, nil
+	}
+	return true, c.respond(number, &sequoiarouter.Response{Outcome: sequoiarouter.Unknown, Reason: reasonCancelled})
+}
+
+// handleResponseHead prepares to receive the body of a response.
+func (c *forwardConn) handleResponseHead(fr frame) error {
+	var head wireResponseHead
+	if err := decoder.Unmarshal(fr.payload, &head); err != nil {
+		return errors.Wrapf(ErrMalformed, "response: %v", err)
+	}
+	if err := head.Response.check(); err != nil {
+		return err
+	}
+	if head.BodySize <= 0 || head.BodySize > MaxBody || len(head.Response.Body) > 0 {
+		return errors.Wrapf(ErrMalformed, "response: body of %d bytes in pieces", head.BodySize)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	pending := c.calls[fr.number]
+	if pending == nil || pending.response != nil {
+		return errors.Wrapf(ErrRequestNumber, "response %d", fr.number)
+	}
+	resp := sequoiarouter.Response(head.Response)
+	pending.response = &incomingResponse{resp: &resp, size: head.BodySize}
+	return nil
+}
+
+// handleResponseBody adds a piece to the body of a response, and delivers the response once it is complete.
+func (c *forwardConn) handleResponseBody(fr frame) error {
+	c.mu.Lock()
+	pending := c.calls[fr.number]
+	if pending == nil || pending.response == nil {
+		c.mu.Unlock()
+		return errors.Wrapf(ErrRequestNumber, "body of response %d", fr.number)
+	}
+	in, abandoned := pending.response, pending.abandoned
+	if len(fr.payload) == 0 || in.arrived+len(fr.payload) > in.size {
+		c.mu.Unlock()
+		return errors.Wrapf(ErrFrame, "piece of %d bytes at %d of %d", len(fr.payload), in.arrived, in.size)
+	}
+	in.arrived += len(fr.payload)
+	complete := in.arrived == in.size
+	if complete {
+		delete(c.calls, fr.number)
+	}
+	c.mu.Unlock()
+	if abandoned {
+		in.resp.Body = nil
+		return nil
+	}
+	if in.resp.Body == nil {
+		in.resp.Body = make([]byte, 0, in.size)
+	}
+	in.resp.Body = append(in.resp.Body, fr.payload...)
+	if complete {
+		pending.done <- callResult{resp: in.resp}
+	}
+	return nil
+}
--- a/internal/sequoiapeer/forward.go
+++ b/internal/sequoiapeer/forward.go
@@ -51,7 +51,8 @@
 	dialLoadThreshold = 64
 	// maxSendAttempts is the number of connections on which a request is tried before it fails with ErrNotSent.
 	maxSendAttempts = 2
-	// maxUnauthenticated is the number of unauthenticated connections at which further incoming ones are refused.
+	// maxUnauthenticated is the number of unauthenticated connections at which further incoming ones are refused, unless an
+	// option says otherwise.
 	maxUnauthenticated = 256
 	// maxPollers limits nbio's event loops, each of which has its own read buffer.
 	maxPollers = 4
@@ -79,6 +80,8 @@
 	DialFailures uint64
 	// Silent counts connections closed with ErrSilent: the peer sent nothing for 3 s or did not answer a ping.
 	Silent uint64
+	// Expired counts requests of other processes that arrived after their deadlines because of queues on their way.
+	Expired uint64
 	// Connections is the number of open connections.
 	Connections int
 }
@@ -93,11 +96,26 @@
 	Rejected func(peer netip.AddrPort, err error)
 	// Dial opens a TCP connection. Tests replace it to cut connections.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+	// ReserveBody reserves memory for n bytes of an offered body or a large request of another process. release is called
+	// once, when the request has ended. A request for which ok is false is refused as not run.
+	ReserveBody func(n int) (release func(), ok bool)
+	// Offered returns how long a request whose body is offered is expected to wait and run once its body has arrived. If
+	// the request would not be run at all, it returns the response to it instead, and the body is not sent. It returns at
+	// once.
+	Offered func(req *sequoiarouter.Request) (after time.Duration, refusal *sequoiarouter.Response)
+	// Refuse returns the response to a request whose body is refused, with an outcome of NotRun. It returns at once.
+	Refuse func(req *sequoiarouter.Request, reason string, retryAfter time.Duration) *sequoiarouter.Response
 
 	// interval is the time between liveness checks of a connection, connectTimeout the limit on connecting and
 	// authentication.
 	interval, connectTimeout time.Duration
 
+	maxUnauthenticated int64
+	// linkRate is the capacity of this instance's link in bytes per second, zero if it is not known.
+	linkRate float64
+	bodies   *bodyReceiver
+	writer   *bodyWriter
+
 	key      []byte
 	timers   *sequoiatimer.Service
 	checks   *sequoiatimer.Subscription
@@ -117,7 +135,7 @@
 	pools  map[netip.AddrPort]*pool
 	closed bool
 
-	rejected, invalid, dialed, dialFailures, silent atomic.Uint64
+	rejected, invalid, dialed, dialFailures, silent, expired atomic.Uint64
 }
 
 // pool holds the connections to one address. The forwarder's lock protects it.
@@ -147,6 +165,25 @@
 	return func(fw *Forwarder) { fw.Rejected = f }
 }
 
+// WithLinkRate sets the capacity of this instance's link in bytes per second. Without it, bodies are not paced.
+func WithLinkRate(bytesPerSecond float64) ForwarderOption {
+	return func(fw *Forwarder) { fw.linkRate = bytesPerSecond }
+}
+
+// WithBodies sets ReserveBody, Offered and Refuse.
+func WithBodies(
+	reserve func(n int) (release func(), ok bool),
+	offered func(req *sequoiarouter.Request) (after time.Duration, refusal *sequoiarouter.Response),
+	refuse func(req *sequoiarouter.Request, reason string, retryAfter time.Duration) *sequoiarouter.Response,
+) ForwarderOption {
+	return func(fw *Forwarder) { fw.ReserveBody, fw.Offered, fw.Refuse = reserve, offered, refuse }
+}
+
+// WithMaxUnauthenticated sets the number of unauthenticated connections at which further incoming ones are refused.
+func WithMaxUnauthenticated(n int) ForwarderOption {
+	return func(fw *Forwarder) { fw.maxUnauthenticated = int64(n) }
+}
+
 // WithTimers sets the timer service that runs the liveness checks.
 func WithTimers(s *sequoiatimer.Service) ForwarderOption {
 	return func(fw *Forwarder) { fw.timers = s }
@@ -166,20 +203,26 @@
 		return nil, err
 	}
 	f := &Forwarder{
-		Serve:          refuse,
-		Rejected:       func(netip.AddrPort, error) {},
-		Dial:           dialTCP,
-		interval:       checkInterval,
-		connectTimeout: dialTimeout,
-		key:            key,
-		timers:         sequoiatimer.New(),
-		conns:          map[*forwardConn]struct{}{},
-		pools:          map[netip.AddrPort]*pool{},
+		Serve:              refuse,
+		Rejected:           func(netip.AddrPort, error) {},
+		Dial:               dialTCP,
+		ReserveBody:        func(int) (func(), bool) { return func() {}, true },
+		Offered:            func(*sequoiarouter.Request) (time.Duration, *sequoiarouter.Response) { return 0, nil },
+		Refuse:             refuseBody,
+		interval:           checkInterval,
+		maxUnauthenticated: maxUnauthenticated,
+		connectTimeout:     dialTimeout,
+		key:                key,
+		timers:             sequoiatimer.New(),
+		conns:              map[*forwardConn]struct{}{},
+		pools:              map[netip.AddrPort]*pool{},
 	}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(f)
 	}
+	f.bodies = newBodyReceiver(f.timers, f.linkRate)
+	f.writer = newBodyWriter(f.timers, f.linkRate)
 	// At lower levels nbio logs its start and stop to standard output, which is reserved for JSON lines.
 	logging.SetLevel(logging.LevelError)
 	f.engine = nbio.NewEngine(nbio.Config{
@@ -189,6 +232,11 @@
 		MaxWriteBufferSize: maxWriteBuffer,
 	})
 	loops := sequoiapoller.New(f.engine, func(nb *nbio.Conn, b []byte) { nb.Session().(*forwardConn).receive(b) })
+	f.engine.OnWrittenSize(func(nb *nbio.Conn, _ []byte, n int) {
+		if c, ok := nb.Session().(*forwardConn); ok {
+			c.unwritten.Add(-int64(n))
+		}
+	})
 	f.engine.OnClose(func(nb *nbio.Conn, err error) {
 		if !sequoiapoller.IsProbe(nb) {
 			nb.Session().(*forwardConn).close(connectionLost(err))
@@ -214,6 +262,10 @@
 	return &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: "NotServing"}
 }
 
+func refuseBody(_ *sequoiarouter.Request, reason string, retryAfter time.Duration) *sequoiarouter.Response {
+	return &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reason, RetryAfter: retryAfter}
+}
+
 func dialTCP(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 	var d net.Dialer
 	return d.DialContext(ctx, "tcp", addr.String())
@@ -249,10 +301,18 @@
 	f.mu.Unlock()
 	return ForwardStats{
 		Rejected: f.rejected.Load(), Invalid: f.invalid.Load(), Dialed: f.dialed.Load(),
-		DialFailures: f.dialFailures.Load(), Silent: f.silent.Load(), Connections: n,
+		DialFailures: f.dialFailures.Load(), Silent: f.silent.Load(), Expired: f.expired.Load(),
+		Connections: n,
 	}
 }
 
+// LinkDelay returns how long one more body of 64 KB would take to arrive over this instance's link, zero if the capacity of
+// the link is not known.
+func (f *Forwarder) LinkDelay() time.Duration { return f.bodies.delay() }
+
+// BodyStats returns the counts of offered bodies so far.
+func (f *Forwarder) BodyStats() BodyStats { return f.bodies.stats() }
+
 // Forward sends a request to the process at addr and waits for its response, until ctx ends or the request's deadline
 // passes. Its errors match ErrNotSent or ErrUnknown.
 func (f *Forwarder) Forward(ctx context.Context, addr netip.AddrPort, req *sequoiarouter.Request) (*sequoiarouter.Response, error) {
@@ -267,10 +327,9 @@
 	}
 	select {
 	case result := <-pending.done:
-		return conn.finish(result)
+		return conn.finish(pending, result)
 	case <-ctx.Done():
-		conn.abandon(number)
-		return nil, unknown(ctx.Err())
+		return nil, failed(conn.abandon(number, pending), ctx.Err())
 	}
 }
 
@@ -323,7 +382,13 @@
 
 func notSent(cause error) error { return &forwardError{ErrNotSent, cause} }
 
-func unknown(cause error) error { return &forwardError{ErrUnknown, cause} }
+// failed returns the error of a request that got no response. One that has not been sent completely has not run.
+func failed(sent bool, cause error) error {
+	if !sent {
+		return notSent(cause)
+	}
+	return &forwardError{ErrUnknown, cause}
+}
 
 // Error returns the messages of the result and the cause.
 func (e *forwardError) Error() string { return e.result.Error() + ": " + e.cause.Error() }
@@ -473,7 +538,7 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		if f.unauthenticated.Load() >= maxUnauthenticated {
+		if f.unauthenticated.Load() >= f.maxUnauthenticated {
 			f.rejected.Add(1)
 			_ = netConn.Close()
 			continue
--- a/internal/sequoiapeer/forwardconn.go
+++ b/internal/sequoiapeer/forwardconn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -61,10 +62,16 @@
 	// abandoned is set when the caller no longer waits. The call keeps its number until the response arrives, so that
 	// a late response is neither delivered to another request nor rejected as an unexpected request number.
 	abandoned bool
+	// body is the request's body if it is sent in pieces.
+	body *outgoingBody
+	// response is the response whose body is being received in pieces.
+	response *incomingResponse
 }
 
+// callResult is the payload of a response, a response whose body came in pieces, or an error.
 type callResult struct {
 	payload []byte
+	resp    *sequoiarouter.Response
 	err     error
 }
 
@@ -84,6 +91,9 @@
 	state       connState
 	challenge   *challenge
 	lastRequest uint64
+	queueDelay  queueDelay
+	// skip is the number of bytes left of a frame for which there was no memory.
+	skip int
 
 	// silentChecks is the number of checks since data was received.
 	silentChecks atomic.Int32
@@ -92,6 +102,12 @@
 	lastReceived atomic.Int64
 	// partial is true while an incomplete frame is buffered.
 	partial atomic.Bool
+	// unwritten is the number of bytes that the socket has not accepted yet.
+	unwritten atomic.Int64
+	// releaseFrame releases the memory reserved for the incomplete frame in buf, nil if none is reserved.
+	releaseFrame atomic.Pointer[func()]
+	// timed is true if the peer reads the times in pings.
+	timed atomic.Bool
 
 	sendMu sync.Mutex
 
@@ -103,6 +119,10 @@
 	nextNumber    uint64
 	calls         map[uint64]*call
 	serving       map[uint64]context.CancelFunc
+	// receiving holds the requests whose bodies are being received, and sending the bodies of responses that are being
+	// sent in pieces.
+	receiving map[uint64]*incomingBody
+	sending   map[uint64]*outgoingBody
 	// unusedChecks is the number of liveness checks since the last request was in progress, checks that since the
 	// connection was opened.
 	unusedChecks int
@@ -112,7 +132,7 @@
 	pingNumber  uint64
 }
 
-// monotonicOrigin is the reference time of forwardConn.lastReceived.
+// monotonicOrigin is the reference time of forwardConn.lastReceived and of the times that are sent to other processes.
 var monotonicOrigin = time.Now()
 
 func newForwardConn(f *Forwarder, nb *nbio.Conn, addr netip.AddrPort, dialed bool) *forwardConn {
@@ -124,6 +144,8 @@
 		challenge: newChallenge(f.key),
 		calls:     map[uint64]*call{},
 		serving:   map[uint64]context.CancelFunc{},
+		receiving: map[uint64]*incomingBody{},
+		sending:   map[uint64]*outgoingBody{},
 	}
 	if dialed {
 		c.state = stateAwaitChallenge
@@ -142,6 +164,15 @@
 	if !req.Deadline.IsZero() && !req.Deadline.After(now) {
 		return 0, nil, errors.WithStack(context.DeadlineExceeded)
 	}
+	kind, body := frameRequest, c.newBody(req)
+	if body != nil {
+		offered := *req
+		offered.Body, offered.BodySize = nil, len(req.Body)
+		kind, req = frameOffer, &offered
+		if len(body.body) > MaxBody {
+			return 0, nil, errors.Wrapf(ErrTooLarge, "body of %d bytes, at most %d", len(body.body), MaxBody)
+		}
+	}
 	buf := getBuffer()
 	defer putBuffer(buf)
 	if err := encodeRequest(buf, req, now); err != nil {
@@ -150,11 +181,11 @@
 	// The receiver rejects numbers that do not increase, so requests are numbered and written in the same order.
 	c.sendMu.Lock()
 	defer c.sendMu.Unlock()
-	number, pending, err := c.register()
+	number, pending, err := c.register(body)
 	if err != nil {
 		return 0, nil, err
 	}
-	writeFrameHeader(buf.Bytes(), frameRequest, number)
+	writeFrameHeader(buf.Bytes(), kind, number)
 	if err := c.write(buf.Bytes()); err != nil {
 		c.unregister(number)
 		return 0, nil, connectionLost(err)
@@ -162,8 +193,21 @@
 	return number, pending, nil
 }
 
-// register reserves a request number. It returns an error if the connection is closed or accepts no more requests.
-func (c *forwardConn) register() (uint64, *call, error) {
+// newBody returns the body of a request that is sent in pieces, and nil if it is sent within the request's frame.
+func (c *forwardConn) newBody(req *sequoiarouter.Request) *outgoingBody {
+	if req.Version < sequoiarouter.ProtocolVersion {
+		return nil
+	}
+	c.timed.Store(true)
+	if len(req.Body) <= inlineBody {
+		return nil
+	}
+	return &outgoingBody{conn: c, kind: frameBody, body: req.Body, deadline: req.Deadline}
+}
+
+// register reserves the number of a request, whose body is nil if it is not sent in pieces. It returns an error if the
+// connection is closed or accepts no more requests.
+func (c *forwardConn) register(body *outgoingBody) (uint64, *call, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closeErr != nil {
@@ -178,7 +222,10 @@
 	}
 	c.nextNumber++
 	c.unusedChecks = 0
-	pending := &call{done: make(chan callResult, 1)}
+	pending := &call{done: make(chan callResult, 1), body: body}
+	if body != nil {
+		body.number = c.nextNumber
+	}
 	c.calls[c.nextNumber] = pending
 	return c.nextNumber, pending, nil
 }
@@ -189,21 +236,35 @@
 	delete(c.calls, number)
 }
 
-// finish decodes the result of a request.
-func (c *forwardConn) finish(result callResult) (*sequoiarouter.Response, error) {
+// finish decodes the result of a request. A request whose body has not been sent completely has not run.
+func (c *forwardConn) finish(pending *call, result callResult) (*sequoiarouter.Response, error) {
+	sent := c.stopBody(pending)
 	if result.err != nil {
-		return nil, unknown(result.err)
+		return nil, failed(sent, result.err)
+	}
+	resp, err := result.resp, error(nil)
+	if resp == nil {
+		resp, err = decodeResponse(result.payload)
+	}
+	if err == nil && !sent && resp.Outcome != sequoiarouter.NotRun {
+		err = errors.Wrapf(ErrMalformed, "response %v to a request whose body was not sent", resp.Outcome)
 	}
-	resp, err := decodeResponse(result.payload)
 	if err != nil {
 		c.close(err)
-		return nil, unknown(err)
+		return nil, failed(sent, err)
 	}
 	return resp, nil
 }
 
-// abandon sends a cancellation for a request whose caller no longer waits.
-func (c *forwardConn) abandon(number uint64) {
+// stopBody ends the sending of a request's body. It returns true if the request has been sent completely.
+func (c *forwardConn) stopBody(pending *call) bool {
+	return pending.body == nil || c.forwarder.writer.stop(pending.body)
+}
+
+// abandon sends a cancellation for a request whose caller no longer waits. It returns true if the request had been sent
+// completely.
+func (c *forwardConn) abandon(number uint64, call *call) (sent bool) {
+	sent = c.stopBody(call)
 	c.mu.Lock()
 	pending := c.calls[number]
 	if pending != nil {
@@ -213,6 +274,7 @@
 	if pending != nil {
 		_ = c.write(encodeFrame(frameCancel, number, nil))
 	}
+	return sent
 }
 
 // usableWithoutPing reports whether a request may be sent without a ping first.
@@ -233,7 +295,7 @@
 	c.pingNumber++
 	number := c.pingNumber
 	c.mu.Unlock()
-	_ = c.write(encodeFrame(framePing, number, nil))
+	_ = c.ping(number)
 	time.AfterFunc(verifyTimeout, func() { c.verificationTimedOut(verified) })
 	return verified
 }
@@ -292,10 +354,24 @@
 // write passes a whole frame to nbio, which buffers what the socket does not accept. If it returns an error, no part of
 // the frame was written.
 func (c *forwardConn) write(b []byte) error {
+	c.unwritten.Add(int64(len(b)))
 	_, err := c.nb.Write(b)
 	return err
 }
 
+// queuedBytes returns the number of bytes that were written and that the peer has not acknowledged.
+func (c *forwardConn) queuedBytes() int {
+	return int(c.unwritten.Load()) + unacknowledgedBytes(c.nb)
+}
+
+// ping sends a ping. A peer with protocol version 2 learns from the time in it how long frames take without a queue.
+func (c *forwardConn) ping(number uint64) error {
+	if c.timed.Load() {
+		return c.write(encodeFrame(framePing, number, encodeSentAt(time.Now())))
+	}
+	return c.write(encodeFrame(framePing, number, nil))
+}
+
 // close closes the connection and fails the requests on it. Only the first call has an effect.
 func (c *forwardConn) close(reason error) {
 	c.mu.Lock()
@@ -309,6 +385,9 @@
 	c.calls = map[uint64]*call{}
 	serving := c.serving
 	c.serving = map[uint64]context.CancelFunc{}
+	receiving := c.receiving
+	c.receiving = map[uint64]*incomingBody{}
+	c.sending = map[uint64]*outgoingBody{}
 	c.mu.Unlock()
 	if !authenticated {
 		c.forwarder.unauthenticated.Add(-1)
@@ -324,6 +403,11 @@
 	for _, cancel := range serving {
 		cancel()
 	}
+	for _, b := range receiving {
+		c.forwarder.bodies.remove(b)
+		b.end()
+	}
+	c.frameComplete()
 	c.forwarder.reportRejected(c, reason)
 }
 
@@ -334,30 +418,42 @@
 	return c.closeErr
 }
 
+// isClosed reports whether the connection is closed.
+func (c *forwardConn) isClosed() bool { return c.closeReason() != nil }
+
 // receive handles bytes from the socket. Only the event loop's goroutine calls it; b is valid until it returns.
 func (c *forwardConn) receive(b []byte) {
 	c.silentChecks.Store(0)
 	c.lastReceived.Store(int64(time.Since(monotonicOrigin)))
+	b = c.skipped(b)
 	buffered := len(c.buf) > 0
 	if buffered {
 		c.buf = append(c.buf, b...)
 		b = c.buf
 	}
 	consumed, err := c.parse(b)
+	if consumed > 0 {
+		c.frameComplete()
+	}
+	rest := b[consumed:]
+	if err == nil {
+		rest, err = c.reserveFrame(rest)
+	}
 	if err != nil {
+		c.frameComplete()
 		if c.state != stateReady && !errors.Is(err, ErrUnauthenticated) {
 			err = errors.Wrap(ErrUnauthenticated, err.Error())
 		}
 		c.close(err)
 		return
 	}
-	c.saveIncomplete(b[consumed:], buffered && consumed == 0)
+	c.saveIncomplete(rest, buffered && consumed == 0 && len(rest) > 0)
 }
 
 // saveIncomplete keeps an incomplete frame for the next call of receive. A frame that is already in the buffer is not
 // copied, because a copy per read would take quadratic time for large frames.
 func (c *forwardConn) saveIncomplete(rest []byte, inPlace bool) {
-	c.partial.Store(len(rest) > 0)
+	c.partial.Store(len(rest) > 0 || c.skip > 0)
 	switch {
 	case inPlace:
 	case len(rest) == 0 && cap(c.buf) > maxRetainedBuffer:
@@ -397,7 +493,20 @@
 	case fr.kind == frameResponse && c.dialed:
 		return c.handleResponse(fr)
 	case fr.kind == framePing && !c.dialed:
+		if sentAt, ok := decodeSentAt(fr.payload); ok {
+			c.queueDelay.observe(time.Now(), sentAt)
+		}
 		return c.write(encodeFrame(framePong, fr.number, nil))
+	case fr.kind == frameOffer && !c.dialed:
+		return c.handleOffer(fr)
+	case fr.kind == frameBody && !c.dialed:
+		return c.handleBody(fr)
+	case fr.kind == frameGrant && c.dialed:
+		return c.handleGrant(fr)
+	case fr.kind == frameResponseHead && c.dialed:
+		return c.handleResponseHead(fr)
+	case fr.kind == frameResponseBody && c.dialed:
+		return c.handleResponseBody(fr)
 	case fr.kind == framePong && c.dialed:
 		c.handlePong(fr.number)
 		return nil
@@ -469,33 +578,91 @@
 	return nil
 }
 
-// handleRequest starts to serve a request. It rejects numbers that do not increase, so that no request runs twice.
-func (c *forwardConn) handleRequest(fr frame) error {
-	if fr.number <= c.lastRequest {
-		return errors.Wrapf(ErrRequestNumber, "request %d after %d", fr.number, c.lastRequest)
+// handleGrant lets more of a request's body be sent. A grant for a request that has already ended is not an error.
+func (c *forwardConn) handleGrant(fr frame) error {
+	if len(fr.payload) != 8 {
+		return errors.Wrapf(ErrFrame, "grant of %d bytes", len(fr.payload))
+	}
+	c.mu.Lock()
+	pending, last := c.calls[fr.number], c.nextNumber
+	c.mu.Unlock()
+	switch {
+	case fr.number > last:
+		return errors.Wrapf(ErrRequestNumber, "grant %d after %d", fr.number, last)
+	case pending == nil:
+		return nil
+	case pending.body == nil:
+		return errors.Wrapf(ErrFrame, "grant %d for a request without an offer", fr.number)
+	}
+	granted := binary.BigEndian.Uint64(fr.payload)
+	c.forwarder.writer.grant(pending.body, int(min(granted, MaxBody)))
+	return nil
+}
+
+// acceptNumber rejects request numbers that do not increase, so that no request runs twice.
+func (c *forwardConn) acceptNumber(number uint64) error {
+	if number <= c.lastRequest {
+		return errors.Wrapf(ErrRequestNumber, "request %d after %d", number, c.lastRequest)
 	}
-	c.lastRequest = fr.number
-	req, err := decodeRequest(fr.payload, time.Now())
+	c.lastRequest = number
+	return nil
+}
+
+// readRequest decodes a request. The time that it spent in queues on its way is taken off the time that is left for it.
+func (c *forwardConn) readRequest(fr frame) (*sequoiarouter.Request, error) {
+	if err := c.acceptNumber(fr.number); err != nil {
+		return nil, err
+	}
+	w, err := decodeWireRequest(fr.payload)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	if w.SentAt == 0 {
+		return w.request(now), nil
+	}
+	delay := c.queueDelay.observe(now, w.SentAt)
+	if w.Remaining > 0 && delay >= w.Remaining {
+		c.forwarder.expired.Add(1)
+	}
+	return w.request(now.Add(-delay)), nil
+}
+
+// handleRequest starts to serve a request.
+func (c *forwardConn) handleRequest(fr frame) error {
+	req, err := c.readRequest(fr)
 	if err != nil {
 		return err
 	}
+	if req.BodySize > 0 {
+		return errors.Wrapf(ErrMalformed, "request: offered body of %d bytes", req.BodySize)
+	}
 	ctx, cancel := requestContext(req)
+	return c.start(ctx, cancel, fr.number, req, func() {})
+}
+
+// start starts to serve a request. release is called once the request has ended.
+func (c *forwardConn) start(
+	ctx context.Context, cancel context.CancelFunc, number uint64, req *sequoiarouter.Request, release func(),
+) error {
 	c.mu.Lock()
-	refused := c.closeErr != nil || len(c.serving) >= maxInFlight
+	refused := c.closeErr != nil || len(c.serving)+len(c.receiving) >= maxInFlight
 	if !refused {
-		c.serving[fr.number] = cancel
+		c.serving[number] = cancel
 	}
 	c.mu.Unlock()
 	if refused {
 		cancel()
-		return c.respond(fr.number, &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: "TooManyRequests"})
+		release()
+		return c.respond(number, &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonTooMany})
 	}
 	stalled := c.forwarder.stalled()
 	c.forwarder.running.Go(func() {
+		defer release()
 		if stalled {
 			_ = sequoiatimer.Sleep(ctx, resumeDelay)
 		}
-		c.serve(ctx, fr.number, req)
+		c.serve(ctx, number, req)
 	})
 	return nil
 }
@@ -517,8 +684,13 @@
 	c.mu.Unlock()
 	if cancel != nil {
 		cancel()
+		return nil
 	}
-	return nil
+	if c.cancelBody(fr.number) {
+		return nil
+	}
+	_, err := c.cancelResponseBody(fr.number)
+	return err
 }
 
 func (c *forwardConn) serve(ctx context.Context, number uint64, req *sequoiarouter.Request) {
@@ -526,7 +698,7 @@
 	if ctx.Err() == nil {
 		resp = c.forwarder.Serve(ctx, req)
 	} else {
-		resp = &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: "Cancelled"}
+		resp = &sequoiarouter.Response{Outcome: sequoiarouter.NotRun, Reason: reasonCancelled}
 	}
 	c.mu.Lock()
 	cancel := c.serving[number]
@@ -539,7 +711,7 @@
 	if resp == nil {
 		resp = &sequoiarouter.Response{Outcome: sequoiarouter.Unknown, Reason: "NoResponse"}
 	}
-	if err := c.respond(number, resp); err != nil {
+	if err := c.answer(number, req, resp); err != nil {
 		c.close(err)
 	}
 }
@@ -575,7 +747,7 @@
 	if len(c.calls) > 0 {
 		c.unusedChecks = 0
 	}
-	inUse := c.dialed && c.unusedChecks <= inUseChecks || !c.dialed && (len(c.serving) > 0 || c.partial.Load())
+	inUse := c.dialed && c.unusedChecks <= inUseChecks || !c.dialed && (len(c.serving)+len(c.receiving)+len(c.sending) > 0 || c.partial.Load())
 	idle := c.dialed && c.forwarder.checksDuration(c.unusedChecks) > idleTimeout ||
 		!c.dialed && c.forwarder.checksDuration(int(silent)) > acceptedIdleTimeout
 	late := !c.authenticated && c.forwarder.checksDuration(c.checks) > authenticationTimeout
@@ -593,7 +765,7 @@
 	case idle:
 		c.close(errors.WithStack(errIdle))
 	case due && c.dialed:
-		_ = c.write(encodeFrame(framePing, 0, nil))
+		_ = c.ping(0)
 	case due && c.partial.Load():
 		// The client's pings are queued behind the large frame that is being received, so the pong is sent without one.
 		_ = c.write(encodeFrame(framePong, 0, nil))
--- a/internal/sequoiapeer/frame.go
+++ b/internal/sequoiapeer/frame.go
@@ -46,6 +46,14 @@
 	frameCancel
 	framePing
 	framePong
+	// The following kinds are sent only to processes with protocol version 2. frameOffer is a request whose body is offered,
+	// frameGrant says how much of it may be sent, and frameBody is a piece of it. frameResponseHead is a response whose
+	// body follows in frames of the kind frameResponseBody.
+	frameOffer
+	frameGrant
+	frameBody
+	frameResponseHead
+	frameResponseBody
 )
 
 // frame is the protocol unit of a forwarding connection. It is encoded in big-endian order as version (1 byte), kind
@@ -126,6 +134,10 @@
 	Route      string              `cbor:"15,keyasint,omitempty"`
 	Call       bool                `cbor:"16,keyasint,omitempty"`
 	Version    int                 `cbor:"17,keyasint,omitempty"`
+	BodySize   int                 `cbor:"18,keyasint,omitempty"`
+	// SentAt is when the sender encoded the request, as the time since the origin of its clock. It is zero if the receiver
+	// has an older protocol version.
+	SentAt time.Duration `cbor:"19,keyasint,omitempty"`
 }
 
 // wireResponse is sequoiarouter.Response as encoded. The conversion between them fails to compile if their fields
@@ -176,7 +188,7 @@
 		Version: req.Version,
 	}
 	if w.Version >= sequoiarouter.ProtocolVersion {
-		w.Call = req.Call
+		w.Call, w.BodySize, w.SentAt = req.Call, req.BodySize, now.Sub(monotonicOrigin)
 	}
 	if !req.Deadline.IsZero() {
 		w.Remaining = req.Deadline.Sub(now)
@@ -184,33 +196,45 @@
 	return encodePayload(buf, &w)
 }
 
-// decodeRequest decodes a request and marks it as forwarded, with a deadline on this process's clock. It returns
-// ErrMalformed if the payload is invalid.
-func decodeRequest(payload []byte, now time.Time) (*sequoiarouter.Request, error) {
+// decodeWireRequest decodes and validates a request. It returns ErrMalformed.
+func decodeWireRequest(payload []byte) (*wireRequest, error) {
 	var w wireRequest
 	if err := decoder.Unmarshal(payload, &w); err != nil {
 		return nil, errors.Wrapf(ErrMalformed, "request: %v", err)
 	}
-	if w.Service == "" || w.Remaining < 0 {
-		return nil, errors.Wrapf(ErrMalformed, "request: service %q, remaining time %v", w.Service, w.Remaining)
+	if w.Service == "" || w.Remaining < 0 || w.SentAt < 0 {
+		return nil, errors.Wrapf(ErrMalformed, "request: service %q, remaining time %v, sent at %v", w.Service, w.Remaining, w.SentAt)
 	}
+	if w.BodySize < 0 || w.BodySize > 0 && (len(w.Body) > 0 || w.Version < sequoiarouter.ProtocolVersion) {
+		return nil, errors.Wrapf(ErrMalformed, "request: offered body of %d bytes, version %d", w.BodySize, w.Version)
+	}
+	return &w, nil
+}
+
+// request returns the request, marked as forwarded, with a deadline on this process's clock. sent is when it was sent, on
+// the same clock.
+func (w *wireRequest) request(sent time.Time) *sequoiarouter.Request {
 	req := &sequoiarouter.Request{
 		Service: w.Service, Key: w.Key, RequestID: w.RequestID, FirstEpoch: w.FirstEpoch,
 		Repeatable: w.Repeatable, Forwarded: true, Method: w.Method, Path: w.Path, Header: w.Header, Body: w.Body,
 		Host: w.Host, Route: w.Route, Origin: w.Origin, Priority: w.Priority, Objective: w.Objective,
-		Call: w.Call, Version: w.Version,
+		Call: w.Call, Version: w.Version, BodySize: w.BodySize,
 	}
 	if w.Remaining > 0 {
-		req.Deadline = now.Add(w.Remaining)
+		req.Deadline = sent.Add(w.Remaining)
 	}
-	return req, nil
+	return req
 }
 
 func encodeResponse(buf *bytes.Buffer, number uint64, resp *sequoiarouter.Response) error {
-	if err := encodePayload(buf, (*wireResponse)(resp)); err != nil {
+	return encodeResponseFrame(buf, frameResponse, number, (*wireResponse)(resp))
+}
+
+func encodeResponseFrame(buf *bytes.Buffer, kind frameKind, number uint64, payload any) error {
+	if err := encodePayload(buf, payload); err != nil {
 		return err
 	}
-	writeFrameHeader(buf.Bytes(), frameResponse, number)
+	writeFrameHeader(buf.Bytes(), kind, number)
 	return nil
 }
 
@@ -220,8 +244,16 @@
 	if err := decoder.Unmarshal(payload, &w); err != nil {
 		return nil, errors.Wrapf(ErrMalformed, "response: %v", err)
 	}
-	if w.Outcome < sequoiarouter.Answered || w.Outcome > sequoiarouter.Unknown {
-		return nil, errors.Wrapf(ErrMalformed, "response: outcome %d", w.Outcome)
+	if err := w.check(); err != nil {
+		return nil, err
 	}
 	return (*sequoiarouter.Response)(&w), nil
 }
+
+// check returns ErrMalformed if the response is invalid.
+func (w *wireResponse) check() error {
+	if w.Outcome < sequoiarouter.Answered || w.Outcome > sequoiarouter.Unknown {
+		return errors.Wrapf(ErrMalformed, "response: outcome %d", w.Outcome)
+	}
+	return nil
+}
--- a/internal/sequoiarouter/request.go
+++ b/internal/sequoiarouter/request.go
@@ -77,6 +77,9 @@
 	Path   string
 	Header map[string][]string
 	Body   []byte
+	// BodySize is the size in bytes of a body that follows the request in pieces; zero if Body is complete. It is set only
+	// while a request is sent to another process.
+	BodySize int
 	// Call is true if an upstream sent the request while it worked on another one. If it fails, that work is lost.
 	Call bool
 	// Version is the protocol version of the process that forwards the request, zero for one before ProtocolVersion 2. It
@@ -111,7 +114,8 @@
 	// Speed is how long work takes at the upstream at this moment, relative to the usual time. It is zero if the upstream
 	// does not say.
 	Speed float64 `cbor:",omitempty"`
-	// LinkDelay is how long one more body of 64 KB would wait for the link of the upstream's instance.
+	// LinkDelay is how long one more body of 64 KB would wait for the link of the upstream's instance and take to arrive.
+	// It is zero if the capacity of the link is not known.
 	LinkDelay time.Duration `cbor:",omitempty"`
 	// ColdFor is how much longer the upstream is cold. Until then it must be sent few requests.
 	ColdFor time.Duration `cbor:",omitempty"`
