--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -370,7 +370,7 @@
 	if errors.Is(err, sequoiapeer.ErrSilent) || errors.Is(err, sequoiapeer.ErrConnectionLost) {
 		return true
 	}
-	return errors.Is(err, sequoiapeer.ErrNotSent) && remaining > 0
+	return errors.Is(err, sequoiapeer.ErrNotSent) && !errors.Is(err, sequoiapeer.ErrTooLarge) && remaining > 0
 }
 
 // forwardErrorResponse returns the response for a forwarded request that failed with err.
--- a/internal/sequoianode/directory.go
+++ b/internal/sequoianode/directory.go
@@ -234,6 +234,9 @@
 	candidates := make([]sequoiaspread.Candidate, len(peers))
 	for i, p := range peers {
 		candidates[i] = p.candidate(now)
+		if len(req.Body) <= linkBody || p.member.Instance == d.settings.Instance {
+			candidates[i].LinkDelay = 0
+		}
 	}
 	best := d.chooser.Choose(candidates, d.usage.expect(req))
 	if best < 0 {
--- a/internal/sequoianode/metrics.go
+++ b/internal/sequoianode/metrics.go
@@ -47,7 +47,7 @@
 			Name: "sequoia_store_watches_total", Help: "Watches of the store by who answered them: Follower or Store.",
 		}, []string{"by"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.watches)
+	m.registry.MustRegister(m.requests, m.latency, m.watches, newLinkCollector(n))
 	m.cancelled = m.counter("sequoia_requests_cancelled_total", "Requests whose client closed its connection.")
 	m.retries = m.counter("sequoia_retries_total", "Requests sent to an upstream once more.")
 	m.retriesDenied = m.counter("sequoia_retries_denied_total", "Retries that the budget did not allow.")
