Clear a suspect upstream by the answer of a request in progress, and keep its warm-up

Cause: a closed connection made a warm upstream suspect until its next announcement, because only requests sent later could clear it and the limit lets none start within that second. An announcement without a warm-up also ended a warm-up that the upstream had stated before it became suspect.

Change: answers count from 50 ms after the loss on; before that they may have been sent before the upstream ended. Announcements that do not say how long the upstream is cold leave a stated warm-up as it is.

--- a/internal/sequoiawarmup/gate.go
+++ b/internal/sequoiawarmup/gate.go
@@ -21,6 +21,8 @@
 	startMargin = 2
 	// maxSilence is the number of announcement intervals after which a silent upstream may have been replaced.
 	maxSilence = 2
+	// bufferedTime is how long after the end of an upstream its last responses may still be read.
+	bufferedTime = 50 * time.Millisecond
 	// minSent is how many times of requests are kept at least. It also covers a rule that is not known yet.
 	minSent = 64
 	// defaultInterval is the interval of announcements.
@@ -140,9 +142,9 @@
 // SetRule sets what the configuration in force says.
 func (g *Gate) SetRule(r Rule) { g.rule = r }
 
-// Announced records an announcement, which ends all suspicion.
+// Announced records an announcement, which ends all suspicion. One of a known incarnation that does not say how long the
+// upstream is cold changes nothing else.
 func (g *Gate) Announced(now time.Time, a Announcement) {
-	suspect := g.suspect(now)
 	g.seen, g.refused, g.lostAt = now, false, time.Time{}
 	switch {
 	case a.Stated:
@@ -152,8 +154,6 @@
 		if !a.Born.IsZero() && a.Born.Before(now) {
 			g.startedAt = a.Born
 		}
-	case suspect:
-		g.setCold(now, now)
 	}
 }
 
@@ -179,9 +179,10 @@
 }
 
 // Answered records that the upstream has answered a request that was sent at the given time. An upstream that answers within
-// a second after it lost a connection has not ended.
+// a second after it lost a connection has not ended, unless the response may have been on its way before.
 func (g *Gate) Answered(now, sent time.Time) {
-	if !g.lostAt.IsZero() && sent.After(g.lostAt) && now.Sub(g.lostAt) <= window {
+	since := now.Sub(g.lostAt)
+	if !g.lostAt.IsZero() && since <= window && (sent.After(g.lostAt) || since > bufferedTime) {
 		g.lostAt = time.Time{}
 	}
 }
