--- a/internal/sequoianode/configuration.go
+++ b/internal/sequoianode/configuration.go
@@ -49,6 +49,7 @@
 	n.core.SetKeyedServices(keyed)
 	n.setWarmupRule(cfg.Services[n.settings.Service])
 	n.directory.setWarmupRates(cfg)
+	n.applyLastStart(time.Now())
 	n.log.Event("configuration in force", "Version", cfg.Version, "Revision", it.Revision)
 	if old != nil {
 		n.announceConfiguration(cfg.Version)
@@ -108,7 +109,7 @@
 	}
 	n.log.Event("configuration from a peer", "Member", instance, "Revision", resp.LogIndex, "Bytes", len(resp.Body))
 	n.onStoreItems([]sequoiaregistry.Item{{Key: n.dialect.ConfigurationKey, Value: resp.Body, Revision: resp.LogIndex}})
-	n.watches.refreshLate(n.dialect.ConfigurationKey, resp.LogIndex)
+	n.watches.refreshLate(n.dialect.OperatorPrefix, resp.LogIndex)
 }
 
 // serveConfiguration returns the configuration in force, as it is in the store.
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -222,7 +222,7 @@
 		},
 	}
 	n.mu.Lock()
-	if !n.acceptsLocked(req.Service) {
+	if !n.acceptsLocked(req.Service) || n.refusesEvacuated(now, req) {
 		n.mu.Unlock()
 		return nil, reasonLeaving, upstreamRetryAfter
 	}
--- a/internal/sequoianode/sync.go
+++ b/internal/sequoianode/sync.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaevacuation"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaregistry"
@@ -76,9 +77,10 @@
 	}
 }
 
-// startStoreSync registers the process in the store and starts watching the members and the configuration.
+// startStoreSync registers the process in the store and starts watching the members, and the configuration and the other
+// items of the operator.
 func (n *Node) startStoreSync(ctx context.Context) {
-	membersWatch, configurationWatch := n.watches.add(memberPrefix, memberQuestionWait), n.watches.add(n.dialect.ConfigurationKey, configurationQuestionWait)
+	membersWatch, configurationWatch := n.watches.add(memberPrefix, memberQuestionWait), n.watches.add(n.dialect.OperatorPrefix, configurationQuestionWait)
 	members := &sequoiaregistry.Watcher{
 		Store: membersWatch.store(), Prefix: memberPrefix, Wait: memberWatchTimeout, CallLimit: watchCallLimit(memberWatchTimeout),
 		Now: sequoiatimer.BootTime, OnItems: n.onStoreItems, OnListed: n.onMembersListed, OnError: n.storeFaultHandler("members"),
@@ -92,11 +94,16 @@
 		},
 	}
 	configuration := &sequoiaregistry.Watcher{
-		Store: configurationWatch.store(), Prefix: n.dialect.ConfigurationKey, Wait: configurationWatchTimeout,
+		Store: configurationWatch.store(), Prefix: n.dialect.OperatorPrefix, Wait: configurationWatchTimeout,
 		CallLimit: watchCallLimit(configurationWatchTimeout), Now: sequoiatimer.BootTime,
-		OnItems: n.onStoreItems, OnError: n.storeFaultHandler("configuration"),
+		OnItems: n.onStoreItems, OnListed: n.onOperatorListed, OnError: n.storeFaultHandler("configuration"),
+		OnCurrent: func(time.Time) {
+			if asOf, ok := configurationWatch.currentAsOf(); ok {
+				n.operatorItemsCurrent(asOf)
+			}
+		},
 	}
-	n.watches.onLate(n.dialect.ConfigurationKey, configuration.Refresh)
+	n.watches.onLate(n.dialect.OperatorPrefix, configuration.Refresh)
 	registration := n.newRegistration(func() {
 		members.Refresh()
 		configuration.Refresh()
@@ -172,8 +179,17 @@
 
 // onStoreItems applies changes that the watches received from the store.
 func (n *Node) onStoreItems(items []sequoiaregistry.Item) {
-	rewrite := false
 	n.mu.Lock()
+	rewrite := n.applyStoreItems(items)
+	n.mu.Unlock()
+	if rewrite {
+		n.registration.Changed()
+	}
+}
+
+// applyStoreItems applies changes from the store. It returns true if the entry of this process must be written again. The
+// caller must hold mu.
+func (n *Node) applyStoreItems(items []sequoiaregistry.Item) (rewrite bool) {
 	now := sequoiatimer.BootTime()
 	for _, it := range items {
 		switch {
@@ -183,14 +199,15 @@
 			n.quarantine.applyStored(it)
 		case strings.HasPrefix(it.Key, memberPrefix):
 			rewrite = n.applyMember(now, it) || rewrite
+		default:
+			if order, ok := n.orderOf(it); ok {
+				n.applyOrders([]sequoiaevacuation.Order{order}, "Store")
+			}
 		}
 	}
 	n.directory.setMembers(n.core.Members())
 	n.notifyOwnershipChanged()
-	n.mu.Unlock()
-	if rewrite {
-		n.registration.Changed()
-	}
+	return rewrite
 }
 
 // onMembersListed applies a list of all members.
--- a/internal/sequoiaspread/spread.go
+++ b/internal/sequoiaspread/spread.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// maxReportAge is the age from which a reported load is ignored.
-	maxReportAge = 1500 * time.Millisecond
+	// MaxReportAge is the age from which a reported load is ignored.
+	MaxReportAge = 1500 * time.Millisecond
 	// DefaultWork is the assumed duration of a request at an upstream that has not reported one.
 	DefaultWork = 150 * time.Millisecond
 	// maxHome and maxAway limit the upstreams that are compared for one request, in its failure domain and outside.
@@ -132,8 +132,8 @@
 		work = DefaultWork
 	}
 	inProgress := float64(c.Outstanding)
-	if c.Age < maxReportAge {
-		reported := float64(c.Running+c.Waiting) * (1 - float64(c.Age)/float64(maxReportAge))
+	if c.Age < MaxReportAge {
+		reported := float64(c.Running+c.Waiting) * (1 - float64(c.Age)/float64(MaxReportAge))
 		inProgress = max(inProgress, reported)
 	}
 	slots := float64(max(1, c.Slots))
