--- a/internal/sequoiascenario/fleet_test.go
+++ b/internal/sequoiascenario/fleet_test.go
@@ -211,6 +211,11 @@
 	if err != nil {
 		return err
 	}
+	return f.startDeployment(d)
+}
+
+// startDeployment is like start, for a deployment that may not have a name.
+func (f *fleet) startDeployment(d sequoiafleet.Deployment) (err error) {
 	f.deployment = d
 	if f.store, err = f.startProgram("store", "standin-store", nil, f.storeAddr().String()); err != nil {
 		return err
