--- a/internal/sequoiahttp/exchange.go
+++ b/internal/sequoiahttp/exchange.go
@@ -40,6 +40,8 @@
 	maxIdleTime = 4 * time.Second
 	// maxRefused is the number of refused requests after which a connection is closed.
 	maxRefused = 64
+	// maxInterim is the number of interim responses (1xx) that are read for one request.
+	maxInterim = 16
 	// maxUnmatched is the number of late responses to earlier requests that are discarded before the connection is
 	// closed.
 	maxUnmatched = 2
@@ -61,6 +63,8 @@
 	ErrNotDelimited = errors.New("the response has neither a Content-Length nor chunked encoding")
 	// ErrUnmatchedResponse reports responses that do not belong to the current request.
 	ErrUnmatchedResponse = errors.New("the response belongs to another request")
+	// ErrMalformedResponse reports a response that HTTP/1.1 does not allow, such as one with a status outside 100 to 599.
+	ErrMalformedResponse = errors.New("the response is malformed")
 	// ErrProtocolSwitch reports that the server switched protocols without being asked to.
 	ErrProtocolSwitch = errors.New("the server switched protocols")
 )
--- a/internal/sequoiaproxy/proxy_test.go
+++ b/internal/sequoiaproxy/proxy_test.go
@@ -280,6 +280,35 @@
 		ginkgo.Entry("unknown value of Sequoia-Refused", "HTTP/1.1 503 X\r\nSequoia-Refused: Perhaps\r\nContent-Length: 0\r\n\r\n"),
 	)
 
+	// Guards against a caller that gets a status like 000 as an answer, or none before its deadline.
+	ginkgo.DescribeTable("takes no response that HTTP does not allow for an answer, and closes its connection",
+		func(raw string) {
+			p := newProcess(ginkgo.GinkgoTB(), 1)
+			closed := make(chan struct{})
+			serveUpstream(ginkgo.GinkgoTB(), p, func(c net.Conn, r *bufio.Reader) {
+				_, _ = http.ReadRequest(r)
+				_, _ = io.WriteString(c, raw)
+				_, _ = io.Copy(io.Discard, c)
+				close(closed)
+			})
+			resp := p.get("/s/dispatch/x", map[string]string{"Sequoia-Timeout-Milliseconds": "3000"})
+			expectOutcome(resp, http.StatusGatewayTimeout, "Unknown", sequoiarouter.ReasonBadResponse)
+			Eventually(closed, "2s").Should(BeClosed())
+		},
+		ginkgo.Entry("status 000", "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nok"),
+		ginkgo.Entry("status 001", "HTTP/1.1 001 X\r\nContent-Length: 2\r\n\r\nok"),
+		ginkgo.Entry("status 099", "HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\nok"),
+		ginkgo.Entry("status 199 with a length", "HTTP/1.1 199 X\r\nContent-Length: 0\r\n\r\n"),
+		ginkgo.Entry("status 600", "HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\nok"),
+		ginkgo.Entry("status 999", "HTTP/1.1 999 X\r\nContent-Length: 2\r\n\r\nok"),
+		ginkgo.Entry("status of two digits", "HTTP/1.1 20 OK\r\nContent-Length: 2\r\n\r\nok"),
+		ginkgo.Entry("status with a sign", "HTTP/1.1 +200\r\nContent-Length: 2\r\n\r\nok"),
+		ginkgo.Entry("status 101", "HTTP/1.1 101 X\r\nUpgrade: x\r\n\r\n"),
+		ginkgo.Entry("status 204 with a body", "HTTP/1.1 204 X\r\nContent-Length: 2\r\n\r\nok"),
+		ginkgo.Entry("status 304 with a body", "HTTP/1.1 304 X\r\nContent-Length: 2\r\n\r\nok"),
+		ginkgo.Entry("interim responses without end", strings.Repeat("HTTP/1.1 103 X\r\n\r\n", 1000)),
+	)
+
 	ginkgo.It("never sends a late response to another caller", func() {
 		p := newProcess(ginkgo.GinkgoTB(), 1)
 		serveUpstream(ginkgo.GinkgoTB(), p, func(c net.Conn, r *bufio.Reader) {
