Take no response that HTTP does not allow for an answer of an upstream

Cause: net/http's ReadResponse accepts every status that three characters spell as a number, and readHead took each one below 200 for interim: after 000, 001, 099 and 199 the caller waited until its deadline, and 600 and 999 were passed on.

The beginning of each status line is checked before it is parsed: version 1, a status from 100 to 599. Such a response ends its request as one that may have run (502, or a retry where that is allowed; "run": 504, Unknown, BadResponse), and its connection is closed. A 199 without a length is still interim, as RFC 9110 asks.

Ruled out: checking the parsed status only, which takes "+20" for 20; and rejecting each response that bytes follow, which would lose the answer of an upstream that writes a response twice.

--- a/internal/sequoiahttp/response.go
+++ b/internal/sequoiahttp/response.go
@@ -19,6 +19,8 @@
 	// framingFactor is how many times a body's limit may arrive from the network, chunk headers included. The decoder of
 	// chunks rejects more overhead than content.
 	framingFactor = 2
+	// responseBegin is what all responses begin with.
+	responseBegin = "HTTP/1."
 )
 
 // conn is a connection that runs one exchange at a time.
@@ -80,7 +82,12 @@
 		if err != nil {
 			return nil, false, err
 		}
-		reusable = !hr.Close && cn.r.Buffered() == 0
+		if err := cn.checkNoBody(hr); err != nil {
+			return nil, false, err
+		}
+		// The body of a 304 that announces one may still come and would be taken for the next response.
+		bodyMayCome := hr.StatusCode == http.StatusNotModified && announcesBody(hr)
+		reusable = !hr.Close && !bodyMayCome && cn.r.Buffered() == 0
 		if matched {
 			if req.Refusal != nil && req.Refusal(hr.StatusCode, hr.Header) {
 				cn.refused = append(cn.refused, req.ID)
@@ -97,7 +104,10 @@
 
 // readHead reads the status line and header of the final response, skipping informational responses.
 func (cn *conn) readHead(req *http.Request, untilClose bool) (*http.Response, error) {
-	for {
+	for range maxInterim + 1 {
+		if err := cn.checkStatusLine(); err != nil {
+			return nil, err
+		}
 		hr, err := http.ReadResponse(cn.r, req)
 		if err != nil {
 			return nil, err
@@ -106,12 +116,61 @@
 		case hr.StatusCode == http.StatusSwitchingProtocols:
 			return nil, ErrProtocolSwitch
 		case hr.StatusCode < http.StatusOK:
+			// Such a response has no length. One that has was meant as an answer, and none will follow.
+			if hr.Header["Content-Length"] != nil || hr.TransferEncoding != nil {
+				return nil, errors.Wrapf(ErrMalformedResponse, "status %d with a body", hr.StatusCode)
+			}
 			continue
+		case hr.StatusCode == http.StatusNoContent && announcesBody(hr):
+			return nil, errors.Wrapf(ErrMalformedResponse, "status %d with a body", hr.StatusCode)
 		case !untilClose && hr.ContentLength < 0 && len(hr.TransferEncoding) == 0 && req.Method != http.MethodHead:
 			return nil, ErrNotDelimited
 		}
 		return hr, nil
 	}
+	return nil, errors.Wrapf(ErrMalformedResponse, "more than %d informational responses", maxInterim)
+}
+
+// checkStatusLine checks the beginning of a status line: net/http accepts any number that three characters can spell.
+func (cn *conn) checkStatusLine() error {
+	line, err := cn.r.Peek(len("HTTP/1.1 200 "))
+	if err != nil {
+		return err
+	}
+	if !validStatusLine(line) {
+		return errors.Wrapf(ErrMalformedResponse, "it begins with %q", line)
+	}
+	return nil
+}
+
+// validStatusLine reports whether a line begins with the version, a status from 100 to 599 and a space or its end.
+func validStatusLine(line []byte) bool {
+	status := line[len(responseBegin)+len("1 "):]
+	return bytes.HasPrefix(line, []byte(responseBegin)) && isDigit(line[len(responseBegin)]) && line[len(responseBegin)+1] == ' ' &&
+		status[0] >= '1' && status[0] <= '5' && isDigit(status[1]) && isDigit(status[2]) && bytes.IndexByte([]byte(" \r\n"), status[3]) >= 0
+}
+
+func isDigit(c byte) bool { return c >= '0' && c <= '9' }
+
+// mayNotHaveBody reports whether a response has no body, whatever its header says.
+func mayNotHaveBody(hr *http.Response) bool {
+	return hr.StatusCode == http.StatusNoContent || hr.StatusCode == http.StatusNotModified || hr.Request.Method == http.MethodHead
+}
+
+// announcesBody reports whether the header of a response says that a body follows.
+func announcesBody(hr *http.Response) bool {
+	length := hr.Header.Get("Content-Length")
+	return length != "" && length != "0" || hr.TransferEncoding != nil
+}
+
+// checkNoBody returns ErrMalformedResponse if a response that may not have a body is followed by one. Another response may
+// follow: a faulty server writes some of them twice.
+func (cn *conn) checkNoBody(hr *http.Response) error {
+	next, _ := cn.r.Peek(min(cn.r.Buffered(), len(responseBegin)))
+	if !mayNotHaveBody(hr) || bytes.HasPrefix([]byte(responseBegin), next) {
+		return nil
+	}
+	return errors.Wrapf(ErrMalformedResponse, "status %d with a body", hr.StatusCode)
 }
 
 // readBody reads the body of a response; it discards that of a response that belongs to another request.
--- a/internal/sequoiahttp/status_test.go
+++ b/internal/sequoiahttp/status_test.go
@@ -42,18 +42,18 @@
 // Guards against an upstream in trouble whose status 000 a caller got as an answer, and against callers that wait until
 // their deadline for a response after one that cannot be interim.
 var _ = ginkgo.Describe("A response that HTTP does not allow", func() {
-	do := func(method, response string) (*Response, error, *onceServer) {
+	do := func(method, response string) (*Response, *onceServer, error) {
 		s := newOnceServer(response)
 		c := New(WithResponsesUntilClose())
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		defer cancel()
 		resp, err := c.Do(ctx, s.addr, &Request{Method: method, Path: "/", Header: http.Header{}})
 		Expect(ctx.Err()).NotTo(HaveOccurred(), "it was waited for until the deadline")
-		return resp, err, s
+		return resp, s, err
 	}
 	expectNone := func(method, response string) {
 		ginkgo.GinkgoHelper()
-		resp, err, s := do(method, response)
+		resp, s, err := do(method, response)
 		Expect(err).To(MatchError(ErrMalformedResponse), "%q was taken for %+v", response, resp)
 		Expect(NotSent(err)).To(BeFalse())
 		Eventually(s.closed, "2s").Should(Receive(), "the connection stays open")
@@ -92,7 +92,7 @@
 	)
 
 	ginkgo.It("is no answer if the server switches protocols unasked", func() {
-		_, err, s := do(http.MethodGet, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n")
+		_, s, err := do(http.MethodGet, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n")
 		Expect(err).To(MatchError(ErrProtocolSwitch))
 		Eventually(s.closed, "2s").Should(Receive())
 	})
@@ -100,7 +100,7 @@
 	ginkgo.It("leaves those that it allows as they are", func() {
 		for status := 200; status < 600; status++ {
 			response := fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n", status)
-			resp, err, _ := do(http.MethodGet, strings.Repeat("HTTP/1.1 103 X\r\nLink: x\r\n\r\n", maxInterim)+response)
+			resp, _, err := do(http.MethodGet, strings.Repeat("HTTP/1.1 103 X\r\nLink: x\r\n\r\n", maxInterim)+response)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(resp.Status).To(Equal(status))
 		}
@@ -109,7 +109,7 @@
 	// The body of such a response may come later and would be taken for the next response.
 	ginkgo.It("is not followed by another on its connection, if it announces a body that it may not have", func() {
 		for _, response := range []string{"HTTP/1.1 304 X\r\nContent-Length: 2\r\n\r\n", "HTTP/1.1 304 X\r\nTransfer-Encoding: chunked\r\n\r\n"} {
-			resp, err, s := do(http.MethodGet, response)
+			resp, s, err := do(http.MethodGet, response)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(resp.Status).To(Equal(http.StatusNotModified))
 			Eventually(s.closed, "2s").Should(Receive(), "the connection stays open")
--- a/internal/sequoiaproxy/upstream.go
+++ b/internal/sequoiaproxy/upstream.go
@@ -59,7 +59,7 @@
 	}
 	switch {
 	case errors.Is(err, sequoiahttp.ErrResponseTooLarge), errors.Is(err, sequoiahttp.ErrNotDelimited),
-		errors.Is(err, sequoiahttp.ErrProtocolSwitch):
+		errors.Is(err, sequoiahttp.ErrProtocolSwitch), errors.Is(err, sequoiahttp.ErrMalformedResponse):
 		resp.Reason = sequoiarouter.ReasonBadResponse
 	default:
 		resp.Reason = failureReason(ctx, sequoiarouter.ReasonUpstreamFailed)
