Add the account that bounds the memory of a process

Cause: nothing bounds what a process holds for clients, upstreams and other processes together (docs/design/memory.md).

Change: sequoiamemory.Account with Reserve, and Holding with Grow, Progress, OnEvict and Release. An eighth is reserved for holdings up to 16 KB, at most half is for connections. Holders without progress for a second are evicted, those longest without first, and only if that frees enough. A search that found too little is not repeated for 20 ms, so that refused requests do not use up the processor.

Ruled out: eviction of idle connections for requests, which frees 12 KB each.

--- /dev/null
+++ b/internal/sequoiamemory/account.go
@@ -0,0 +1,304 @@
+// Package sequoiamemory bounds the memory that a process holds for clients, upstreams and other processes. It has no I/O:
+// holders reserve memory in an Account before they use it.
+package sequoiamemory
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// accountShare is the share of a process's memory limit that its Account has, in hundredths.
+	accountShare = 45
+	// runtimeShare is the share that the Go runtime may use, in hundredths. Below it, the garbage collector lets the heap
+	// grow to about twice what is in use.
+	runtimeShare = 80
+	// defaultLimit is the limit in bytes of the Account of a process without a memory limit.
+	defaultLimit = 256 << 20
+	// SmallRequest is the size in bytes up to which a holding may use the part of an Account that is reserved for small ones.
+	SmallRequest = 16 << 10
+	// smallFraction and connectionFraction divide the limit: an eighth is reserved for small holdings, and at most half is
+	// for connections, so that a crowd of them leaves room for requests.
+	smallFraction      = 8
+	connectionFraction = 2
+	// stallTime is how long a holder must have made no progress before it may be evicted.
+	stallTime = time.Second
+	// searchInterval is how long a search for holdings to evict that found too little is not repeated for as much or more.
+	searchInterval = 20 * time.Millisecond
+)
+
+// AccountLimit returns the limit in bytes of the Account of a process with a memory limit, zero if it has none.
+func AccountLimit(memoryLimit int64) int64 {
+	if memoryLimit <= 0 {
+		return defaultLimit
+	}
+	return memoryLimit / 100 * accountShare
+}
+
+// RuntimeLimit returns the limit in bytes for the Go runtime of a process with a memory limit, zero if it has none.
+func RuntimeLimit(memoryLimit int64) int64 { return memoryLimit / 100 * runtimeShare }
+
+// Kind says what memory is held for.
+type Kind int
+
+// Kinds of holdings.
+const (
+	// Connection is the fixed amount of a client's connection.
+	Connection Kind = iota
+	// Request is a client's request: its head, and its body as far as it has arrived.
+	Request
+	// Response is a response that has not been written.
+	Response
+	// Forwarded is a request or response between processes.
+	Forwarded
+	kinds
+)
+
+var kindNames = [kinds]string{"Connection", "Request", "Response", "Forwarded"}
+
+// Kinds returns all kinds.
+func Kinds() []Kind { return []Kind{Connection, Request, Response, Forwarded} }
+
+// String returns the kind's name, which is also the value of the label of its metric.
+func (k Kind) String() string { return kindNames[k] }
+
+// Account is the memory of a process that holders share.
+type Account struct {
+	limit int64
+	now   func() time.Time
+
+	mu sync.Mutex
+	// used is the total, by kind in usedBy, and large the part of it in holdings above SmallRequest.
+	used, large int64
+	usedBy      [kinds]int64
+	evicted     uint64
+	holdings    map[*Holding]struct{}
+	// searches are the last searches for holdings to evict, for connections and for the rest.
+	searches [2]search
+}
+
+// search is a search for holdings to evict that found too little. It spares another search for each request that finds no
+// room: a crowd of refused requests would otherwise use up the processor.
+type search struct {
+	// next is the earliest time at which any holding may be evictable.
+	next time.Time
+	// failed is the smallest number of bytes that the search did not find, and until how long that is taken for granted.
+	failed int64
+	until  time.Time
+}
+
+// mayFind reports whether a search for n bytes may find them.
+func (s search) mayFind(now time.Time, n int64) bool {
+	return !now.Before(s.next) && (n < s.failed || !now.Before(s.until))
+}
+
+// Option changes a setting of an Account.
+type Option func(*Account)
+
+// WithClock sets the function that returns the time, in place of time.Now.
+func WithClock(now func() time.Time) Option {
+	return func(a *Account) { a.now = now }
+}
+
+// New returns an Account of limit bytes.
+func New(limit int64, opts ...Option) *Account {
+	a := &Account{limit: limit, now: time.Now, holdings: map[*Holding]struct{}{}}
+	for _, o := range opts {
+		o(a)
+	}
+	return a
+}
+
+// Reserve reserves n bytes. It returns false if there is no room, also after the eviction of holders without progress.
+func (a *Account) Reserve(kind Kind, n int64) (*Holding, bool) {
+	h := &Holding{account: a, kind: kind, progress: a.now()}
+	if !a.resize(h, n) {
+		return nil, false
+	}
+	return h, true
+}
+
+// Held returns the number of bytes that are held for a kind.
+func (a *Account) Held(kind Kind) int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.usedBy[kind]
+}
+
+// Evicted returns the number of holdings that have been evicted.
+func (a *Account) Evicted() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.evicted
+}
+
+// Limit returns the limit in bytes.
+func (a *Account) Limit() int64 { return a.limit }
+
+// resize adds n bytes to h if there is room.
+func (a *Account) resize(h *Holding, n int64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	size := h.size + n
+	if h.gone {
+		return false
+	}
+	if !a.hasRoom(h, size, 0, 0) && !a.evict(h, size) {
+		return false
+	}
+	a.add(h, -h.size)
+	h.size = size
+	a.add(h, size)
+	a.holdings[h] = struct{}{}
+	return true
+}
+
+// add counts n bytes of a holding, which are all of it.
+func (a *Account) add(h *Holding, n int64) {
+	a.used += n
+	a.usedBy[h.kind] += n
+	if h.size > SmallRequest {
+		a.large += n
+	}
+}
+
+// hasRoom reports whether h may have the size once the given numbers of bytes have been freed, in all and in large holdings.
+func (a *Account) hasRoom(h *Holding, size, freed, freedLarge int64) bool {
+	if a.used-freed-h.size+size > a.limit {
+		return false
+	}
+	if h.kind == Connection && a.usedBy[Connection]-freed-h.size+size > a.limit/connectionFraction {
+		return false
+	}
+	if size <= SmallRequest {
+		return true
+	}
+	return a.large-freedLarge-h.largeSize()+size <= a.limit-a.limit/smallFraction
+}
+
+// evict evicts as many holdings as h needs to have the size, those longest without progress first. Connections make room
+// for connections only: their closing frees little, and a request is no reason to close many. It evicts none if that would
+// not free enough.
+func (a *Account) evict(h *Holding, size int64) bool {
+	now, group := a.now(), h.group()
+	if !a.searches[group].mayFind(now, size-h.size) {
+		return false
+	}
+	stalled := a.stalled(h, now)
+	var freed, freedLarge int64
+	for i, s := range stalled {
+		freed += s.size
+		freedLarge += s.largeSize()
+		if a.hasRoom(h, size, freed, freedLarge) {
+			for _, s := range stalled[:i+1] {
+				a.evicted++
+				a.remove(s)
+				// The owner may hold locks that a caller of Reserve holds too.
+				go s.onEvict()
+			}
+			return true
+		}
+	}
+	a.searches[group].failed, a.searches[group].until = size-h.size, now.Add(searchInterval)
+	return false
+}
+
+// stalled returns the holdings that may be evicted for h, those longest without progress first.
+func (a *Account) stalled(h *Holding, now time.Time) []*Holding {
+	var stalled []*Holding
+	next := now.Add(stallTime)
+	for s := range a.holdings {
+		if s == h || s.onEvict == nil || s.group() != h.group() {
+			continue
+		}
+		if since := s.progress.Add(stallTime); !since.After(now) {
+			stalled = append(stalled, s)
+		} else if since.Before(next) {
+			next = since
+		}
+	}
+	slices.SortFunc(stalled, func(x, y *Holding) int { return x.progress.Compare(y.progress) })
+	if len(stalled) == 0 {
+		a.searches[h.group()].next = next
+	}
+	return stalled
+}
+
+// remove ends a holding. The caller must hold mu.
+func (a *Account) remove(h *Holding) {
+	a.add(h, -h.size)
+	h.size, h.gone = 0, true
+	delete(a.holdings, h)
+}
+
+// Holding is memory that one holder has reserved. The methods of a nil Holding do nothing.
+type Holding struct {
+	account *Account
+	kind    Kind
+	// The following fields are protected by the account's mutex.
+	size     int64
+	progress time.Time
+	onEvict  func()
+	// gone is true once the holding has been released or evicted.
+	gone bool
+}
+
+// group returns the index of the group of holdings that make room for each other.
+func (h *Holding) group() int {
+	if h.kind == Connection {
+		return 0
+	}
+	return 1
+}
+
+// largeSize returns the number of bytes that count as those of a large holding.
+func (h *Holding) largeSize() int64 {
+	if h.size > SmallRequest {
+		return h.size
+	}
+	return 0
+}
+
+// Grow reserves n more bytes, or returns -n bytes. It returns false if there is no room or the holding was evicted or
+// released; the holding then stays as it is.
+func (h *Holding) Grow(n int64) bool {
+	if h == nil {
+		return true
+	}
+	return h.account.resize(h, n)
+}
+
+// Progress records that the holder has made progress.
+func (h *Holding) Progress() {
+	if h == nil {
+		return
+	}
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	h.progress = h.account.now()
+}
+
+// OnEvict allows the eviction of the holding, and sets the function that is then called in a goroutine of its own. With
+// nil the holding is not evicted. It counts as progress.
+func (h *Holding) OnEvict(f func()) {
+	if h == nil {
+		return
+	}
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	h.onEvict = f
+	h.progress = h.account.now()
+}
+
+// Release returns the memory. Only the first call has an effect.
+func (h *Holding) Release() {
+	if h == nil {
+		return
+	}
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	if !h.gone {
+		h.account.remove(h)
+	}
+}
