--- a/internal/sequoianode/evacuation_test.go
+++ b/internal/sequoianode/evacuation_test.go
@@ -29,7 +29,7 @@
 		n.dialect.ConfigurationKey = "op/config"
 		n.dialect.EvacuatedDomain = func(key string) (string, bool) { return strings.CutPrefix(key, "op/evacuate/") }
 		n.config.Store(&sequoiaroute.Configuration{Services: map[string]sequoiaroute.Service{"desk": {Keyed: keyed}}})
-		n.operatorItemsCurrent(time.Time{})
+		n.operatorItemsCurrent(sequoiatimer.BootTime())
 		var err error
 		n.forwarder, err = sequoiapeer.NewForwarder(make([]byte, secretBytes))
 		Expect(err).NotTo(HaveOccurred())
