Bound the bytes of followers' answers and notice a follower that is cut off from the store

Cause: a configuration of 30 KB for 37 processes would occupy the follower's link of 10 Mbit/s for 0.9 s. A follower whose calls to the store get no answer found out only when its watch ended, after 4.6 s. The confirmation of a follower seemed to advance once more than it did, because a claim from a negative age is limited to the time of the question: a process noticed a blocked follower 3 s late.

A failed call of the registration makes the follower say that it has lost the store. Progress is measured by the time at which the follower asked the store.

Ruled out: asking both followers in turn for the configuration, which doubles the connections in use.

--- a/internal/sequoiafollow/choice.go
+++ b/internal/sequoiafollow/choice.go
@@ -75,6 +75,8 @@
 	ReasonNotFollowing Reason = "NotFollowing"
 	// ReasonNotCovered means that it does not have all events after the revision.
 	ReasonNotCovered Reason = "NotCovered"
+	// ReasonBusy means that the changes are more than it may send now.
+	ReasonBusy Reason = "Busy"
 )
 
 // Choice decides for one process whom it asks. It is not safe for concurrent use.
@@ -123,8 +125,8 @@
 	switch r {
 	case ReasonLostStore, ReasonNotFollowing:
 		c.restUntil = now.Add(restFor)
-	case ReasonNotCovered:
-		// The next watch is after a later revision, which the follower has.
+	case ReasonNotCovered, ReasonBusy:
+		// The next watch is after a later revision, which the follower has, and returns other changes.
 	case ReasonUnsupported:
 		c.avoided[instance] = now.Add(unsupportedFor)
 	default:
--- a/internal/sequoiafollow/choice_test.go
+++ b/internal/sequoiafollow/choice_test.go
@@ -140,6 +140,7 @@
 		ginkgo.Entry("because of its build", sequoiafollow.ReasonUnsupported, time.Minute, time.Duration(0)),
 		ginkgo.Entry("because it has lost the store", sequoiafollow.ReasonLostStore, time.Duration(0), time.Second),
 		ginkgo.Entry("because it does not follow", sequoiafollow.ReasonNotFollowing, time.Duration(0), time.Second),
+		ginkgo.Entry("because it may not send as much now", sequoiafollow.ReasonBusy, time.Duration(0), time.Duration(0)),
 		ginkgo.Entry("for one revision", sequoiafollow.ReasonNotCovered, time.Duration(0), time.Duration(0)),
 	)
 
--- a/internal/sequoianode/metrics.go
+++ b/internal/sequoianode/metrics.go
@@ -55,7 +55,7 @@
 	m.storeFaults = m.counter("sequoia_store_lost_total", "Times at which the store was lost.")
 	m.relayed = m.counter("sequoia_store_relayed_total", "Calls to the store that another process made.")
 	m.questions = m.counter("sequoia_store_watch_questions_total", "Watches that this process answered for other processes.")
-	m.hubMisses = m.counter("sequoia_store_watch_misses_total", "Watches of other processes for which this process did not have all events.")
+	m.hubMisses = m.counter("sequoia_store_watch_misses_total", "Watches of other processes for which this process did not have all events, or more than it may send.")
 	m.messagesLost = m.counter("sequoia_table_messages_lost_total", "Changes of the table that another process did not take.")
 	m.tablesWithheld = m.counter("sequoia_tables_withheld_total", "Whole tables that were not sent to another process, to spare the link.")
 	m.upstreamEnds = m.counter("sequoia_upstream_ends_total", "Times at which the local upstream ended with requests in progress.")
--- a/internal/sequoianode/sync.go
+++ b/internal/sequoianode/sync.go
@@ -115,8 +115,11 @@
 	return &sequoiaregistry.Registration{
 		Store: n.store, Key: memberPrefix + n.settings.Instance, RecordKey: registrationPrefix + n.settings.Instance,
 		Value: n.encodedOwnMember, Record: n.encodedRecord, OnRecord: n.onRegistrationRecord, Now: sequoiatimer.BootTime, ReadTable: n.readTable,
-		OnConfirmed:  func(sent time.Time) { n.withCore(func(c *sequoiaowner.Core) { c.ConfirmRegistration(sent) }) },
-		OnCallFailed: func() { n.withCore(func(c *sequoiaowner.Core) { c.MarkRegistrationUnconfirmed() }) },
+		OnConfirmed: func(sent time.Time) { n.withCore(func(c *sequoiaowner.Core) { c.ConfirmRegistration(sent) }) },
+		OnCallFailed: func() {
+			n.withCore(func(c *sequoiaowner.Core) { c.MarkRegistrationUnconfirmed() })
+			n.watches.lose()
+		},
 		Confirmed: func() (ok bool) {
 			n.withCore(func(c *sequoiaowner.Core) { ok = c.RegistrationConfirmed() })
 			return ok
--- a/internal/sequoianode/watch.go
+++ b/internal/sequoianode/watch.go
@@ -89,6 +89,9 @@
 	mu     sync.Mutex
 	choice *sequoiafollow.Choice
 	hubs   map[string]*sharedHub
+	// budget limits the bytes of answers as those of tables: a change of 30 KB for 37 processes would occupy a link of
+	// 10 Mbit/s for 0.9 s, while requests wait behind it.
+	budget tableSender
 	// following is the instance that answered the latest question, empty once it has failed or the store is asked.
 	following string
 	stopped   bool
@@ -161,6 +164,17 @@
 	}
 }
 
+// lose records that a call to the store has failed. The watches in progress may hang, so the processes that ask this one
+// are told at once.
+func (s *sharedWatches) lose() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.hubs {
+		h.hub.Lose()
+		h.notify()
+	}
+}
+
 // updateHub changes the hub of a prefix and wakes the questions that wait for it.
 func (s *sharedWatches) updateHub(prefix string, f func(h *sequoiafollow.Hub)) {
 	s.mu.Lock()
@@ -200,12 +214,12 @@
 	}
 }
 
-// failed records that a follower gave no answer. A revision that it does not cover does not end the following.
+// failed records that a follower gave no answer. One that lacks the changes, or may not send as much, is still followed.
 func (s *sharedWatches) failed(follower string, reason sequoiafollow.Reason) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.choice.Failed(s.now(), follower, reason)
-	if s.following == follower && reason != sequoiafollow.ReasonNotCovered {
+	if s.following == follower && reason != sequoiafollow.ReasonNotCovered && reason != sequoiafollow.ReasonBusy {
 		s.stopFollowing(reason)
 	}
 }
@@ -220,13 +234,29 @@
 	}
 	answer, reason := s.await(ctx, arrived, q)
 	if reason != "" {
-		if reason == sequoiafollow.ReasonNotCovered {
-			s.metrics.hubMisses.Inc()
-		}
-		return notRunResponse(string(reason), 0)
+		return s.refuse(reason)
+	}
+	body, err := encodeAnswer(answer)
+	if err == nil && !s.mayAnswer(len(body)) {
+		return s.refuse(sequoiafollow.ReasonBusy)
 	}
 	s.metrics.questions.Inc()
-	return okResponse(encodeAnswer(answer))
+	return okResponse(body, err)
+}
+
+// refuse returns the response to a question that gets no answer.
+func (s *sharedWatches) refuse(reason sequoiafollow.Reason) *sequoiarouter.Response {
+	if reason == sequoiafollow.ReasonNotCovered || reason == sequoiafollow.ReasonBusy {
+		s.metrics.hubMisses.Inc()
+	}
+	return notRunResponse(string(reason), 0)
+}
+
+// mayAnswer reports whether an answer of the given number of bytes may be sent now.
+func (s *sharedWatches) mayAnswer(size int) bool {
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	return s.budget.take(s.now(), size)
 }
 
 // await waits for the answer to a question. It returns the reason if there is none.
@@ -302,7 +332,8 @@
 // knownReason returns the reason of a rejected question. A process of an older build rejects it as a bad request.
 func knownReason(reason string) sequoiafollow.Reason {
 	switch r := sequoiafollow.Reason(reason); r {
-	case sequoiafollow.ReasonLostStore, sequoiafollow.ReasonNotFollowing, sequoiafollow.ReasonNotCovered, sequoiafollow.ReasonStopping:
+	case sequoiafollow.ReasonLostStore, sequoiafollow.ReasonNotFollowing, sequoiafollow.ReasonNotCovered,
+		sequoiafollow.ReasonStopping, sequoiafollow.ReasonBusy:
 		return r
 	case reasonBadRequest:
 		return sequoiafollow.ReasonUnsupported
@@ -347,11 +378,11 @@
 
 	// asOf is the time up to which the latest call has returned all changes, zero if that is not known.
 	asOf time.Time
-	// follower is the instance that answered the latest question since the store was asked, followerAsOf the time that it
-	// confirmed, and progressAt is when a call returned that confirmed a later time than the one before.
-	follower     string
-	followerAsOf time.Time
-	progressAt   time.Time
+	// follower is the instance that answered the latest question since the store was asked, followerAsked when it had asked
+	// the store for that answer, and progressAt is when a call returned that confirmed a later time than the one before.
+	follower      string
+	followerAsked time.Time
+	progressAt    time.Time
 	// followed is true if a follower answered the latest call, and pause is the delay since the store did.
 	followed bool
 	pause    time.Duration
@@ -382,18 +413,25 @@
 	w.asOf, w.progressAt, w.follower = asOf, w.shared.now(), ""
 }
 
-// confirmThrough records that a follower has confirmed a time. It returns false if that is no progress: the follower must
-// have confirmed an earlier time since the store was asked, since its own view may be older than this process's.
-func (w *storeWatch) confirmThrough(follower string, asOf time.Time) bool {
+// confirmThrough records the confirmation in a follower's answer to a question that was sent at the given time. It returns
+// false if that is no progress: the follower must have confirmed an earlier time since the store was asked, since its own
+// view may be older than this process's.
+func (w *storeWatch) confirmThrough(follower string, a sequoiafollow.Answer, sent time.Time) bool {
+	asOf, ok := a.AsOf(sent)
+	if !ok {
+		return false
+	}
 	w.asOf = asOf
+	// This time varies only by that of the transfer while the follower's confirmation does not advance, unlike asOf.
+	asked := sent.Add(-a.Age)
 	if w.follower != follower {
-		w.follower, w.followerAsOf = follower, asOf
+		w.follower, w.followerAsked = follower, asked
 		return false
 	}
-	if asOf.Sub(w.followerAsOf) < minProgress {
+	if asked.Sub(w.followerAsked) < minProgress {
 		return false
 	}
-	w.followerAsOf, w.progressAt = asOf, w.shared.now()
+	w.followerAsked, w.progressAt = asked, w.shared.now()
 	return true
 }
 
@@ -445,10 +483,7 @@
 	}
 	s.answered(follower)
 	s.metrics.watches.WithLabelValues("Follower").Inc()
-	if asOf, ok := answer.AsOf(sent); ok {
-		progress = w.confirmThrough(follower, asOf)
-	}
-	return answer, progress, nil
+	return answer, w.confirmThrough(follower, answer, sent), nil
 }
 
 // askStore watches the store. The pause since the last call is part of the wait, so that processes that ask this one get a
--- a/internal/sequoianode/watch_test.go
+++ b/internal/sequoianode/watch_test.go
@@ -171,8 +171,10 @@
 	// storeLost makes the store refuse the process. Calls to the store that began before storeSilent get no answer.
 	storeLost   bool
 	storeSilent time.Time
-	state       map[string]sequoiaregistry.Item
-	learned     map[string]time.Time
+	// resumed, if set, is what the process's watches wait for after the next change.
+	resumed <-chan struct{}
+	state   map[string]sequoiaregistry.Item
+	learned map[string]time.Time
 }
 
 func (p *watchProcess) with(f func()) {
@@ -278,7 +280,9 @@
 }
 
 func (p *watchProcess) apply(items []sequoiaregistry.Item) {
+	var resumed <-chan struct{}
 	p.with(func() {
+		resumed = p.resumed
 		for _, it := range items {
 			p.state[it.Key] = it
 			if it.Deleted {
@@ -287,6 +291,9 @@
 			p.learned[it.Key+string(it.Value)] = time.Now()
 		}
 	})
+	if resumed != nil {
+		<-resumed
+	}
 }
 
 func (p *watchProcess) applyList(prefix string) func(items []sequoiaregistry.Item, _ uint64) {
@@ -333,6 +340,8 @@
 
 func (p *watchProcess) listFrom(s *watchStore) func(ctx context.Context, prefix string) ([]sequoiaregistry.Item, uint64, error) {
 	return func(ctx context.Context, prefix string) ([]sequoiaregistry.Item, uint64, error) {
+		ctx, cancel := context.WithTimeout(ctx, sequoiaregistry.CallTimeout)
+		defer cancel()
 		items, revision, err := s.list(ctx, prefix)
 		if lost := p.reach(ctx, time.Now()); lost != nil {
 			return nil, 0, lost
@@ -537,12 +546,26 @@
 		p.shared.stop()
 		f.exclude(name)
 	}, 100 * time.Millisecond, time.Second},
+	// Its calls to the store get no answer. The renewal of its lease notices that after 1.8 s at the latest.
+	{"cut off from the store", func(_ *watchFleet, _ string, p *watchProcess) {
+		p.with(func() { p.storeSilent, p.storeLost = time.Now().Add(10*time.Second), true })
+		time.AfterFunc(sequoiaregistry.RenewInterval+sequoiaregistry.CallTimeout, p.shared.lose)
+	}, configurationBound, 3 * time.Second},
 	// Processes whose own connection to the store is silent learn of a change within the wait of a watch and its grace. Those
 	// that follow them learn of it as late. For the configuration this is the bound without the messages that processes send
 	// each other; see the test below.
 	{"silent connection to the store", func(_ *watchFleet, _ string, p *watchProcess) {
 		p.with(func() { p.storeSilent = time.Now() })
 	}, configurationWatchTimeout + sequoiaregistry.WatchGrace + 100*time.Millisecond, memberWatchTimeout + sequoiaregistry.WatchGrace + time.Second},
+	// Its watches neither end nor go on.
+	{"blocked", func(f *watchFleet, _ string, p *watchProcess) {
+		resumed := make(chan struct{})
+		p.with(func() { p.resumed = resumed })
+		time.AfterFunc(14*time.Second, func() { close(resumed) })
+		f.store.put(testConfigurationKey, "0.5")
+		f.store.put(memberPrefix+f.names[4], "before")
+		time.Sleep(time.Second)
+	}, configurationWatchTimeout + watchSlack + 100*time.Millisecond, memberWatchTimeout + watchSlack + time.Second},
 	{"restored store", func(f *watchFleet, _ string, _ *watchProcess) { f.store.restore(5) }, configurationBound, time.Second},
 }
 
@@ -562,8 +585,8 @@
 					f.store.put(testConfigurationKey, "1")
 					f.store.put(memberPrefix+f.names[5], "changed")
 					time.Sleep(15 * time.Second)
-					if p.storeLost {
-						// Processes without the store learn of changes through others, which this fleet does not model.
+					if p.storeLost || p.resumed != nil {
+						// The process itself learns of the changes later.
 						p.with(func() { p.storeLost = false })
 						time.Sleep(time.Second)
 						p.with(func() {
@@ -695,6 +718,28 @@
 		}, question, sequoiafollow.ReasonStopping),
 	)
 
+	// Guards against a follower whose link is full of a large change while requests wait behind it.
+	ginkgo.It("is refused if many large ones were sent", func() {
+		follower, addr := newFollower(revision)
+		large := items[0]
+		large.Value = make([]byte, 30<<10)
+		follower.watches.updateHub(memberPrefix, func(h *sequoiafollow.Hub) {
+			h.Record(revision, []sequoiaregistry.Item{large}, revision+5, sequoiatimer.BootTime())
+		})
+		asker := newAsker(addr)
+		answered, refused := 0, 0
+		for range 12 {
+			if _, err := ask(asker, question); err == nil {
+				answered++
+			} else {
+				Expect(err).To(MatchError(errNoAnswer{sequoiafollow.ReasonBusy}))
+				refused++
+			}
+		}
+		Expect(answered).To(BeNumerically(">=", 2))
+		Expect(refused).To(BeNumerically(">=", 6))
+	})
+
 	ginkgo.DescribeTable("has a reason if the other process does not answer it as a watch",
 		func(serve func(*sequoiarouter.Request) *sequoiarouter.Response, want sequoiafollow.Reason) {
 			addr := freeAddress()
