Keep hashes of the identifiers of refused requests, not the identifiers

A connection to an upstream remembers up to 64 refused requests, so that a refusal that is written twice is not taken for the answer to a later attempt. It kept their identifiers, which callers choose: up to 64 KB each, 64 MB for 16 connections. It keeps 8-byte hashes now; an equal hash only makes another connection be used.

--- a/internal/sequoiahttp/exchange.go
+++ b/internal/sequoiahttp/exchange.go
@@ -308,12 +308,12 @@
 func (c *Client) pop(addr netip.AddrPort, id string, maxIdle time.Duration) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	cns := c.idle[addr]
+	cns, hash := c.idle[addr], hashID(id)
 	for i, cn := range slices.Backward(cns) {
 		if time.Since(cn.idleSince) >= maxIdle {
 			return nil
 		}
-		if id == "" || !slices.Contains(cn.refused, id) {
+		if id == "" || !slices.Contains(cn.refused, hash) {
 			c.idle[addr] = slices.Delete(cns, i, i+1)
 			return cn
 		}
--- a/internal/sequoiahttp/response.go
+++ b/internal/sequoiahttp/response.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
@@ -31,12 +32,17 @@
 	// sent is true once a byte of the current request may have been sent, and received once a byte has arrived since.
 	sent     bool
 	received bool
-	// refused holds the identifiers of the requests that were refused on this connection.
-	refused []string
+	// refused holds the hashes of the identifiers of the requests that were refused on this connection. Callers choose the
+	// identifiers, and their length.
+	refused []uint64
 	// allowed is the number of bytes that may still arrive.
 	allowed int64
 }
 
+var idSeed = maphash.MakeSeed()
+
+func hashID(id string) uint64 { return maphash.String(idSeed, id) }
+
 // Read reads at most the allowed number of bytes and records whether any byte arrived.
 func (cn *conn) Read(p []byte) (int, error) {
 	if cn.allowed <= 0 {
@@ -90,7 +96,7 @@
 		reusable = !hr.Close && !bodyMayCome && cn.r.Buffered() == 0
 		if matched {
 			if req.Refusal != nil && req.Refusal(hr.StatusCode, hr.Header) {
-				cn.refused = append(cn.refused, req.ID)
+				cn.refused = append(cn.refused, hashID(req.ID))
 				reusable = reusable && req.ID != "" && len(cn.refused) < maxRefused
 			}
 			return resp, reusable, nil
--- a/internal/sequoiahttp/reuse_test.go
+++ b/internal/sequoiahttp/reuse_test.go
@@ -1,6 +1,9 @@
 package sequoiahttp
 
 import (
+	"fmt"
+	"net/http"
+	"runtime"
 	"sync"
 	"time"
 
@@ -59,3 +62,25 @@
 		Expect(s.accepted.Load()).To(Equal(int64(3)))
 	})
 })
+
+// Guards against connections that keep the identifiers of refused requests, which callers choose: 64 of up to 64 KB on each.
+var _ = ginkgo.Describe("A connection on which requests with long identifiers were refused", func() {
+	ginkgo.It("does not keep the identifiers", func() {
+		const refusals, idBytes = maxRefused - 1, 60 << 10
+		s, c := newServer(), New()
+		ginkgo.DeferCleanup(c.Close)
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for i := range refusals {
+			_, err := c.Do(ginkgo.GinkgoT().Context(), s.addr, &Request{
+				Method: "GET", Path: "/a", ID: fmt.Sprintf("%0*d", idBytes, i), Refusal: func(int, http.Header) bool { return true },
+			})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(s.accepted.Load()).To(Equal(int64(1)))
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		Expect(int64(after.HeapAlloc) - int64(before.HeapAlloc)).To(BeNumerically("<", refusals*idBytes/4))
+	})
+})
