Bound the memory that clients of the administration API can use

Without a credential, a client could send 1 MB of short header lines (about 25 MB once decoded) on any number of connections, and keep connections open for ever between requests. The operators' client read any response whole; it reads 16 MB.

The three new tests failed before: 401 in place of 431 for a large head, all of 100 connections accepted at once, and a response of 256 MB read to its end. (The connection test uses 40 clients now, since 100 take 15 s.)

--- a/internal/sequoiaadmin/admin_test.go
+++ b/internal/sequoiaadmin/admin_test.go
@@ -1,11 +1,15 @@
 package sequoiaadmin_test
 
 import (
+	"bytes"
 	"context"
+	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -117,3 +121,67 @@
 		Entry("oversized", `{"Document": "`+strings.Repeat("x", 2<<20)+`"}`),
 	)
 })
+
+var _ = Describe("the administration API's listener", func() {
+	// start returns the address of a server and the numbers of its connections that are open and have been accepted.
+	start := func() (addr string, accepted *atomic.Int64) {
+		accepted = &atomic.Int64{}
+		api := &sequoiaadmin.Server{Credential: "secret", Refused: func(string) {}, Metrics: http.NotFoundHandler()}
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		srv := sequoiaadmin.NewHTTPServer(api)
+		srv.ConnState = func(_ net.Conn, s http.ConnState) {
+			if s == http.StateNew {
+				accepted.Add(1)
+			}
+		}
+		go func() { _ = srv.Serve(sequoiaadmin.LimitConnections(ln)) }()
+		DeferCleanup(srv.Close)
+		return ln.Addr().String(), accepted
+	}
+
+	// Guards against clients without a credential that fill the memory of the process with 1 MB of short header lines each.
+	It("rejects a large head", func() {
+		addr, _ := start()
+		req, _ := http.NewRequest(http.MethodGet, "http://"+addr+"/v1/status", nil)
+		for i := range 8000 {
+			req.Header.Set(fmt.Sprintf("x%x", i), "")
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			defer resp.Body.Close()
+			Expect(resp.StatusCode).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
+		}
+	})
+
+	// Guards against clients that take all descriptors of the process.
+	It("accepts few connections at the same time, and others once these have ended", func() {
+		const clients = 40
+		addr, accepted := start()
+		for range clients {
+			conn, err := net.Dial("tcp", addr)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(conn.Close)
+		}
+		Consistently(accepted.Load, "300ms").Should(BeNumerically("<", clients))
+		Eventually(accepted.Load, "20s").Should(Equal(int64(clients)))
+	})
+})
+
+// Guards against an operator's command that a process in trouble, or another server at its address, fills with bytes.
+var _ = Describe("a client of the administration API", func() {
+	It("reads no endless response", func() {
+		ts := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			block := bytes.Repeat([]byte(" "), 1<<20)
+			for sent := 0; sent < 256; sent++ {
+				if _, err := w.Write(block); err != nil {
+					return
+				}
+			}
+		}))
+		DeferCleanup(ts.Close)
+		c := sequoiaadmin.NewClient(netip.MustParseAddrPort(ts.Listener.Addr().String()), "secret")
+		_, err := c.Status(context.Background())
+		Expect(err).To(MatchError(sequoiaadmin.ErrTooLarge))
+	})
+})
--- a/internal/sequoiaadmin/api.go
+++ b/internal/sequoiaadmin/api.go
@@ -26,6 +26,8 @@
 	// ErrUnknownResult means that the change may or may not have been made because the store or the process did not
 	// respond in time. The request can safely be repeated.
 	ErrUnknownResult = errors.New("the result is not known")
+	// ErrTooLarge reports a response that is larger than any response of the API.
+	ErrTooLarge = errors.New("the response is too large")
 )
 
 // Failure is the body of an error response.
--- a/internal/sequoiaadmin/client.go
+++ b/internal/sequoiaadmin/client.go
@@ -16,6 +16,8 @@
 const (
 	// callTimeout is longer than the server's changeTimeout, so that the client receives the server's response.
 	callTimeout = changeTimeout + 2*time.Second
+	// maxResponseBytes limits a response. The largest ones contain a configuration, at most 1 MB, or the state of all members.
+	maxResponseBytes = 16 << 20
 	// retryInterval is the interval between attempts to make a change while its result is unknown.
 	retryInterval = 200 * time.Millisecond
 )
@@ -139,10 +141,13 @@
 		return result, errors.Wrap(err, "call the administration API")
 	}
 	defer resp.Body.Close()
-	respBody, err := io.ReadAll(resp.Body)
+	respBody, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return result, errors.Wrap(err, "read the response")
 	}
+	if len(respBody) > maxResponseBytes {
+		return result, errors.Wrapf(ErrTooLarge, "limit %d bytes", maxResponseBytes)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return result, decodeFailure(resp.StatusCode, respBody)
 	}
--- a/internal/sequoiainstance/admin.go
+++ b/internal/sequoiainstance/admin.go
@@ -15,14 +15,9 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
 )
 
-const (
-	// adminHeaderTimeout bounds the time that a client of the administration API may take to send its headers.
-	adminHeaderTimeout = 5 * time.Second
-	adminCloseTimeout  = time.Second
-)
+const adminCloseTimeout = time.Second
 
-// adminListener serves the administration API. It uses net/http because operators' calls are few and net/http has a
-// timeout for slow headers, which nbhttp lacks.
+// adminListener serves the administration API.
 type adminListener struct {
 	server *http.Server
 }
@@ -56,8 +51,8 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for administration calls")
 	}
-	in.admin = &adminListener{server: &http.Server{Handler: api.Handler(), ReadHeaderTimeout: adminHeaderTimeout}}
-	in.goroutines.Go(func() { _ = in.admin.server.Serve(listener) })
+	in.admin = &adminListener{server: sequoiaadmin.NewHTTPServer(api)}
+	in.goroutines.Go(func() { _ = in.admin.server.Serve(sequoiaadmin.LimitConnections(listener)) })
 	return nil
 }
 
