--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -51,6 +51,9 @@
 	ownershipStepInterval = 50 * time.Millisecond
 	// grantTimeout limits a grant call; the upstream is on the same instance.
 	grantTimeout = 600 * time.Millisecond
+	// maxIdleCommands is the number of connections to the upstream that are kept for grants. An owner renews all of its
+	// ranges every 0.7 s, those that were split from one range at the same time.
+	maxIdleCommands = 32
 	// releaseTimeout limits a release call, which returns once the running requests on the keys have finished.
 	releaseTimeout = 1500 * time.Millisecond
 	// secretRetryPause is the pause between attempts to read the secret at startup.
@@ -64,9 +67,6 @@
 	maxControlBytes = 256 << 10
 	// secretBytes is the length of the shared secret for authentication between processes.
 	secretBytes = 32
-	// maxCommandConns is the number of idle connections for grants that are kept: all ranges of an upstream may be renewed
-	// at the same time, and a new connection occupies a slot of the upstream for a moment.
-	maxCommandConns = sequoiaowner.MaxRanges
 	// defaultSlots is the concurrency limit until the upstream has announced its own.
 	defaultSlots = 4
 )
@@ -161,7 +161,7 @@
 		settings: settings, dialect: d, log: log, timers: timers, processID: randomID(8),
 		front:          sequoiafront.New(maxBodyBytes),
 		upstreamClient: sequoiahttp.New(sequoiahttp.WithResponsesUntilClose(), sequoiahttp.WithMaxIdle(16)),
-		commandClient:  sequoiahttp.New(sequoiahttp.WithMaxIdle(maxCommandConns)),
+		commandClient:  sequoiahttp.New(sequoiahttp.WithMaxIdle(maxIdleCommands)),
 		splitter:       sequoiaroute.NewSplitter(), queue: sequoiaadmission.New(defaultSlots),
 		runs: sequoiaquarantine.NewRuns[*sequoiaadmission.Ticket](), meter: sequoiakeyspace.NewMeter(),
 		ownershipChanged: make(chan struct{}), directory: newDirectory(settings), warmup: newWarmup(time.Now(), settings),
