--- a/internal/sequoiafront/body.go
+++ b/internal/sequoiafront/body.go
@@ -12,6 +12,8 @@
 	// firstPiece and lastPiece are the sizes in bytes of the first and the largest piece of a body of unknown length.
 	firstPiece = 4 << 10
 	lastPiece  = 256 << 10
+	// maxPieceShift is the number of times that the size of a piece doubles.
+	maxPieceShift = 6
 	// bodyGrowth is the factor by which the buffer of a body of known length grows. The last growth copies an eighth of the
 	// body, so that both buffers fit where hardly more than the body does.
 	bodyGrowth = 8
@@ -38,17 +40,25 @@
 }
 
 // readSized reads a body of known length.
-func (c *serverConn) readSized(length int) ([]byte, error) {
+func (c *serverConn) readSized(length int, b *budget) ([]byte, error) {
 	var body []byte
 	for have := 0; have < length; {
 		if have == len(body) {
-			larger := make([]byte, nextSize(have, length))
+			size := nextSize(have, length)
+			if err := b.charge(int64(size)); err != nil {
+				return nil, err
+			}
+			larger := make([]byte, size)
 			copy(larger, body)
 			body = larger
+			if err := b.charge(-int64(have)); err != nil {
+				return nil, err
+			}
 		}
 		c.extendReadDeadline()
 		n, err := c.r.Read(body[have:])
 		have += n
+		b.progress(n)
 		if err != nil && have < length {
 			return nil, unexpectedEOF(err)
 		}
@@ -62,11 +72,18 @@
 	begin, length := c.consumed(), 0
 	chunks := httputil.NewChunkedReader(c.r)
 	for {
-		pieces = growPieces(pieces)
+		if n := len(pieces); n == 0 || len(pieces[n-1]) == cap(pieces[n-1]) {
+			size := min(firstPiece<<min(n, maxPieceShift), lastPiece)
+			if err := h.budget.charge(int64(size)); err != nil {
+				return nil, err
+			}
+			pieces = append(pieces, make([]byte, 0, size))
+		}
 		last := &pieces[len(pieces)-1]
 		c.extendReadDeadline()
 		n, err := chunks.Read((*last)[len(*last):cap(*last)])
 		*last = (*last)[:len(*last)+n]
+		h.budget.progress(n)
 		if length += n; length > limit || c.consumed()-begin > int64(length)*(framingFactor+1)+framingSlack {
 			return nil, errors.WithStack(errBodyTooLarge)
 		}
@@ -81,7 +98,7 @@
 	if err := h.readFields(); err != nil {
 		return nil, unexpectedEOF(err)
 	}
-	return joinPieces(pieces, length), nil
+	return c.server.joinPieces(pieces, length), nil
 }
 
 // consumed returns the number of bytes of the connection that belong to requests that have been read.
@@ -96,19 +113,17 @@
 	return errors.Wrap(errMalformed, err.Error())
 }
 
-// growPieces appends a piece if the last one is full.
-func growPieces(pieces [][]byte) [][]byte {
-	if n := len(pieces); n > 0 && len(pieces[n-1]) < cap(pieces[n-1]) {
-		return pieces
-	}
-	return append(pieces, make([]byte, 0, min(firstPiece<<len(pieces), lastPiece)))
-}
-
-// joinPieces returns the content of the pieces as one slice.
-func joinPieces(pieces [][]byte, length int) []byte {
+// joinPieces returns the content of the pieces as one slice. The account does not count the copy while the pieces exist
+// too: a body of the largest size then fits where it would fit with a known length. The memory between the account and the
+// limit of the Go runtime suffices for one such copy, so there is one at a time.
+func (s *Server) joinPieces(pieces [][]byte, length int) []byte {
 	if len(pieces) == 1 {
 		return pieces[0]
 	}
+	if length > lastPiece {
+		s.joinMu.Lock()
+		defer s.joinMu.Unlock()
+	}
 	body := make([]byte, 0, length)
 	for i, p := range pieces {
 		body = append(body, p...)
--- a/internal/sequoiafront/conn.go
+++ b/internal/sequoiafront/conn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiamemory"
 )
 
 // serverConn reads the requests of one client connection. It keeps reading while handlers run, so that closing the
@@ -22,8 +24,10 @@
 	r        *bufio.Reader
 	// received is the number of bytes that have been read from the connection, including those that r holds.
 	received int64
-	ctx      context.Context
-	cancel   context.CancelCauseFunc
+	// holding is what the connection counts in the account.
+	holding *sequoiamemory.Holding
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
 
 	mu sync.Mutex
 	// changed is signaled when an exchange ends.
@@ -31,6 +35,14 @@
 	pipeline pipeline
 	// closing is true once the last response has been or is being written. What arrives after that is not run.
 	closing bool
+	// reading is true while a request is being read, and idle while no request is in progress or being read.
+	reading, idle bool
+	// stalled is true once the request that is being read was evicted from the account.
+	stalled bool
+	// evicted is true once the connection must make room for another one.
+	evicted bool
+	// refused is true once a response has been written that refuses a request.
+	refused bool
 }
 
 func newServerConn(s *Server, conn net.Conn, cfg *listenConfig) *serverConn {
@@ -48,33 +60,36 @@
 	return n, err
 }
 
-// Write writes to the client in pieces, each with a deadline, since the client may have stopped reading.
-func (c *serverConn) Write(b []byte) (int, error) {
-	written := 0
-	for {
-		if err := c.SetWriteDeadline(time.Now().Add(c.server.writeTimeout)); err != nil {
-			return written, err
+// write writes to the client in pieces, each with a deadline, since the client may have stopped reading. Each piece that
+// the client has taken is progress of the holding.
+func (c *serverConn) write(b []byte, timeout time.Duration, h *sequoiamemory.Holding) error {
+	for len(b) > 0 {
+		if err := c.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
+			return err
 		}
-		n, err := c.Conn.Write(b[written:min(len(b), written+writePiece)])
-		written += n
-		if err != nil || written == len(b) {
-			return written, err
+		n, err := c.Conn.Write(b[:min(len(b), writePiece)])
+		if err != nil {
+			return err
 		}
+		h.Progress()
+		b = b[n:]
 	}
+	return nil
 }
 
 // serve reads requests until the connection ends.
 func (c *serverConn) serve() {
 	defer c.server.unregister(c)
 	err := c.readRequests()
-	if r := refusalOf(err); r != nil {
-		c.refuse(r)
+	if i, ok := refusalOf(err); ok {
+		c.refuse(i)
 	}
 	if c.isClosing() {
 		c.discard()
 	}
 	c.mu.Lock()
 	c.end(err)
+	c.server.counters.closed(closeReasonOf(c.ctx, c.refused))
 	c.mu.Unlock()
 	_ = c.Close()
 	c.awaitHandlers()
@@ -92,6 +107,7 @@
 			return err
 		}
 		if !c.enqueue(e) {
+			e.holding.Release()
 			break
 		}
 	}
@@ -100,20 +116,61 @@
 
 // awaitRequest waits for the first byte of a request.
 func (c *serverConn) awaitRequest() error {
+	c.setReading(false)
 	for {
 		c.extendReadDeadline()
 		_, err := c.r.Peek(1)
 		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.busy() {
+			c.setReading(true)
 			return err
 		}
 	}
 }
 
+func (c *serverConn) setReading(reading bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = reading
+	c.updateIdle()
+}
+
+// updateIdle lets an idle connection make room for another one. The caller must hold mu.
+func (c *serverConn) updateIdle() {
+	idle := !c.reading && len(c.pipeline.exchanges) == 0 && !c.closing
+	if idle == c.idle {
+		return
+	}
+	c.idle = idle
+	if !idle {
+		c.holding.OnEvict(nil)
+		return
+	}
+	c.holding.OnEvict(c.evictConn)
+}
+
+// evictConn ends the connection, which was idle, or lets it end after the requests that have arrived since.
+func (c *serverConn) evictConn() {
+	c.mu.Lock()
+	c.evicted = true
+	c.mu.Unlock()
+	c.refuseRequests(c.listener.refusalResponse(http.StatusRequestTimeout))
+}
+
+// evictRequest ends the reading of a request that has made no progress.
+func (c *serverConn) evictRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closing {
+		c.stalled = true
+		_ = c.SetReadDeadline(time.Now())
+	}
+}
+
 // extendReadDeadline gives the client idleTimeout for its next bytes, unless the connection is being closed.
 func (c *serverConn) extendReadDeadline() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.closing {
+	if !c.closing && !c.stalled {
 		_ = c.SetReadDeadline(time.Now().Add(idleTimeout))
 	}
 }
@@ -134,6 +191,7 @@
 // limitReading makes the connection take no further requests. The caller must hold mu.
 func (c *serverConn) limitReading() {
 	c.closing = true
+	c.updateIdle()
 	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
 }
 
@@ -150,7 +208,7 @@
 }
 
 // refuse writes a response that says that a request was not run, after the responses to those before it.
-func (c *serverConn) refuse(r *refusal) {
+func (c *serverConn) refuse(index int) {
 	if !c.await(0) {
 		return
 	}
@@ -160,8 +218,10 @@
 		return
 	}
 	c.limitReading()
+	c.refused = true
 	c.mu.Unlock()
-	_, _ = c.Write(c.listener.refusalResponse(r.status))
+	c.server.counters.refusals[index].Add(1)
+	_ = c.write(c.listener.refusalResponse(refusals[index].status), c.server.writeTimeout, nil)
 	c.closeWrite()
 }
 
@@ -174,26 +234,28 @@
 		return
 	}
 	c.limitReading()
+	c.refused = true
 	go func() {
-		_, _ = c.Write(response)
+		_ = c.write(response, c.server.writeTimeout, nil)
 		c.closeWrite()
 	}()
 }
 
 // writeResponse writes the response to a request.
-func (c *serverConn) writeResponse(w *responseWriter, closes bool) error {
-	head, body := w.encode(closes)
+func (c *serverConn) writeResponse(e *exchange, closes bool) error {
+	head, body := e.response.encode(closes)
+	timeout := c.server.writeTimeout
+	if e.holding == nil {
+		timeout = min(timeout, noRoomWriteTimeout)
+	}
+	e.holding.OnEvict(func() { c.abandon(errNotTaken) })
 	if len(head)+len(body) <= writePiece {
 		head, body = append(head, body...), nil
 	}
-	if _, err := c.Write(head); err != nil {
+	if err := c.write(head, timeout, e.holding); err != nil {
 		return err
 	}
-	if len(body) == 0 {
-		return nil
-	}
-	_, err := c.Write(body)
-	return err
+	return c.write(body, timeout, e.holding)
 }
 
 // continueRequest tells a client that waits before it sends the body of a request to send it, after the responses to the
@@ -205,6 +267,5 @@
 	if !c.await(0) {
 		return errors.WithStack(errConnectionClosing)
 	}
-	_, err := c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
-	return err
+	return c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"), c.server.writeTimeout, nil)
 }
--- a/internal/sequoiafront/front.go
+++ b/internal/sequoiafront/front.go
@@ -19,6 +19,7 @@
 	"github.com/lesismal/nbio/logging"
 	"github.com/pkg/errors"
 
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiamemory"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
 
@@ -26,8 +27,11 @@
 const (
 	// maxPipelined is the maximum number of requests of one connection that have been read and have no response yet. The
 	// connection is not read beyond them.
-	maxPipelined    = 64
-	maxConns        = 20000
+	maxPipelined = 64
+	// maxConns is the maximum number of connections of a listener, unless WithMaxConns sets another.
+	maxConns = 20000
+	// connectionBytes is what a connection counts in the account: its read buffer, its goroutine's stack and its records.
+	connectionBytes = 12 << 10
 	shutdownTimeout = time.Second
 	// maxHeaderBytes is the maximum size of a request line and its headers.
 	maxHeaderBytes = 64 << 10
@@ -60,6 +64,10 @@
 type Server struct {
 	maxBody      int
 	writeTimeout time.Duration
+	account      *sequoiamemory.Account
+	counters     counters
+	// joinMu is held while a large body is copied from its pieces; see joinPieces.
+	joinMu sync.Mutex
 	// refusal is the response that ends an idle connection in a drain, nil to end it without one.
 	refusal    []byte
 	inProgress atomic.Int64
@@ -89,12 +97,20 @@
 	return func(s *Server) { s.writeTimeout = d }
 }
 
+// WithServerAccount sets the account in which the server reserves memory, in place of one of the default size.
+func WithServerAccount(a *sequoiamemory.Account) Option {
+	return func(s *Server) { s.account = a }
+}
+
 // New returns a Server that rejects request bodies above maxBody bytes.
 func New(maxBody int, opts ...Option) *Server {
 	s := &Server{maxBody: maxBody, writeTimeout: writeTimeout, conns: map[*serverConn]struct{}{}}
 	for _, o := range opts {
 		o(s)
 	}
+	if s.account == nil {
+		s.account = sequoiamemory.New(sequoiamemory.AccountLimit(0))
+	}
 	return s
 }
 
@@ -164,12 +180,38 @@
 
 // listenConfig is the configuration of one listener.
 type listenConfig struct {
-	handler http.Handler
-	maxBody int
+	handler  http.Handler
+	maxBody  int
+	maxConns int
+	account  *sequoiamemory.Account
+	// conns is the number of connections, protected by the server's mutex.
+	conns int
 	// The following functions may be nil.
 	repeatable    func(r *http.Request) bool
 	closing       func() bool
 	refusalHeader func(status int, h http.Header)
+	limits        func() Limits
+}
+
+// Limits are bounds on a request in bytes. Zero values set no limit beyond those of the listener.
+type Limits struct {
+	MaxHead, MaxBody int
+}
+
+// WithLimits sets a function that returns the limits in force. It is called when the head of a request is complete.
+func WithLimits(f func() Limits) ListenOption {
+	return func(c *listenConfig) { c.limits = f }
+}
+
+// WithAccount makes a listener reserve memory in an account of its own instead of the server's.
+func WithAccount(a *sequoiamemory.Account) ListenOption {
+	return func(c *listenConfig) { c.account = a }
+}
+
+// WithMaxConns sets the maximum number of connections of a listener. When it is reached, a new one takes the place of the
+// one that has been idle longest.
+func WithMaxConns(n int) ListenOption {
+	return func(c *listenConfig) { c.maxConns = n }
 }
 
 // ListenOption changes a setting of a listener.
@@ -199,7 +241,7 @@
 
 // Listen serves h on addr and returns the bound address.
 func (s *Server) Listen(addr netip.AddrPort, h http.Handler, opts ...ListenOption) (netip.AddrPort, error) {
-	cfg := &listenConfig{handler: h, maxBody: s.maxBody}
+	cfg := &listenConfig{handler: h, maxBody: s.maxBody, maxConns: maxConns, account: s.account}
 	for _, o := range opts {
 		o(cfg)
 	}
@@ -244,27 +286,45 @@
 func (s *Server) startConn(conn net.Conn, cfg *listenConfig) {
 	c := newServerConn(s, conn, cfg)
 	if !s.register(c) {
+		s.counters.closed(closedNoRoom)
 		_ = conn.Close()
 		return
 	}
 	go c.serve()
 }
 
-// register adds a connection. It returns false if the server is closed or already has maxConns connections.
+// register adds a connection. It returns false if the server is closed or the listener has no room for the connection.
 func (s *Server) register(c *serverConn) bool {
+	h, ok := c.listener.account.Reserve(sequoiamemory.Connection, connectionBytes)
+	if !ok {
+		return false
+	}
+	c.holding = h
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || len(s.conns) >= maxConns {
+	if s.closed || !c.listener.hasRoom() {
+		h.Release()
 		return false
 	}
+	c.listener.conns++
 	s.conns[c] = struct{}{}
 	s.openConns.Add(1)
 	return true
 }
 
+// hasRoom reports whether a listener may have one more connection, if need be in place of an idle one. That one stays open
+// until its client has seen the end, for lingerTime at most, so an eighth more connections may be open meanwhile. The caller
+// must hold the server's mutex.
+func (cfg *listenConfig) hasRoom() bool {
+	return cfg.conns < cfg.maxConns ||
+		cfg.conns < cfg.maxConns+cfg.maxConns/8 && cfg.account.EvictStalled(sequoiamemory.Connection)
+}
+
 func (s *Server) unregister(c *serverConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	c.listener.conns--
+	c.holding.Release()
 	s.openConns.Done()
 }
--- a/internal/sequoiafront/head.go
+++ b/internal/sequoiafront/head.go
@@ -13,6 +13,13 @@
 	"github.com/pkg/errors"
 )
 
+const (
+	// headFactor is the memory of a head relative to its size while it is read: a buffer that doubles, and the decoded lines.
+	headFactor = 3
+	// lineBytes is what a decoded line takes beside its content.
+	lineBytes = 128
+)
+
 // headReader reads the lines of a request's head, and later those of its trailer. It checks what nbhttp's parser accepts
 // although other HTTP implementations reject it or read it differently.
 type headReader struct {
@@ -21,6 +28,7 @@
 	raw []byte
 	// bytes and lines count what has been read, including the trailer.
 	bytes, lines int
+	budget       *budget
 }
 
 // readLine appends the next line to raw and returns it without its line end.
@@ -31,6 +39,10 @@
 		if h.bytes += len(part); h.bytes > maxHeaderBytes {
 			return nil, errors.WithStack(errHeadTooLarge)
 		}
+		if err := h.budget.charge(int64(len(part)) * headFactor); err != nil {
+			return nil, err
+		}
+		h.budget.progress(len(part))
 		h.raw = append(h.raw, part...)
 		if err == nil {
 			break
@@ -42,6 +54,9 @@
 	if h.lines++; h.lines > maxHeaderLines {
 		return nil, errors.WithStack(errHeadTooLarge)
 	}
+	if err := h.budget.charge(lineBytes); err != nil {
+		return nil, err
+	}
 	line, ok := bytes.CutSuffix(h.raw[begin:], []byte("\r\n"))
 	if !ok {
 		return nil, errors.Wrap(errMalformed, "a line ends without CR")
@@ -218,9 +233,6 @@
 		return 0, errors.Wrap(errMalformed, "more than one length")
 	}
 	n, err := strconv.ParseUint(lengths[0], 10, 63)
-	if errors.Is(err, strconv.ErrRange) {
-		return 0, errors.WithStack(errBodyTooLarge)
-	}
 	if err != nil {
 		return 0, errors.Wrap(errMalformed, "length")
 	}
--- /dev/null
+++ b/internal/sequoiafront/memory_test.go
@@ -0,0 +1,267 @@
+package sequoiafront_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiafront"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiamemory"
+)
+
+// listenBounded starts a server with an account of the size, whose refusals have a header with their status.
+func listenBounded(
+	size int64, h http.HandlerFunc, opts ...sequoiafront.ListenOption,
+) (*sequoiafront.Server, netip.AddrPort) {
+	ginkgo.GinkgoHelper()
+	s := sequoiafront.New(64<<20, sequoiafront.WithServerAccount(sequoiamemory.New(size)), sequoiafront.WithWriteTimeout(10*time.Second))
+	ginkgo.DeferCleanup(s.Close)
+	opts = append(opts, sequoiafront.WithRepeatable(isGet), sequoiafront.WithRefusalHeader(func(status int, h http.Header) {
+		h.Set("Refused", http.StatusText(status))
+	}))
+	addr, err := s.Listen(netip.MustParseAddrPort(serverAddress), h, opts...)
+	Expect(err).NotTo(HaveOccurred())
+	return s, addr
+}
+
+// expectRefusal reads a refusal, although the client has not stopped sending, and the end of the connection.
+func expectRefusal(c net.Conn, status int) {
+	ginkgo.GinkgoHelper()
+	b := bufio.NewReader(c)
+	resp, _ := receive(b, http.MethodGet)
+	Expect(resp.StatusCode).To(Equal(status))
+	Expect(resp.Header.Get("Refused")).To(Equal(http.StatusText(status)))
+	Expect(resp.Close).To(BeTrue())
+	_, err := b.ReadByte()
+	Expect(err).To(HaveOccurred())
+}
+
+func held(s *sequoiafront.Server) func() int64 {
+	return func() int64 {
+		n := int64(0)
+		for _, k := range sequoiamemory.Kinds() {
+			n += s.Account().Held(k)
+		}
+		return n
+	}
+}
+
+const megabyte = 1 << 20
+
+var _ = ginkgo.Describe("memory of requests", func() {
+	respondLength := func(w http.ResponseWriter, r *http.Request) {
+		body, _ := sequoiafront.ReadBody(r)
+		sequoiafront.WriteResponse(w, r, http.StatusOK, fmt.Append(nil, len(body)))
+	}
+
+	ginkgo.DescribeTable("is bounded by the shape of a head or trailer", func(request string, status int) {
+		s, addr := listenBounded(8*megabyte, respondLength)
+		c := dial(addr)
+		_, _ = io.WriteString(c, request)
+		expectRefusal(c, status)
+		Expect(c.Close()).To(Succeed())
+		Eventually(held(s)).Should(BeZero())
+	},
+		ginkgo.Entry("a target without end", "GET /"+strings.Repeat("x", 70<<10), 431),
+		ginkgo.Entry("a header without end", "GET / HTTP/1.1\r\nX: "+strings.Repeat("x", 70<<10), 431),
+		ginkgo.Entry("many short lines", "GET / HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("X:\r\n", 300), 431),
+		ginkgo.Entry("a long trailer", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"+
+			strings.Repeat("X: "+strings.Repeat("x", 1<<10)+"\r\n", 70), 431),
+		ginkgo.Entry("a head and a trailer of many lines", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"+
+			strings.Repeat("X:\r\n", 150)+"\r\n0\r\n"+strings.Repeat("X:\r\n", 150), 431),
+		ginkgo.Entry("long chunk extensions, which the standard library's reader of chunks rejects", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"+
+			strings.Repeat("1;"+strings.Repeat("x", 1<<10)+"\r\nx\r\n", 200), 400),
+		ginkgo.Entry("many chunks of one byte", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"+
+			strings.Repeat("1\r\nx\r\n", 100000), 413),
+		ginkgo.Entry("a length above the limit", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 67108865\r\n\r\n", 413),
+		ginkgo.Entry("a length beyond all numbers, which nbhttp's parser rejects", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999999999999999\r\n\r\n", 400),
+	)
+
+	ginkgo.It("is bounded by the limits in force when the head is complete", func() {
+		var limits atomic.Pointer[sequoiafront.Limits]
+		limits.Store(&sequoiafront.Limits{})
+		_, addr := listenBounded(8*megabyte, respondLength, sequoiafront.WithLimits(func() sequoiafront.Limits { return *limits.Load() }))
+		head := "POST / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 2<<10) + "\r\n"
+		whole := head + "Content-Length: 2000\r\n\r\n" + strings.Repeat("x", 2000)
+		chunked := head + "Transfer-Encoding: chunked\r\n\r\n7d0\r\n" + strings.Repeat("x", 2000) + "\r\n0\r\n\r\n"
+		for _, request := range []string{whole, chunked} {
+			c := dial(addr)
+			limits.Store(&sequoiafront.Limits{MaxHead: 4 << 10, MaxBody: 2000})
+			b := bufio.NewReader(c)
+			send(c, request)
+			resp, body := receive(b, http.MethodPost)
+			Expect(resp.StatusCode).To(Equal(http.StatusOK))
+			Expect(body).To(Equal("2000"))
+			limits.Store(&sequoiafront.Limits{MaxHead: 4 << 10, MaxBody: 1999})
+			send(c, request)
+			expectRefusal(c, http.StatusRequestEntityTooLarge)
+			c = dial(addr)
+			limits.Store(&sequoiafront.Limits{MaxHead: 1 << 10})
+			send(c, request)
+			expectRefusal(c, http.StatusRequestHeaderFieldsTooLarge)
+		}
+	})
+
+	// Guards against a process that cannot serve the largest request although nothing else happens, on the smallest machine
+	// (184 MB).
+	ginkgo.DescribeTable("suffices for a body of 60 MB on a process with 184 MB", func(head string, frame func(piece string) string, end string) {
+		s, addr := listenBounded(sequoiamemory.AccountLimit(184*megabyte), respondLength)
+		c := dial(addr)
+		Expect(c.SetDeadline(time.Now().Add(30 * time.Second))).To(Succeed())
+		send(c, "POST / HTTP/1.1\r\nHost: h\r\n"+head+"\r\n\r\n")
+		piece := frame(strings.Repeat("x", megabyte))
+		for range 60 {
+			send(c, piece)
+		}
+		send(c, end)
+		resp, body := receive(bufio.NewReader(c), http.MethodPost)
+		Expect(resp.StatusCode).To(Equal(http.StatusOK))
+		Expect(body).To(Equal("62914560"))
+		Expect(c.Close()).To(Succeed())
+		Eventually(held(s)).Should(BeZero())
+	},
+		ginkgo.Entry("with a length", "Content-Length: 62914560", func(p string) string { return p }, ""),
+		ginkgo.Entry("in chunks", "Transfer-Encoding: chunked", func(p string) string {
+			return fmt.Sprintf("%x\r\n%s\r\n", len(p), p)
+		}, "0\r\n\r\n"),
+	)
+
+	// Guards against memory that is given to clients for what they only announce.
+	ginkgo.It("is hardly taken by a length that is only claimed", func() {
+		s, addr := listenBounded(8*megabyte, respondLength)
+		for range 20 {
+			send(dial(addr), "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 60000000\r\n\r\nx")
+		}
+		Eventually(func() int64 { return s.Account().Held(sequoiamemory.Request) }).Should(BeNumerically(">", 20*4<<10))
+		Consistently(func() int64 { return s.Account().Held(sequoiamemory.Request) }, "50ms").Should(BeNumerically("<", 20*32<<10))
+	})
+
+	// Guards against a crowd with incomplete requests that fills the memory of the process, and against small requests that
+	// are refused because of it.
+	ginkgo.It("goes to small requests when large ones have taken theirs, and to large ones when others stall", func() {
+		s, addr := listenBounded(8*megabyte, respondLength)
+		var stalled []net.Conn
+		for range 6 {
+			c := dial(addr)
+			Expect(c.SetDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+			send(c, fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", megabyte, strings.Repeat("x", megabyte-1)))
+			stalled = append(stalled, c)
+		}
+		Eventually(func() int64 { return s.Account().Held(sequoiamemory.Request) }).Should(BeNumerically(">", 6*megabyte))
+		whole := fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", 2*megabyte, strings.Repeat("x", 2*megabyte))
+		refused := dial(addr)
+		_, _ = io.WriteString(refused, whole)
+		expectRefusal(refused, http.StatusServiceUnavailable)
+		small := dial(addr)
+		send(small, post("/"))
+		_, body := receive(bufio.NewReader(small), http.MethodPost)
+		Expect(body).To(Equal("4"))
+		time.Sleep(1100 * time.Millisecond) // The other requests have now made no progress for a second.
+		large := dial(addr)
+		send(large, whole)
+		_, body = receive(bufio.NewReader(large), http.MethodPost)
+		Expect(body).To(Equal("2097152"))
+		expectRefusal(stalled[0], http.StatusRequestTimeout)
+		Eventually(func() uint64 { return s.Stats().Refusals["Silent"] }).Should(BeNumerically(">", 0))
+		Expect(s.Stats().Refusals["NoRoom"]).To(BeEquivalentTo(1))
+	})
+
+	// Guards against responses that pile up for clients that do not read them.
+	ginkgo.It("counts responses until the client has taken them, and ends connections that take none", func() {
+		s, addr := listenBounded(64*megabyte, func(w http.ResponseWriter, r *http.Request) {
+			sequoiafront.WriteResponse(w, r, http.StatusOK, make([]byte, 16*megabyte))
+		})
+		for range 3 {
+			send(dial(addr), get("/"))
+		}
+		responses := func() int64 { return s.Account().Held(sequoiamemory.Response) }
+		Eventually(responses).Should(BeNumerically(">=", 48*megabyte))
+		time.Sleep(1100 * time.Millisecond)
+		c := dial(addr)
+		send(c, get("/"))
+		_, body := receive(bufio.NewReader(c), http.MethodGet)
+		Expect(body).To(HaveLen(16 * megabyte))
+		Eventually(func() uint64 { return s.Stats().Closed["Write"] }).Should(BeNumerically(">", 0))
+		Eventually(responses).Should(BeNumerically("<=", 33*megabyte))
+	})
+
+	ginkgo.It("is free after any end of a connection", func() {
+		s, addr := listenBounded(8*megabyte, func(w http.ResponseWriter, r *http.Request) {
+			if r.RequestURI == "/closes" {
+				w.Header().Set("Connection", "close")
+			}
+			respondLength(w, r)
+		})
+		for _, request := range []string{
+			"", "GET", get("/"), strings.Repeat(get("/"), 20), get("/closes") + strings.Repeat(post("/"), 10), "x\r\n", post("/") + "GET /",
+			"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\nx",
+			"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nx",
+		} {
+			c := dial(addr)
+			send(c, request)
+			time.Sleep(10 * time.Millisecond)
+			Expect(c.Close()).To(Succeed())
+		}
+		Eventually(held(s)).Should(BeZero())
+		Expect(s.InProgress()).To(BeZero())
+	})
+})
+
+var _ = ginkgo.Describe("connections of a listener", func() {
+	// Guards against idle connections that keep others out, and a listener whose crowd silences another one.
+	ginkgo.It("are bounded, and the one idle longest makes room after a second", func() {
+		s, addr := listenBounded(8*megabyte, echoTarget, sequoiafront.WithMaxConns(16))
+		var conns []net.Conn
+		for range 16 {
+			c := dial(addr)
+			send(c, get("/"))
+			receive(bufio.NewReader(c), http.MethodGet)
+			conns = append(conns, c)
+		}
+		_, _, err := exchange(dial(addr), bufio.NewReader(strings.NewReader("")))
+		Expect(err).To(HaveOccurred())
+		Eventually(func() uint64 { return s.Stats().Closed["NoRoom"] }).Should(BeEquivalentTo(1))
+		other, err := s.Listen(netip.MustParseAddrPort(serverAddress), http.HandlerFunc(echoTarget), sequoiafront.WithAccount(sequoiamemory.New(megabyte)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(getStatus(other)).To(Equal(http.StatusOK))
+		time.Sleep(1100 * time.Millisecond)
+		Expect(getStatus(addr)).To(Equal(http.StatusOK))
+		expectRefusal(conns[0], http.StatusRequestTimeout)
+		send(conns[1], get("/"))
+		resp, _ := receive(bufio.NewReader(conns[1]), http.MethodGet)
+		Expect(resp.StatusCode).To(Equal(http.StatusOK))
+	})
+
+	ginkgo.It("take at most half of the memory", func() {
+		s, addr := listenBounded(240<<10, echoTarget)
+		refused := 0
+		for range 20 {
+			c := dial(addr)
+			_ = c.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+			if _, err := c.Read(make([]byte, 1)); errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) {
+				refused++
+			}
+		}
+		Expect(refused).To(Equal(10))
+		Expect(s.Account().Held(sequoiamemory.Connection)).To(BeEquivalentTo(120 << 10))
+	})
+})
+
+// getStatus sends one request on a new connection and returns the status of the response.
+func getStatus(addr netip.AddrPort) int {
+	ginkgo.GinkgoHelper()
+	c := dial(addr)
+	send(c, get("/"))
+	resp, _ := receive(bufio.NewReader(c), http.MethodGet)
+	return resp.StatusCode
+}
--- a/internal/sequoiafront/pipeline.go
+++ b/internal/sequoiafront/pipeline.go
@@ -4,17 +4,28 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiamemory"
 )
 
 // maxConcurrent is the maximum number of requests of one connection that are in progress at the same time. Without it,
 // one client could hold all slots of an upstream.
 const maxConcurrent = 8
 
-// errConnectionClosing is the cause of the cancellation of requests after a response that closes their connection.
-var errConnectionClosing = errors.New("an earlier response closed the connection")
+const (
+	// noRoomWriteTimeout is the write timeout of a response for which the account has no room.
+	noRoomWriteTimeout = time.Second
+)
+
+// Causes of the cancellation of requests.
+var (
+	errConnectionClosing = errors.New("an earlier response closed the connection")
+	errNotTaken          = errors.New("the client did not take a response")
+)
 
 // exchangeState is the state of an exchange.
 type exchangeState int
@@ -36,6 +47,19 @@
 	repeatable bool
 	response   *responseWriter
 	state      exchangeState
+	// holding is the memory of the request, and after the handler that of the response. It is nil if there was no room for
+	// the response.
+	holding *sequoiamemory.Holding
+}
+
+// holdResponse releases the memory of the request and reserves that of the response.
+func (e *exchange) holdResponse(a *sequoiamemory.Account) {
+	e.holding.Release()
+	e.body, e.request.Body = nil, http.NoBody
+	e.holding = nil
+	if h, ok := a.Reserve(sequoiamemory.Response, e.response.size()); ok {
+		e.holding = h
+	}
 }
 
 // exchangeKey is the key of the exchange in a request's context.
@@ -117,13 +141,18 @@
 func (c *serverConn) run(e *exchange) {
 	ctx := context.WithValue(c.ctx, exchangeKey{}, e)
 	c.listener.handler.ServeHTTP(e.response, e.request.WithContext(ctx))
+	e.holdResponse(c.listener.account)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e.state = ready
 	c.pipeline.running--
-	if c.pipeline.ended {
+	switch {
+	case c.pipeline.ended:
 		c.release(e)
-	} else if c.pipeline.current == nil {
+	case e.holding == nil && e != c.pipeline.exchanges[0]:
+		// The response cannot be held until its turn. All requests in progress here may be repeated.
+		c.abandonLocked(errNoRoom)
+	case c.pipeline.current == nil:
 		c.writeResponses()
 	}
 	c.changed.Broadcast()
@@ -139,7 +168,7 @@
 		// A stop closes the connection only after the last response, since it answers what is in progress.
 		closes := e.response.closes() || len(p.exchanges) == 1 && c.closesWhenIdle()
 		c.mu.Unlock()
-		err := c.writeResponse(e.response, closes)
+		err := c.writeResponse(e, closes)
 		c.mu.Lock()
 		p.current = nil
 		c.release(e)
@@ -151,13 +180,16 @@
 		p.started--
 		switch {
 		case err != nil:
-			c.end(errors.Wrap(err, "write a response"))
-			_ = c.Close()
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				err = errNotTaken
+			}
+			c.abandonLocked(errors.Wrap(err, "write a response"))
 		case closes:
 			c.beginClose()
 			c.end(errConnectionClosing)
 		default:
 			c.startExchanges()
+			c.updateIdle()
 			c.changed.Broadcast()
 		}
 	}
@@ -180,14 +212,27 @@
 	c.changed.Broadcast()
 }
 
+// abandon closes the connection and cancels its requests.
+func (c *serverConn) abandon(cause error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.abandonLocked(cause)
+}
+
+func (c *serverConn) abandonLocked(cause error) {
+	c.end(errors.WithStack(cause))
+	_ = c.Close()
+}
+
 // release is called once for each exchange, when its response has been written or the exchange was dropped.
-func (c *serverConn) release(*exchange) {
+func (c *serverConn) release(e *exchange) {
+	e.holding.Release()
 	c.server.inProgress.Add(-1)
 }
 
 // closesWhenIdle reports whether the connection is to be closed after the last response.
 func (c *serverConn) closesWhenIdle() bool {
-	return c.server.draining.Load() || c.listener.closing != nil && c.listener.closing()
+	return c.evicted || c.server.draining.Load() || c.listener.closing != nil && c.listener.closing()
 }
 
 // await waits until at most n responses are pending or the exchanges have ended. It reports whether they have not ended.
--- a/internal/sequoiafront/refusal.go
+++ b/internal/sequoiafront/refusal.go
@@ -13,6 +13,7 @@
 	errVersion       = errors.New("the HTTP version is not supported")
 	errHeadTooLarge  = errors.New("the head is too large")
 	errBodyTooLarge  = errors.New("the body is too large")
+	errNoRoom        = errors.New("the process has no room for the request")
 	errRequestSilent = errors.New("the rest of the request has not arrived in time")
 )
 
@@ -24,22 +25,23 @@
 	reason string
 }
 
-var refusals = []refusal{
+var refusals = [...]refusal{
 	{errMalformed, http.StatusBadRequest, "Malformed"},
 	{errVersion, http.StatusHTTPVersionNotSupported, "Version"},
 	{errHeadTooLarge, http.StatusRequestHeaderFieldsTooLarge, "HeadTooLarge"},
 	{errBodyTooLarge, http.StatusRequestEntityTooLarge, "BodyTooLarge"},
+	{errNoRoom, http.StatusServiceUnavailable, "NoRoom"},
 	{errRequestSilent, http.StatusRequestTimeout, "Silent"},
 }
 
-// refusalOf returns the refusal that an error calls for, nil if it is an error of the connection.
-func refusalOf(err error) *refusal {
+// refusalOf returns the index of the refusal that an error calls for. It returns false for an error of the connection.
+func refusalOf(err error) (index int, ok bool) {
 	for i := range refusals {
 		if errors.Is(err, refusals[i].cause) {
-			return &refusals[i]
+			return i, true
 		}
 	}
-	return nil
+	return 0, false
 }
 
 // refusalResponse returns the response to a request that is refused.
--- a/internal/sequoiafront/request.go
+++ b/internal/sequoiafront/request.go
@@ -8,33 +8,45 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiamemory"
 )
 
-// readRequest reads a request, of which the first byte has arrived.
+// readRequest reads a request, of which the first byte has arrived. The exchange has reserved the memory of the request.
 func (c *serverConn) readRequest() (*exchange, error) {
-	e, err := c.readParts()
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil, errors.WithStack(errRequestSilent)
+	h, ok := c.listener.account.Reserve(sequoiamemory.Request, budgetStep)
+	if !ok {
+		return nil, errors.WithStack(errNoRoom)
 	}
-	return e, err
-}
-
-func (c *serverConn) readParts() (*exchange, error) {
-	h := &headReader{r: c.r}
-	c.extendReadDeadline()
-	line, err := h.readLine()
-	if err != nil {
-		return nil, unexpectedEOF(err)
+	h.OnEvict(c.evictRequest)
+	e, err := c.readParts(&budget{holding: h, reserved: budgetStep})
+	h.OnEvict(nil)
+	if err == nil && !h.Grow(0) {
+		err = errors.WithStack(errRequestSilent) // It was evicted just before it was complete.
 	}
-	if err := checkRequestLine(line); err != nil {
-		return nil, err
+	if err != nil {
+		h.Release()
+		return nil, c.silence(err)
 	}
-	if err := h.readFields(); err != nil {
-		return nil, unexpectedEOF(err)
+	e.holding = h
+	return e, nil
+}
+
+// silence returns the error for a request that could not be read because the client was silent for too long.
+func (c *serverConn) silence(err error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stalled || errors.Is(err, os.ErrDeadlineExceeded) {
+		return errors.WithStack(errRequestSilent)
 	}
-	r, err := parseHead(h.raw)
+	return err
+}
+
+func (c *serverConn) readParts(b *budget) (*exchange, error) {
+	h := &headReader{r: c.r, budget: b}
+	r, err := c.readHead(h)
 	if err != nil {
-		return nil, err
+		return nil, unexpectedEOF(err)
 	}
 	body, err := c.readBody(r, h)
 	if err != nil {
@@ -50,20 +62,62 @@
 	return e, nil
 }
 
+// readHead reads the head of a request. It keeps no buffer of it.
+func (c *serverConn) readHead(h *headReader) (*http.Request, error) {
+	c.extendReadDeadline()
+	line, err := h.readLine()
+	if err != nil {
+		return nil, err
+	}
+	if err := checkRequestLine(line); err != nil {
+		return nil, err
+	}
+	if err := h.readFields(); err != nil {
+		return nil, err
+	}
+	r, err := parseHead(h.raw)
+	if err != nil {
+		return nil, err
+	}
+	if limit := c.limits().MaxHead; len(h.raw) > limit {
+		return nil, errors.WithStack(errHeadTooLarge)
+	}
+	released := int64(len(h.raw)) * (headFactor - 1)
+	h.raw = nil
+	return r, h.budget.charge(-released)
+}
+
+// limits returns the limits in force, none of which is zero.
+func (c *serverConn) limits() Limits {
+	limits := Limits{MaxHead: maxHeaderBytes, MaxBody: c.listener.maxBody}
+	if c.listener.limits == nil {
+		return limits
+	}
+	now := c.listener.limits()
+	if now.MaxHead > 0 {
+		limits.MaxHead = min(limits.MaxHead, now.MaxHead)
+	}
+	if now.MaxBody > 0 {
+		limits.MaxBody = min(limits.MaxBody, now.MaxBody)
+	}
+	return limits
+}
+
 // readBody reads the body of a request.
 func (c *serverConn) readBody(r *http.Request, h *headReader) ([]byte, error) {
 	length, err := bodyLength(r)
 	if err != nil || length == 0 {
 		return nil, err
 	}
-	if length > c.listener.maxBody {
+	limit := c.limits().MaxBody
+	if length > limit {
 		return nil, errors.WithStack(errBodyTooLarge)
 	}
 	if err := c.continueRequest(r); err != nil {
 		return nil, err
 	}
 	if length == chunkedLength {
-		return c.readChunked(h, c.listener.maxBody)
+		return c.readChunked(h, limit)
 	}
-	return c.readSized(length)
+	return c.readSized(length, h.budget)
 }
--- a/internal/sequoiafront/response.go
+++ b/internal/sequoiafront/response.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// responseBytes is what a response without header and body counts in the account.
+const responseBytes = 1 << 10
+
 // responseWriter holds a response until its turn to be written.
 type responseWriter struct {
 	request *http.Request
@@ -50,6 +53,17 @@
 	return status
 }
 
+// size returns the number of bytes that the response counts in the account.
+func (w *responseWriter) size() int64 {
+	n := responseBytes + len(w.body)
+	for name, values := range w.header {
+		for _, v := range values {
+			n += len(name) + len(v) + lineBytes
+		}
+	}
+	return int64(n)
+}
+
 // closes reports whether the client or the handler closes the connection after the response.
 func (w *responseWriter) closes() bool {
 	return w.request.Close || hasToken(w.header["Connection"], "close")
--- a/internal/sequoiamemory/account.go
+++ b/internal/sequoiamemory/account.go
@@ -192,10 +192,7 @@
 		freedLarge += s.largeSize()
 		if a.hasRoom(h, size, freed, freedLarge) {
 			for _, s := range stalled[:i+1] {
-				a.evicted++
-				a.remove(s)
-				// The owner may hold locks that a caller of Reserve holds too.
-				go s.onEvict()
+				a.evictHolding(s)
 			}
 			return true
 		}
@@ -204,6 +201,31 @@
 	return false
 }
 
+// EvictStalled evicts the holding of the kind that is longest without progress. It returns false if there is none to evict.
+func (a *Account) EvictStalled(kind Kind) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h, now := &Holding{account: a, kind: kind}, a.now()
+	if now.Before(a.searches[h.group()].next) {
+		return false
+	}
+	for _, s := range a.stalled(h, now) {
+		if s.kind == kind {
+			a.evictHolding(s)
+			return true
+		}
+	}
+	return false
+}
+
+// evictHolding evicts one holding. The caller must hold mu.
+func (a *Account) evictHolding(h *Holding) {
+	a.evicted++
+	a.remove(h)
+	// The owner may hold locks that a caller of Reserve holds too.
+	go h.onEvict()
+}
+
 // stalled returns the holdings that may be evicted for h, those longest without progress first.
 func (a *Account) stalled(h *Holding, now time.Time) []*Holding {
 	var stalled []*Holding
--- a/internal/sequoianode/client_test.go
+++ b/internal/sequoianode/client_test.go
@@ -1,16 +1,25 @@
 package sequoianode
 
 import (
+	"bytes"
 	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiafront"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoialog"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiapeer"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaregistry"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaroute"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
 
 func TestNode(t *testing.T) {
@@ -171,3 +180,51 @@
 		ginkgo.Entry("ran out of time", sequoiarouter.Response{Outcome: sequoiarouter.Unknown, Reason: reasonDeadline}, 504),
 	)
 })
+
+var _ = ginkgo.Describe("requests of one connection", func() {
+	newTestNode := func() *Node {
+		var b bytes.Buffer
+		timers := sequoiatimer.New()
+		log := sequoialog.NewEvents(&b, timers)
+		ginkgo.DeferCleanup(func() {
+			log.Close()
+			timers.Close()
+		})
+		return New(Settings{Instance: "a"}, Dialect{NewStore: func(sequoiaregistry.RoundTrip) sequoiaregistry.Store { return sequoiaregistry.Store{} }}, nil, log, timers)
+	}
+
+	// Guards against requests that are run beside others although they may run only once.
+	ginkgo.It("may run concurrently only on routes that allow repeats, without a body or with a method that has none", func() {
+		n := newTestNode()
+		request := func(method, target, body string) *http.Request {
+			r := httptest.NewRequest(method, target, strings.NewReader(body))
+			r.Host = "h"
+			return r
+		}
+		Expect(n.mayRunAgain(request("GET", "/safe/", ""))).To(BeFalse(), "without a configuration")
+		cfg := &sequoiaroute.Configuration{
+			Hosts:  map[string][]sequoiaroute.Route{"h": {{Prefix: "/safe/", Idempotent: true}, {Prefix: "/once/"}}},
+			Limits: sequoiaroute.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 1000},
+		}
+		cfg.Sort()
+		n.config.Store(cfg)
+		Expect(n.mayRunAgain(request("GET", "/safe/", "body"))).To(BeTrue())
+		Expect(n.mayRunAgain(request("POST", "/safe/", ""))).To(BeTrue())
+		Expect(n.mayRunAgain(request("POST", "/safe/", "body"))).To(BeFalse())
+		Expect(n.mayRunAgain(request("GET", "/once/", ""))).To(BeFalse())
+		Expect(n.mayRunAgain(request("GET", "/other", ""))).To(BeFalse())
+		Expect(n.requestLimits()).To(Equal(sequoiafront.Limits{MaxHead: 16384, MaxBody: 1000}))
+	})
+
+	ginkgo.It("are counted in metrics by the reason of their refusal, and their memory by kind", func() {
+		n := newTestNode()
+		w := httptest.NewRecorder()
+		n.metrics.handler().ServeHTTP(w, httptest.NewRequest("GET", "/", http.NoBody))
+		for _, line := range []string{
+			`sequoia_memory_held_bytes{kind="Request"} 0`, `sequoia_requests_refused_total{reason="NoRoom"} 0`,
+			`sequoia_connections_closed_total{reason="Write"} 0`,
+		} {
+			Expect(w.Body.String()).To(ContainSubstring(line))
+		}
+	})
+})
--- a/internal/sequoianode/metrics.go
+++ b/internal/sequoianode/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiamemory"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
 )
 
@@ -81,10 +82,35 @@
 		defer n.quarantine.mu.Unlock()
 		return float64(n.quarantine.list.Quarantined())
 	})
+	m.memory(n)
 	m.gauge("sequoia_log_lines_lost", "Lines that found the log's buffer full.", func() float64 { return float64(n.log.Lost()) })
 	return m
 }
 
+// memory registers the metrics of what is held and refused for clients.
+func (m *metrics) memory(n *Node) {
+	for _, k := range sequoiamemory.Kinds() {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "sequoia_memory_held_bytes", Help: "Memory held for clients and other processes by kind.",
+			ConstLabels: prometheus.Labels{"kind": k.String()},
+		}, func() float64 { return float64(n.account.Held(k)) }))
+	}
+	for reason := range n.front.Stats().Refusals {
+		m.labeledCounter("sequoia_requests_refused_total", "Requests that were refused before they were run, by reason.", reason,
+			func() uint64 { return n.front.Stats().Refusals[reason] })
+	}
+	for reason := range n.front.Stats().Closed {
+		m.labeledCounter("sequoia_connections_closed_total", "Connections that were closed, by reason.", reason,
+			func() uint64 { return n.front.Stats().Closed[reason] })
+	}
+}
+
+func (m *metrics) labeledCounter(name, help, reason string, f func() uint64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: name, Help: help, ConstLabels: prometheus.Labels{"reason": reason},
+	}, func() float64 { return float64(f()) }))
+}
+
 func (m *metrics) counter(name, help string) prometheus.Counter {
 	c := prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
 	m.registry.MustRegister(c)
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -15,6 +15,7 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiahttp"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoialog"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiamemory"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiapeer"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaquarantine"
@@ -59,6 +60,13 @@
 	lostSecretWait = 3 * time.Second
 	// maxBodyBytes limits the size of a buffered request body.
 	maxBodyBytes = 64 << 20
+	// controlMemory is the size in bytes of the account of each listener for announcements, readiness checks or metrics, and
+	// maxControlConns the number of its connections. They have room of their own, so that a crowd of clients cannot silence
+	// them.
+	controlMemory   = 4 << 20
+	maxControlConns = 128
+	// clientDescriptors is the share of the descriptors of the process that client connections may use, in tenths.
+	clientDescriptors = 7
 	// maxControlBytes limits the body of an announcement, a readiness check or a fetch of metrics.
 	maxControlBytes = 256 << 10
 	// secretBytes is the length of the shared secret for authentication between processes.
@@ -76,7 +84,9 @@
 	timers    *sequoiatimer.Service
 	processID string
 
-	front          *sequoiafront.Server
+	front *sequoiafront.Server
+	// account is the memory that the process holds for clients, upstreams and other processes.
+	account        *sequoiamemory.Account
 	forwarder      *sequoiapeer.Forwarder
 	upstreamClient *sequoiahttp.Client
 	commandClient  *sequoiahttp.Client
@@ -142,9 +152,11 @@
 func New(
 	settings Settings, d Dialect, direct sequoiaregistry.RoundTrip, log *sequoialog.Events, timers *sequoiatimer.Service,
 ) *Node {
+	account := sequoiamemory.New(sequoiamemory.AccountLimit(settings.MemoryLimit))
 	n := &Node{
 		settings: settings, dialect: d, log: log, timers: timers, processID: randomID(8),
-		front:          sequoiafront.New(maxBodyBytes),
+		front:          sequoiafront.New(maxBodyBytes, sequoiafront.WithServerAccount(account)),
+		account:        account,
 		upstreamClient: sequoiahttp.New(sequoiahttp.WithResponsesUntilClose(), sequoiahttp.WithMaxIdle(16)),
 		commandClient:  sequoiahttp.New(sequoiahttp.WithMaxIdle(2)),
 		splitter:       sequoiaroute.NewSplitter(), queue: sequoiaadmission.New(defaultSlots),
@@ -211,27 +223,47 @@
 }
 
 func (n *Node) listen() error {
-	_, err := n.front.Listen(
-		n.settings.Outbound, http.HandlerFunc(n.serveClient), sequoiafront.WithRepeatable(n.mayRunAgain),
-		sequoiafront.WithClosing(n.stopping.Load), sequoiafront.WithRefusalHeader(n.setRefusalHeader),
-	)
-	if err != nil {
+	client := []sequoiafront.ListenOption{
+		sequoiafront.WithRepeatable(n.mayRunAgain), sequoiafront.WithClosing(n.stopping.Load),
+		sequoiafront.WithRefusalHeader(n.setRefusalHeader), sequoiafront.WithLimits(n.requestLimits),
+	}
+	if n.settings.MaxDescriptors > 0 {
+		client = append(client, sequoiafront.WithMaxConns(n.settings.MaxDescriptors*clientDescriptors/10))
+	}
+	if _, err := n.front.Listen(n.settings.Outbound, http.HandlerFunc(n.serveClient), client...); err != nil {
 		return err
 	}
-	if _, err := n.front.Listen(n.settings.Ready, http.HandlerFunc(n.serveReady), sequoiafront.WithMaxBody(maxControlBytes)); err != nil {
+	if _, err := n.front.Listen(n.settings.Ready, http.HandlerFunc(n.serveReady), controlOptions()...); err != nil {
 		return err
 	}
-	if _, err := n.front.Listen(n.settings.Announce, http.HandlerFunc(n.serveAnnouncement), sequoiafront.WithMaxBody(maxControlBytes)); err != nil {
+	if _, err := n.front.Listen(n.settings.Announce, http.HandlerFunc(n.serveAnnouncement), controlOptions()...); err != nil {
 		return err
 	}
 	if n.settings.Metrics.IsValid() {
-		if _, err := n.front.Listen(n.settings.Metrics, n.metrics.handler(), sequoiafront.WithMaxBody(maxControlBytes)); err != nil {
+		if _, err := n.front.Listen(n.settings.Metrics, n.metrics.handler(), controlOptions()...); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// controlOptions returns the options of a listener that is not for clients.
+func controlOptions() []sequoiafront.ListenOption {
+	return []sequoiafront.ListenOption{
+		sequoiafront.WithMaxBody(maxControlBytes), sequoiafront.WithMaxConns(maxControlConns),
+		sequoiafront.WithAccount(sequoiamemory.New(controlMemory)),
+	}
+}
+
+// requestLimits returns the limits on requests of the configuration in force.
+func (n *Node) requestLimits() sequoiafront.Limits {
+	cfg := n.config.Load()
+	if cfg == nil {
+		return sequoiafront.Limits{}
+	}
+	return sequoiafront.Limits{MaxHead: cfg.Limits.MaxHeaderBytes, MaxBody: cfg.Limits.MaxBodyBytes}
+}
+
 func (n *Node) withCore(f func(c *sequoiaowner.Core)) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
