--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -16,6 +16,7 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiahttp"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoialog"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiamemory"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiapeer"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaquarantine"
@@ -63,6 +64,13 @@
 	lostSecretWait = 3 * time.Second
 	// maxBodyBytes limits the size of a buffered request body.
 	maxBodyBytes = 64 << 20
+	// controlMemory is the size in bytes of the account of each listener for announcements, readiness checks or metrics, and
+	// maxControlConns the number of its connections. They have room of their own, so that a crowd of clients cannot silence
+	// them.
+	controlMemory   = 4 << 20
+	maxControlConns = 128
+	// clientDescriptors is the share of the descriptors of the process that client connections may use, in tenths.
+	clientDescriptors = 7
 	// maxControlBytes limits the body of an announcement, a readiness check or a fetch of metrics.
 	maxControlBytes = 256 << 10
 	// secretBytes is the length of the shared secret for authentication between processes.
@@ -80,7 +88,9 @@
 	timers    *sequoiatimer.Service
 	processID string
 
-	front     *sequoiafront.Server
+	front *sequoiafront.Server
+	// account is the memory that the process holds for clients, upstreams and other processes.
+	account   *sequoiamemory.Account
 	forwarder *sequoiapeer.Forwarder
 	// bodies is the forwarder once it has been started; until then it is nil.
 	bodies atomic.Pointer[sequoiapeer.Forwarder]
@@ -157,15 +167,17 @@
 func New(
 	settings Settings, d Dialect, direct sequoiaregistry.RoundTrip, log *sequoialog.Events, timers *sequoiatimer.Service,
 ) *Node {
+	account := sequoiamemory.New(sequoiamemory.AccountLimit(settings.MemoryLimit))
 	n := &Node{
 		settings: settings, dialect: d, log: log, timers: timers, processID: randomID(8),
-		front:          sequoiafront.New(maxBodyBytes),
+		front:          sequoiafront.New(maxBodyBytes, sequoiafront.WithServerAccount(account)),
+		account:        account,
 		upstreamClient: sequoiahttp.New(sequoiahttp.WithResponsesUntilClose(), sequoiahttp.WithMaxIdle(16)),
 		commandClient:  sequoiahttp.New(sequoiahttp.WithMaxIdle(maxIdleCommands)),
 		splitter:       sequoiaroute.NewSplitter(), queue: sequoiaadmission.New(defaultSlots),
 		runs: sequoiaquarantine.NewRuns[*sequoiaadmission.Ticket](), meter: sequoiakeyspace.NewMeter(),
 		ownershipChanged: make(chan struct{}), directory: newDirectory(settings), warmup: newWarmup(time.Now(), settings),
-		reserveBody: func(int) (func(), bool) { return func() {}, true },
+		reserveBody: reserveForwarded(account),
 		orders:      sequoiaevacuation.New(settings.EvacuationTime),
 	}
 	n.core = sequoiaowner.New(
@@ -182,6 +194,17 @@
 	return n
 }
 
+// reserveForwarded returns a function that reserves memory of the account for the body of another process's request.
+func reserveForwarded(account *sequoiamemory.Account) func(n int) (release func(), ok bool) {
+	return func(n int) (func(), bool) {
+		h, ok := account.Reserve(sequoiamemory.Forwarded, int64(n))
+		if !ok {
+			return nil, false
+		}
+		return h.Release, true
+	}
+}
+
 func randomID(n int) string {
 	b := make([]byte, n)
 	_, _ = rand.Read(b) // rand.Read never returns an error.
@@ -233,27 +256,47 @@
 }
 
 func (n *Node) listen() error {
-	_, err := n.front.Listen(
-		n.settings.Outbound, http.HandlerFunc(n.serveClient), sequoiafront.WithRepeatable(n.mayRunAgain),
-		sequoiafront.WithClosing(n.stopping.Load), sequoiafront.WithRefusalHeader(n.setRefusalHeader),
-	)
-	if err != nil {
+	client := []sequoiafront.ListenOption{
+		sequoiafront.WithRepeatable(n.mayRunAgain), sequoiafront.WithClosing(n.stopping.Load),
+		sequoiafront.WithRefusalHeader(n.setRefusalHeader), sequoiafront.WithLimits(n.requestLimits),
+	}
+	if n.settings.MaxDescriptors > 0 {
+		client = append(client, sequoiafront.WithMaxConns(n.settings.MaxDescriptors*clientDescriptors/10))
+	}
+	if _, err := n.front.Listen(n.settings.Outbound, http.HandlerFunc(n.serveClient), client...); err != nil {
 		return err
 	}
-	if _, err := n.front.Listen(n.settings.Ready, http.HandlerFunc(n.serveReady), sequoiafront.WithMaxBody(maxControlBytes)); err != nil {
+	if _, err := n.front.Listen(n.settings.Ready, http.HandlerFunc(n.serveReady), controlOptions()...); err != nil {
 		return err
 	}
-	if _, err := n.front.Listen(n.settings.Announce, http.HandlerFunc(n.serveAnnouncement), sequoiafront.WithMaxBody(maxControlBytes)); err != nil {
+	if _, err := n.front.Listen(n.settings.Announce, http.HandlerFunc(n.serveAnnouncement), controlOptions()...); err != nil {
 		return err
 	}
 	if n.settings.Metrics.IsValid() {
-		if _, err := n.front.Listen(n.settings.Metrics, n.metrics.handler(), sequoiafront.WithMaxBody(maxControlBytes)); err != nil {
+		if _, err := n.front.Listen(n.settings.Metrics, n.metrics.handler(), controlOptions()...); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// controlOptions returns the options of a listener that is not for clients.
+func controlOptions() []sequoiafront.ListenOption {
+	return []sequoiafront.ListenOption{
+		sequoiafront.WithMaxBody(maxControlBytes), sequoiafront.WithMaxConns(maxControlConns),
+		sequoiafront.WithAccount(sequoiamemory.New(controlMemory)),
+	}
+}
+
+// requestLimits returns the limits on requests of the configuration in force.
+func (n *Node) requestLimits() sequoiafront.Limits {
+	cfg := n.config.Load()
+	if cfg == nil {
+		return sequoiafront.Limits{}
+	}
+	return sequoiafront.Limits{MaxHead: cfg.Limits.MaxHeaderBytes, MaxBody: cfg.Limits.MaxBodyBytes}
+}
+
 func (n *Node) withCore(f func(c *sequoiaowner.Core)) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
