--- a/internal/sequoiaadmission/pace_test.go
+++ b/internal/sequoiaadmission/pace_test.go
@@ -97,6 +97,37 @@
 		}
 	})
 
+	// Guards against a burst at an upstream that becomes cold in a second in which it has got many requests.
+	ginkgo.It("begins a limit without a burst at a given time, and not again when it is changed", func() {
+		now := time.Unix(1000, 0)
+		from := now.Add(700 * ms)
+		q := sequoiaadmission.New(6)
+		q.SetLimit(now.Add(-time.Minute), 100)
+		started := 0
+		submit := func(at time.Time) {
+			q.Submit(at, &sequoiaadmission.Ticket{
+				Class: "c", Arrived: at, Objective: at.Add(10 * time.Second), Deadline: at.Add(20 * time.Second),
+				OnDecision: func(reason string, _ time.Duration) {
+					if reason == "" {
+						started++
+					}
+				},
+			})
+		}
+		q.SetLimitFrom(now, 5, from)
+		Expect(q.StartDelay(now)).To(Equal(900 * ms))
+		for range 4 {
+			submit(now)
+		}
+		q.Advance(from.Add(100 * ms))
+		Expect(started).To(BeZero())
+		q.Advance(from.Add(210 * ms))
+		Expect(started).To(Equal(1))
+		q.SetLimitFrom(from.Add(390*ms), 5, from)
+		q.Advance(from.Add(410 * ms))
+		Expect(started).To(Equal(2))
+	})
+
 	ginkgo.It("has no limit any more once the upstream names none", func() {
 		now := time.Unix(1000, 0)
 		q := sequoiaadmission.New(6)
