Ready: Reserve memory for responses in pieces, and accept a piece after a cancellation

Cause: the body of a large response was received without a reservation. A piece that was being written when its response was cancelled came after the short response in its place; the requesting side took it for an unknown number and closed the connection with all requests on it. Change: the requesting side reserves a body's memory when its head arrives, and cancels the response with ErrNoMemory if there is none; late pieces of ended requests are dropped, as those of request bodies are.

--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -364,6 +364,8 @@
 		reason = reasonCancelled
 	case errors.Is(err, context.DeadlineExceeded):
 		reason = reasonDeadline
+	case errors.Is(err, sequoiapeer.ErrNoMemory):
+		reason = sequoiapeer.ReasonNoMemory
 	}
 	return &sequoiarouter.Response{Outcome: sequoiarouter.Unknown, Reason: reason}
 }
--- a/internal/sequoiapeer/body_test.go
+++ b/internal/sequoiapeer/body_test.go
@@ -520,6 +520,49 @@
 		Expect(client.Stats()).To(And(HaveField("Dialed", uint64(1)), HaveField("Invalid", uint64(0))))
 	})
 
+	// Guards against all requests of a connection that fail because a piece was being written when its response was
+	// cancelled.
+	ginkgo.It("may still send a piece after its cancellation", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		addr := rawServer(func(r rawPeer) {
+			number := r.readKind(frameRequest).number
+			var buf bytes.Buffer
+			head := &wireResponseHead{Response: wireResponse{Outcome: sequoiarouter.Answered}, BodySize: 100 << 10}
+			Expect(encodeResponseFrame(&buf, frameResponseHead, number, head)).To(Succeed())
+			r.write(append(buf.Bytes(), encodeFrame(frameResponseBody, number, make([]byte, 16<<10))...))
+			cancel()
+			Expect(r.readKind(frameCancel).number).To(Equal(number))
+			r.write(append(response(number, ""), encodeFrame(frameResponseBody, number, make([]byte, 16<<10))...))
+			r.write(response(r.readKind(frameRequest).number, "second"))
+			_, _ = io.Copy(io.Discard, r)
+		})
+		client := startForwarder(testKey, nil)
+		_, err := client.Forward(ctx, addr, bodyRequest(0, time.Minute))
+		Expect(err).To(MatchError(ErrUnknown))
+		resp, err := client.Forward(context.Background(), addr, bodyRequest(0, time.Minute))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(resp.Body)).To(Equal("second"))
+	})
+
+	// Guards against a process that exceeds its memory limit because of responses.
+	ginkgo.It("is dropped by a caller without memory for it, and its memory is released otherwise", func() {
+		server := startLinkForwarder(echo)
+		client := startForwarder(testKey, nil)
+		held := &counter{limit: 500 << 10}
+		client.ReserveBody = held.reserve
+		_, err := client.Forward(context.Background(), server.Addr(), bodyRequest(1<<20, 5*time.Second))
+		Expect(err).To(And(MatchError(ErrUnknown), MatchError(ErrNoMemory)))
+		resp, err := client.Forward(context.Background(), server.Addr(), bodyRequest(400<<10, 5*time.Second))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Body).To(HaveLen(400 << 10))
+		Expect(held.held.Load()).To(BeZero())
+		Eventually(func() int {
+			n, _ := client.connections()[0].load()
+			return n
+		}).Should(BeZero())
+		Expect(client.Stats()).To(And(HaveField("Dialed", uint64(1)), HaveField("Invalid", uint64(0))))
+	})
+
 	ginkgo.It("lets small ones overtake it", func() {
 		server := startLinkForwarder(echo, WithLinkRate(slowLink))
 		client := startForwarder(testKey, nil)
--- a/internal/sequoiapeer/bodyresponse.go
+++ b/internal/sequoiapeer/bodyresponse.go
@@ -1,6 +1,8 @@
 package sequoiapeer
 
 import (
+	"sync"
+
 	"github.com/pkg/errors"
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
@@ -22,6 +24,8 @@
 	size int
 	// arrived is the number of bytes that have arrived. They are not kept if the caller no longer waits.
 	arrived int
+	// release releases the memory reserved for the body. It is called when the caller has the response or has left.
+	release func()
 }
 
 // answer sends the response to a request, with its body in pieces if it is large.
@@ -86,21 +90,68 @@
 	if head.BodySize <= 0 || head.BodySize > MaxBody || len(head.Response.Body) > 0 {
 		return errors.Wrapf(ErrMalformed, "response: body of %d bytes in pieces", head.BodySize)
 	}
+	resp := sequoiarouter.Response(head.Response)
+	in := &incomingResponse{resp: &resp, size: head.BodySize}
+	release, reserved := c.forwarder.ReserveBody(head.BodySize)
+	if reserved {
+		in.release = sync.OnceFunc(release)
+	}
+	pending, err := c.expectResponseBody(fr.number, in)
+	if err != nil {
+		in.end()
+		return err
+	}
+	if !reserved && pending != nil {
+		c.forwarder.bodies.countNoMemory()
+		pending.done <- callResult{err: errors.Wrapf(ErrNoMemory, "response with %d bytes", head.BodySize)}
+		return c.write(encodeFrame(frameCancel, fr.number, nil))
+	}
+	return nil
+}
+
+// expectResponseBody records that the body of a response follows. It returns the call, nil if its caller has left. If there
+// is no memory for the body, the call is abandoned and its pieces are dropped.
+func (c *forwardConn) expectResponseBody(number uint64, in *incomingResponse) (*call, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	pending := c.calls[fr.number]
+	pending := c.calls[number]
 	if pending == nil || pending.response != nil {
-		return errors.Wrapf(ErrRequestNumber, "response %d", fr.number)
+		return nil, errors.Wrapf(ErrRequestNumber, "response %d", number)
+	}
+	pending.response = in
+	if pending.abandoned {
+		in.end()
+		return nil, nil
+	}
+	pending.abandoned = in.release == nil
+	return pending, nil
+}
+
+// end releases the memory reserved for the body.
+func (in *incomingResponse) end() {
+	if in.release != nil {
+		in.release()
+	}
+}
+
+// endResponse releases the memory of a response in pieces once its caller has it or has left.
+func (c *forwardConn) endResponse(call *call) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if call.response != nil {
+		call.response.end()
 	}
-	resp := sequoiarouter.Response(head.Response)
-	pending.response = &incomingResponse{resp: &resp, size: head.BodySize}
-	return nil
 }
 
 // handleResponseBody adds a piece to the body of a response, and delivers the response once it is complete.
 func (c *forwardConn) handleResponseBody(fr frame) error {
 	c.mu.Lock()
 	pending := c.calls[fr.number]
+	if pending == nil && fr.number <= c.nextNumber {
+		// A piece that was being written when the response was cancelled comes after the short response in its place.
+		c.mu.Unlock()
+		return nil
+	}
 	if pending == nil || pending.response == nil {
 		c.mu.Unlock()
 		return errors.Wrapf(ErrRequestNumber, "body of response %d", fr.number)
--- a/internal/sequoiapeer/forward.go
+++ b/internal/sequoiapeer/forward.go
@@ -35,6 +35,8 @@
 	// ErrSilent reports a peer that has sent nothing for 3 s, or has not answered the ping that an idle connection needs
 	// before its next request.
 	ErrSilent = errors.New("the peer is silent")
+	// ErrNoMemory reports a response for whose body there is no memory.
+	ErrNoMemory = errors.New("no memory for the body")
 	// ErrConnectionLost reports a connection closed by the peer or the network.
 	ErrConnectionLost = errors.New("the connection was lost")
 
@@ -96,8 +98,9 @@
 	Rejected func(peer netip.AddrPort, err error)
 	// Dial opens a TCP connection. Tests replace it to cut connections.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
-	// ReserveBody reserves memory for n bytes of an offered body or a large request of another process. release is called
-	// once, when the request has ended. A request for which ok is false is refused as not run.
+	// ReserveBody reserves memory for n bytes of an offered body, a large request of another process, or the body of a
+	// response that comes in pieces. release is called once, when the request has ended or Forward returns the response. A
+	// request for which ok is false is refused as not run; for a response, Forward returns ErrNoMemory.
 	ReserveBody func(n int) (release func(), ok bool)
 	// Offered returns how long a request whose body is offered is expected to wait and run once its body has arrived. If
 	// the request would not be run at all, it returns the response to it instead, and the body is not sent. It returns at
@@ -325,6 +328,7 @@
 	if err != nil {
 		return nil, notSent(err)
 	}
+	defer conn.endResponse(pending)
 	select {
 	case result := <-pending.done:
 		return conn.finish(pending, result)
