Do not let senders with slow links hold the window of a receiver

Cause: grants to a sender whose own link is busy filled the receiver's window, so that its link carried less than it could. Change: bytes that senders hold back do not count towards the window, up to another window. They are recognized by the order of the link: something granted 15 ms later has arrived, or nothing has arrived for 80 ms. Specs of sequoialink and sequoiapeer pass.

--- a/internal/sequoialink/scheduler.go
+++ b/internal/sequoialink/scheduler.go
@@ -25,6 +25,12 @@
 	window = 40 * time.Millisecond
 	// progressTimeout is how long a sender may keep granted bytes back before it loses the grant.
 	progressTimeout = 500 * time.Millisecond
+	// heldBackAfter is how much later a grant may arrive than another one given at the same time, because of the distances
+	// to their senders.
+	heldBackAfter = 15 * time.Millisecond
+	// quietAfter is the time without an arrival after which all outstanding bytes count as held back. A link of half its
+	// rate would have carried the whole window.
+	quietAfter = 2 * window
 	// unpacedWindow limits the granted bytes of one body on a link of unknown rate.
 	unpacedWindow = 256 << 10
 	// delayBody is the size in bytes of the body for which Delay is computed.
@@ -74,12 +80,32 @@
 	granted, arrived int
 	// progressed is when the oldest outstanding grant was given, or bytes last arrived.
 	progressed time.Time
-	sequence   uint64
+	// grants are the grants that have not arrived completely, in order.
+	grants   []grant
+	sequence uint64
+}
+
+// grant is a part of a body: the bytes up to end were granted at a time.
+type grant struct {
+	end int
+	at  time.Time
 }
 
 // outstanding returns the bytes that are granted and have not arrived.
 func (t *Transfer) outstanding() int { return t.granted - t.arrived }
 
+// heldBack returns the outstanding bytes that were granted before the given time.
+func (t *Transfer) heldBack(before time.Time) int {
+	held := 0
+	for _, g := range t.grants {
+		if !g.at.Before(before) {
+			break
+		}
+		held = g.end - t.arrived
+	}
+	return held
+}
+
 // missing returns the bytes that have not arrived.
 func (t *Transfer) missing() int { return t.Size - t.arrived }
 
@@ -140,6 +166,10 @@
 	// transfers are in the order in which they are granted.
 	transfers   []*Transfer
 	outstanding int
+	// arrivedGrant is the time of the latest grant that has arrived.
+	arrivedGrant time.Time
+	// arrivedAt is when something last arrived, or when bytes were granted while none were outstanding.
+	arrivedAt time.Time
 	// credit is the number of bytes that the rate allows to grant at creditAt.
 	credit   float64
 	creditAt time.Time
@@ -255,7 +285,13 @@
 		return false, errors.Wrapf(ErrNotGranted, "%d bytes, granted %d", n, t.outstanding())
 	}
 	t.arrived += n
-	t.progressed = now
+	t.progressed, s.arrivedAt = now, now
+	for len(t.grants) > 0 && t.grants[0].end <= t.arrived {
+		if at := t.grants[0].at; at.After(s.arrivedGrant) {
+			s.arrivedGrant = at
+		}
+		t.grants = t.grants[1:]
+	}
 	s.outstanding -= n
 	s.stats.Arrived += uint64(n)
 	s.limitedArrived += n
@@ -291,7 +327,11 @@
 		if t.outstanding() == 0 {
 			t.progressed = now
 		}
+		if s.outstanding == 0 {
+			s.arrivedAt = now
+		}
 		t.granted += n
+		t.grants = append(t.grants, grant{t.granted, now})
 		s.outstanding += n
 		s.credit -= float64(n)
 		s.stats.Granted += uint64(n)
@@ -354,7 +394,26 @@
 
 // allows reports whether n more bytes may be granted now.
 func (s *Scheduler) allows(n int) bool {
-	return s.rate <= 0 || s.outstanding+n <= s.window && s.credit >= float64(n)
+	return s.rate <= 0 || s.fits(n) && s.credit >= float64(n)
+}
+
+// fits reports whether the window has room for n more bytes at the time of the last call of Advance. Bytes that senders
+// hold back count only beyond a window of their own: they are not on the link. The link carries bytes in order, so what was
+// granted well before something that has arrived would have arrived too if its sender had sent it; and if nothing has
+// arrived for a while, nothing is on the link.
+func (s *Scheduler) fits(n int) bool {
+	if s.outstanding+n <= s.window {
+		return true
+	}
+	before := s.arrivedGrant.Add(-heldBackAfter)
+	if s.creditAt.Sub(s.arrivedAt) >= quietAfter {
+		before = s.arrivedAt.Add(quietAfter)
+	}
+	held := 0
+	for _, t := range s.transfers {
+		held += t.heldBack(before)
+	}
+	return s.outstanding-min(held, s.window)+n <= s.window
 }
 
 // Next returns how long after now Advance has to be called if nothing else happens, and false if it need not be called.
@@ -365,9 +424,16 @@
 			next = t
 		}
 	}
-	if t, n := s.nextGrant(); t != nil && s.rate > 0 && s.outstanding+n <= s.window {
+	if t, n := s.nextGrant(); t != nil && s.rate > 0 {
 		missing := max(0, float64(n)-s.credit)
-		earliest(s.creditAt.Add(time.Duration(missing/s.rate*float64(time.Second)) + time.Microsecond))
+		enough := s.creditAt.Add(time.Duration(missing/s.rate*float64(time.Second)) + time.Microsecond)
+		quiet := s.arrivedAt.Add(quietAfter)
+		switch {
+		case s.fits(n):
+			earliest(enough)
+		case s.creditAt.Before(quiet):
+			earliest(quiet)
+		}
 	}
 	for _, t := range s.transfers {
 		if t.outstanding() > 0 {
--- a/internal/sequoialink/scheduler_test.go
+++ b/internal/sequoialink/scheduler_test.go
@@ -342,6 +342,35 @@
 		Expect(s.Stats()).To(HaveField("Outstanding", 0))
 	})
 
+	// Guards against senders with slow links of their own whose grants fill the window, so that the link is not used while
+	// others could send.
+	ginkgo.It("serves others while the whole window is granted to senders that hold it back", func() {
+		s := New(slowLink)
+		for range 2 {
+			Expect(s.Offer(start, body(32<<10, 5*time.Second))).To(BeNil())
+		}
+		s.Advance(start)
+		Expect(s.Stats().Outstanding).To(BeNumerically(">", s.window-Piece))
+		prompt := body(200<<10, 6*time.Second)
+		Expect(s.Offer(start, prompt)).To(BeNil())
+		now, complete := start, false
+		for !complete {
+			if n := prompt.outstanding(); n > 0 {
+				now = now.Add(time.Duration(float64(n) / slowLink * float64(time.Second)))
+				var err error
+				complete, err = s.Arrived(now, prompt, n)
+				Expect(err).NotTo(HaveOccurred())
+			} else {
+				wait, ok := s.Next(now)
+				Expect(ok).To(BeTrue())
+				now = now.Add(wait)
+			}
+			s.Advance(now)
+			Expect(s.Stats().Outstanding).To(BeNumerically("<=", 2*s.window))
+		}
+		Expect(now.Sub(start)).To(BeNumerically("<", quietAfter+s.duration(220<<10)))
+	})
+
 	// Guards against capacity that stays reserved for senders that are gone, and for grants that an earlier process gave.
 	ginkgo.It("starts without grants after a restart, and frees those of lost connections", func() {
 		before := New(slowLink)
