--- a/internal/sequoiafront/conn.go
+++ b/internal/sequoiafront/conn.go
@@ -24,6 +24,8 @@
 	r        *bufio.Reader
 	// received is the number of bytes that have been read from the connection, including those that r holds.
 	received int64
+	// extended is the time of the last extension of the read deadline.
+	extended time.Time
 	// holding is what the connection counts in the account.
 	holding *sequoiamemory.Holding
 	ctx     context.Context
@@ -168,10 +170,15 @@
 
 // extendReadDeadline gives the client idleTimeout for its next bytes, unless the connection is being closed.
 func (c *serverConn) extendReadDeadline() {
+	now := time.Now()
+	if now.Sub(c.extended) < extendInterval {
+		return
+	}
+	c.extended = now
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.closing && !c.stalled {
-		_ = c.SetReadDeadline(time.Now().Add(idleTimeout))
+		_ = c.SetReadDeadline(now.Add(idleTimeout))
 	}
 }
 
--- a/internal/sequoiafront/front.go
+++ b/internal/sequoiafront/front.go
@@ -43,6 +43,8 @@
 	// idleTimeout closes idle connections. It is longer than the idle timeouts that operators configure, so that a
 	// client does not send a request on a connection that is being closed.
 	idleTimeout = 120 * time.Second
+	// extendInterval is the least time between two extensions of a read deadline.
+	extendInterval = time.Second
 	// writeTimeout bounds the write of writePiece bytes to a client that does not read. It is longer than clients wait for a
 	// response.
 	writeTimeout = 30 * time.Second
--- a/internal/sequoiafront/head.go
+++ b/internal/sequoiafront/head.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"net/url"
@@ -105,13 +106,8 @@
 // checkField checks the line of a field: a token, a colon, and a value without control characters other than tabs.
 func checkField(line []byte) error {
 	name, value, ok := bytes.Cut(line, []byte(":"))
-	if !ok || len(name) == 0 {
-		return errors.Wrap(errMalformed, "field without a name")
-	}
-	for _, c := range name {
-		if !isTokenChar(c) {
-			return errors.Wrap(errMalformed, "name of a field")
-		}
+	if !ok || !isToken(name) {
+		return errors.Wrap(errMalformed, "name of a field")
 	}
 	for _, c := range value {
 		if c < ' ' && c != '\t' || c == 0x7f {
@@ -121,8 +117,21 @@
 	return nil
 }
 
-func isTokenChar(c byte) bool {
-	return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' || strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
+// tokenChars holds the characters of a token (RFC 9110, section 5.6.2).
+var tokenChars = func() (set [256]bool) {
+	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ") {
+		set[c] = true
+	}
+	return set
+}()
+
+func isToken[T string | []byte](s T) bool {
+	for i := range len(s) {
+		if !tokenChars[s[i]] {
+			return false
+		}
+	}
+	return len(s) > 0
 }
 
 // hasToken reports whether a header that is a list contains the token, in any case.
@@ -146,8 +155,12 @@
 	complete bool
 }
 
-func newRequestProcessor() *requestProcessor {
-	return &requestProcessor{Processor: nbhttp.NewEmptyProcessor(), request: &http.Request{ProtoMajor: 1, Header: http.Header{}}}
+// emptyProcessor has the methods that a server does not need.
+var emptyProcessor = nbhttp.NewEmptyProcessor()
+
+func newRequestProcessor(ctx context.Context) *requestProcessor {
+	r := (&http.Request{ProtoMajor: 1, Header: make(http.Header, 8)}).WithContext(ctx)
+	return &requestProcessor{Processor: emptyProcessor, request: r}
 }
 
 // OnMethod implements nbhttp.Processor.
@@ -180,9 +193,9 @@
 // OnContentLength implements nbhttp.Processor. The parser calls it at the end of the head.
 func (p *requestProcessor) OnContentLength(*nbhttp.Parser, int) { p.complete = true }
 
-// parseHead returns the request with this complete head, without its body.
-func parseHead(raw []byte) (*http.Request, error) {
-	p := newRequestProcessor()
+// parseHead returns the request with this complete head, without its body, and with the context.
+func parseHead(ctx context.Context, raw []byte) (*http.Request, error) {
+	p := newRequestProcessor(ctx)
 	// The parser does not use its connection or engine for data that is complete.
 	if err := nbhttp.NewParser(nil, nil, p, false, nil).Parse(raw); err != nil {
 		return nil, errors.Wrap(errMalformed, err.Error())
--- a/internal/sequoiafront/pipeline.go
+++ b/internal/sequoiafront/pipeline.go
@@ -1,7 +1,6 @@
 package sequoiafront
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"os"
@@ -55,8 +54,7 @@
 // holdResponse releases the memory of the request and reserves that of the response.
 func (e *exchange) holdResponse(a *sequoiamemory.Account) {
 	e.holding.Release()
-	e.body, e.request.Body = nil, http.NoBody
-	e.holding = nil
+	e.request, e.body, e.holding = nil, nil, nil
 	if h, ok := a.Reserve(sequoiamemory.Response, e.response.size()); ok {
 		e.holding = h
 	}
@@ -139,8 +137,7 @@
 
 // run runs the handler of an exchange, and writes its response if all those before it have been written.
 func (c *serverConn) run(e *exchange) {
-	ctx := context.WithValue(c.ctx, exchangeKey{}, e)
-	c.listener.handler.ServeHTTP(e.response, e.request.WithContext(ctx))
+	c.listener.handler.ServeHTTP(e.response, e.request)
 	e.holdResponse(c.listener.account)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/sequoiafront/refusal.go
+++ b/internal/sequoiafront/refusal.go
@@ -1,7 +1,6 @@
 package sequoiafront
 
 import (
-	"bytes"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -55,9 +54,6 @@
 
 // encodeRefusal returns a response without a body that closes the connection.
 func encodeRefusal(status int, h http.Header) []byte {
-	var b bytes.Buffer
-	b.WriteString(statusLine(status))
-	_ = h.Write(&b) // A Buffer never returns an error.
-	b.WriteString("Connection: close\r\nContent-Length: 0\r\n\r\n")
-	return b.Bytes()
+	b := appendHeader([]byte(statusLine(status)), h)
+	return append(b, "Connection: close\r\nContent-Length: 0\r\n\r\n"...)
 }
--- a/internal/sequoiafront/request.go
+++ b/internal/sequoiafront/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"os"
@@ -12,6 +13,9 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiamemory"
 )
 
+// firstHeadBytes is the size of the first buffer of a head, which suffices for most.
+const firstHeadBytes = 1 << 10
+
 // readRequest reads a request, of which the first byte has arrived. The exchange has reserved the memory of the request.
 func (c *serverConn) readRequest() (*exchange, error) {
 	h, ok := c.listener.account.Reserve(sequoiamemory.Request, budgetStep)
@@ -20,8 +24,7 @@
 	}
 	h.OnEvict(c.evictRequest)
 	e, err := c.readParts(&budget{holding: h, reserved: budgetStep})
-	h.OnEvict(nil)
-	if err == nil && !h.Grow(0) {
+	if !h.OnEvict(nil) && err == nil {
 		err = errors.WithStack(errRequestSilent) // It was evicted just before it was complete.
 	}
 	if err != nil {
@@ -43,8 +46,9 @@
 }
 
 func (c *serverConn) readParts(b *budget) (*exchange, error) {
-	h := &headReader{r: c.r, budget: b}
-	r, err := c.readHead(h)
+	e := &exchange{}
+	h := &headReader{r: c.r, raw: make([]byte, 0, firstHeadBytes), budget: b}
+	r, err := c.readHead(context.WithValue(c.ctx, exchangeKey{}, e), h)
 	if err != nil {
 		return nil, unexpectedEOF(err)
 	}
@@ -57,13 +61,13 @@
 	if len(body) > 0 {
 		r.Body = io.NopCloser(bytes.NewReader(body))
 	}
-	e := &exchange{request: r, body: body, arrival: time.Now(), response: newResponseWriter(r)}
+	e.request, e.body, e.arrival, e.response = r, body, time.Now(), newResponseWriter(r)
 	e.repeatable = c.listener.repeatable != nil && c.listener.repeatable(r)
 	return e, nil
 }
 
 // readHead reads the head of a request. It keeps no buffer of it.
-func (c *serverConn) readHead(h *headReader) (*http.Request, error) {
+func (c *serverConn) readHead(ctx context.Context, h *headReader) (*http.Request, error) {
 	c.extendReadDeadline()
 	line, err := h.readLine()
 	if err != nil {
@@ -75,7 +79,7 @@
 	if err := h.readFields(); err != nil {
 		return nil, err
 	}
-	r, err := parseHead(h.raw)
+	r, err := parseHead(ctx, h.raw)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/sequoiafront/response.go
+++ b/internal/sequoiafront/response.go
@@ -1,9 +1,10 @@
 package sequoiafront
 
 import (
-	"bytes"
 	"net/http"
 	"strconv"
+	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -12,14 +13,19 @@
 
 // responseWriter holds a response until its turn to be written.
 type responseWriter struct {
-	request *http.Request
-	header  http.Header
-	status  int
-	body    []byte
+	// toHead is true for the response to a HEAD request, keepAlive if the connection is kept open only if the response says
+	// so, and closing if the client closes the connection after the response.
+	toHead, keepAlive, closing bool
+
+	header http.Header
+	status int
+	body   []byte
 }
 
 func newResponseWriter(r *http.Request) *responseWriter {
-	return &responseWriter{request: r, header: http.Header{}}
+	return &responseWriter{
+		toHead: r.Method == http.MethodHead, keepAlive: r.ProtoMinor == 0, closing: r.Close, header: make(http.Header, 8),
+	}
 }
 
 // Header implements http.ResponseWriter.
@@ -66,19 +72,38 @@
 
 // closes reports whether the client or the handler closes the connection after the response.
 func (w *responseWriter) closes() bool {
-	return w.request.Close || hasToken(w.header["Connection"], "close")
+	return w.closing || hasToken(w.header["Connection"], "close")
 }
 
 // hasBody reports whether the response to the request has a body.
 func (w *responseWriter) hasBody() bool {
-	return w.request.Method != http.MethodHead && w.status != http.StatusNoContent && w.status != http.StatusNotModified
+	return !w.toHead && w.status != http.StatusNoContent && w.status != http.StatusNotModified
+}
+
+// formattedDate is the value of the Date header for one second.
+type formattedDate struct {
+	second int64
+	value  []string
+}
+
+// latestDate is kept because each response has a Date, and its formatting takes longer than the rest of the header.
+var latestDate atomic.Pointer[formattedDate]
+
+// date returns the value of the Date header.
+func date(now time.Time) []string {
+	if d := latestDate.Load(); d != nil && d.second == now.Unix() {
+		return d.value
+	}
+	d := &formattedDate{second: now.Unix(), value: []string{now.UTC().Format(http.TimeFormat)}}
+	latestDate.Store(d)
+	return d.value
 }
 
 // encode returns the head of the response and its body.
 func (w *responseWriter) encode(closes bool) (head, body []byte) {
 	w.WriteHeader(http.StatusOK)
 	length := strconv.Itoa(len(w.body))
-	if v := w.header.Get("Content-Length"); w.request.Method == http.MethodHead && v != "" {
+	if v := w.header.Get("Content-Length"); w.toHead && v != "" {
 		length = v
 	}
 	for _, name := range []string{"Connection", "Content-Length", "Transfer-Encoding", "Trailer"} {
@@ -88,12 +113,12 @@
 		w.header.Set("Content-Length", length)
 	}
 	if w.header.Get("Date") == "" {
-		w.header.Set("Date", time.Now().UTC().Format(http.TimeFormat))
+		w.header["Date"] = date(time.Now())
 	}
 	switch {
 	case closes:
 		w.header.Set("Connection", "close")
-	case w.request.ProtoMinor == 0:
+	case w.keepAlive:
 		w.header.Set("Connection", "keep-alive")
 	}
 	if w.hasBody() {
@@ -102,9 +127,34 @@
 			w.header.Set("Content-Type", "text/plain; charset=utf-8")
 		}
 	}
-	var b bytes.Buffer
-	b.WriteString(statusLine(w.status))
-	_ = w.header.Write(&b) // A Buffer never returns an error.
-	b.WriteString("\r\n")
-	return b.Bytes(), body
+	head = make([]byte, 0, headCapacity+min(len(body), writePiece))
+	head = append(head, statusLine(w.status)...)
+	head = appendHeader(head, w.header)
+	return append(head, "\r\n"...), body
+}
+
+// headCapacity is the size in bytes of the first buffer of a head, which suffices for most.
+const headCapacity = 512
+
+// newlines replaces the characters that would end a value and begin another header.
+var newlines = strings.NewReplacer("\r", " ", "\n", " ")
+
+// appendHeader appends the lines of a header, without those whose names are not tokens. Unlike http.Header.Write it does
+// not sort them.
+func appendHeader(b []byte, h http.Header) []byte {
+	for name, values := range h {
+		if !isToken(name) {
+			continue
+		}
+		for _, v := range values {
+			if strings.ContainsAny(v, "\r\n") {
+				v = newlines.Replace(v)
+			}
+			b = append(b, name...)
+			b = append(b, ": "...)
+			b = append(b, v...)
+			b = append(b, "\r\n"...)
+		}
+	}
+	return b
 }
--- a/internal/sequoiamemory/account.go
+++ b/internal/sequoiamemory/account.go
@@ -3,8 +3,10 @@
 package sequoiamemory
 
 import (
+	"cmp"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -73,7 +75,8 @@
 	used, large int64
 	usedBy      [kinds]int64
 	evicted     uint64
-	holdings    map[*Holding]struct{}
+	// first is the first of the linked holdings.
+	first *Holding
 	// searches are the last searches for holdings to evict, for connections and for the rest.
 	searches [2]search
 }
@@ -103,7 +106,7 @@
 
 // New returns an Account of limit bytes.
 func New(limit int64, opts ...Option) *Account {
-	a := &Account{limit: limit, now: time.Now, holdings: map[*Holding]struct{}{}}
+	a := &Account{limit: limit, now: time.Now}
 	for _, o := range opts {
 		o(a)
 	}
@@ -112,7 +115,7 @@
 
 // Reserve reserves n bytes. It returns false if there is no room, also after the eviction of holders without progress.
 func (a *Account) Reserve(kind Kind, n int64) (*Holding, bool) {
-	h := &Holding{account: a, kind: kind, progress: a.now()}
+	h := &Holding{account: a, kind: kind}
 	if !a.resize(h, n) {
 		return nil, false
 	}
@@ -150,7 +153,9 @@
 	a.add(h, -h.size)
 	h.size = size
 	a.add(h, size)
-	a.holdings[h] = struct{}{}
+	if !h.linked {
+		a.link(h)
+	}
 	return true
 }
 
@@ -191,10 +196,11 @@
 		freed += s.size
 		freedLarge += s.largeSize()
 		if a.hasRoom(h, size, freed, freedLarge) {
+			evicted := true
 			for _, s := range stalled[:i+1] {
-				a.evictHolding(s)
+				evicted = a.evictHolding(s) && evicted
 			}
-			return true
+			return evicted
 		}
 	}
 	a.searches[group].failed, a.searches[group].until = size-h.size, now.Add(searchInterval)
@@ -210,37 +216,41 @@
 		return false
 	}
 	for _, s := range a.stalled(h, now) {
-		if s.kind == kind {
-			a.evictHolding(s)
+		if s.kind == kind && a.evictHolding(s) {
 			return true
 		}
 	}
 	return false
 }
 
-// evictHolding evicts one holding. The caller must hold mu.
-func (a *Account) evictHolding(h *Holding) {
+// evictHolding evicts one holding. It returns false if the owner has just forbidden it. The caller must hold mu.
+func (a *Account) evictHolding(h *Holding) bool {
+	f := h.onEvict.Swap(nil)
+	if f == nil {
+		return false
+	}
 	a.evicted++
 	a.remove(h)
 	// The owner may hold locks that a caller of Reserve holds too.
-	go h.onEvict()
+	go (*f)()
+	return true
 }
 
 // stalled returns the holdings that may be evicted for h, those longest without progress first.
 func (a *Account) stalled(h *Holding, now time.Time) []*Holding {
 	var stalled []*Holding
 	next := now.Add(stallTime)
-	for s := range a.holdings {
-		if s == h || s.onEvict == nil || s.group() != h.group() {
+	for s := a.first; s != nil; s = s.next {
+		if s == h || s.onEvict.Load() == nil || s.group() != h.group() {
 			continue
 		}
-		if since := s.progress.Add(stallTime); !since.After(now) {
+		if since := time.Unix(0, s.progress.Load()).Add(stallTime); !since.After(now) {
 			stalled = append(stalled, s)
 		} else if since.Before(next) {
 			next = since
 		}
 	}
-	slices.SortFunc(stalled, func(x, y *Holding) int { return x.progress.Compare(y.progress) })
+	slices.SortFunc(stalled, func(x, y *Holding) int { return cmp.Compare(x.progress.Load(), y.progress.Load()) })
 	if len(stalled) == 0 {
 		a.searches[h.group()].next = next
 	}
@@ -251,19 +261,48 @@
 func (a *Account) remove(h *Holding) {
 	a.add(h, -h.size)
 	h.size, h.gone = 0, true
-	delete(a.holdings, h)
+	if !h.linked {
+		return
+	}
+	h.linked = false
+	if h.previous != nil {
+		h.previous.next = h.next
+	} else {
+		a.first = h.next
+	}
+	if h.next != nil {
+		h.next.previous = h.previous
+	}
+	h.previous, h.next = nil, nil
+}
+
+// link adds h to the linked holdings. The caller must hold mu.
+func (a *Account) link(h *Holding) {
+	h.linked, h.next = true, a.first
+	if a.first != nil {
+		a.first.previous = h
+	}
+	a.first = h
 }
 
-// Holding is memory that one holder has reserved. The methods of a nil Holding do nothing.
+// Holding is memory that one holder has reserved. Its methods are called by one goroutine at a time. Those of a nil Holding
+// do nothing.
 type Holding struct {
 	account *Account
 	kind    Kind
+	// evictable is true if the owner has allowed the eviction.
+	evictable bool
+	// progress is the time of the last progress in Unix nanoseconds, and onEvict the function to call after an eviction, nil
+	// if the holding must not be evicted or was. They are set without the account's mutex, which all requests need.
+	progress atomic.Int64
+	onEvict  atomic.Pointer[func()]
+
 	// The following fields are protected by the account's mutex.
-	size     int64
-	progress time.Time
-	onEvict  func()
+	size int64
 	// gone is true once the holding has been released or evicted.
-	gone bool
+	gone           bool
+	linked         bool
+	previous, next *Holding
 }
 
 // group returns the index of the group of holdings that make room for each other.
@@ -293,24 +332,25 @@
 
 // Progress records that the holder has made progress.
 func (h *Holding) Progress() {
-	if h == nil {
-		return
+	if h != nil {
+		h.progress.Store(h.account.now().UnixNano())
 	}
-	h.account.mu.Lock()
-	defer h.account.mu.Unlock()
-	h.progress = h.account.now()
 }
 
 // OnEvict allows the eviction of the holding, and sets the function that is then called in a goroutine of its own. With
-// nil the holding is not evicted. It counts as progress.
-func (h *Holding) OnEvict(f func()) {
+// nil the holding is not evicted. It counts as progress. OnEvict returns false if the holding has already been evicted.
+func (h *Holding) OnEvict(f func()) bool {
 	if h == nil {
-		return
+		return true
 	}
-	h.account.mu.Lock()
-	defer h.account.mu.Unlock()
-	h.onEvict = f
-	h.progress = h.account.now()
+	var next *func()
+	if f != nil {
+		h.Progress()
+		next = &f
+	}
+	evicted := h.onEvict.Swap(next) == nil && h.evictable
+	h.evictable = f != nil
+	return !evicted
 }
 
 // Release returns the memory. Only the first call has an effect.
