Cancel the requests of a client that leaves while its connection is not read

Cause: the front reads at most 64 requests ahead, and not while it waits to tell a client to send its body. A client that had sent more and left was noticed only when a response could not be written, so up to 8 requests kept their slots for their full time.

Change: while the connection is not read, it is polled for the end of the other side every 100 ms. Ruled out: reading on into a buffer, which is what the limit is against.

--- a/internal/sequoiafront/pipeline.go
+++ b/internal/sequoiafront/pipeline.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,6 +17,8 @@
 const maxConcurrent = 8
 
 const (
+	// watchInterval is how often it is checked whether a client has left whose connection is not being read.
+	watchInterval = 100 * time.Millisecond
 	// noRoomWriteTimeout is the write timeout of a response for which the account has no room.
 	noRoomWriteTimeout = time.Second
 )
@@ -236,12 +239,40 @@
 func (c *serverConn) await(n int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.pipeline.ended || len(c.pipeline.exchanges) <= n {
+		return !c.pipeline.ended
+	}
+	done := make(chan struct{})
+	defer close(done)
+	go c.watchClient(done)
 	for !c.pipeline.ended && len(c.pipeline.exchanges) > n {
 		c.changed.Wait()
 	}
 	return !c.pipeline.ended
 }
 
+// watchClient cancels the requests when the client leaves, until done is closed. It is needed only while the connection is
+// not read, since reading shows the same.
+func (c *serverConn) watchClient(done <-chan struct{}) {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	t := time.NewTicker(watchInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-t.C:
+			if peerClosed(conn) {
+				c.abandon(io.EOF)
+				return
+			}
+		}
+	}
+}
+
 // awaitHandlers waits until no handler is running and no response is being written.
 func (c *serverConn) awaitHandlers() {
 	c.mu.Lock()
--- a/internal/sequoiafront/pipeline_test.go
+++ b/internal/sequoiafront/pipeline_test.go
@@ -207,7 +207,8 @@
 		Consistently(func() int { return len(started) }, "50ms").Should(Equal(3))
 	})
 
-	ginkgo.It("are all cancelled when the client leaves", func() {
+	// Guards against requests that hold slots for a client that has left, because the front does not read on.
+	ginkgo.DescribeTable("are all cancelled when the client leaves", func(requests int) {
 		var started, cancelled atomic.Int64
 		s, addr := listenPipelined(func(_ http.ResponseWriter, r *http.Request) {
 			started.Add(1)
@@ -215,13 +216,16 @@
 			cancelled.Add(1)
 		})
 		c := dial(addr)
-		send(c, strings.Repeat(get("/"), 12))
+		send(c, strings.Repeat(get("/"), requests))
 		Eventually(started.Load).Should(BeEquivalentTo(8))
 		Expect(c.Close()).To(Succeed())
 		Eventually(cancelled.Load).Should(BeEquivalentTo(8))
 		Consistently(started.Load, "50ms").Should(BeEquivalentTo(8))
 		Eventually(s.InProgress).Should(BeZero())
-	})
+	},
+		ginkgo.Entry("after few requests", 12),
+		ginkgo.Entry("after more requests than are read ahead", 200),
+	)
 
 	// Guards against requests that hold slots for a client that does not read its responses.
 	ginkgo.It("are all cancelled when the client takes no bytes for the write timeout", func() {
@@ -334,6 +338,21 @@
 		ginkgo.Entry("HTTP/1.0 with keep-alive", "GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n", false),
 	)
 
+	// Guards against an upstream that adds headers, or another response, by a value with line ends.
+	ginkgo.It("have no more headers than the handler set", func() {
+		c := dial(listen(func(w http.ResponseWriter, r *http.Request) {
+			w.Header()["X"] = []string{"y\r\nZ: z\r\n\r\nHTTP/1.1 200 OK"}
+			w.Header()["A b"] = []string{"c"}
+			w.Header()["Transfer-Encoding"] = []string{"chunked"}
+			echoTarget(w, r)
+		}))
+		send(c, get("/"))
+		resp, body := receive(bufio.NewReader(c), http.MethodGet)
+		Expect(body).To(Equal("/"))
+		Expect(resp.Header).To(HaveLen(4))
+		Expect(resp.Header).To(HaveKeyWithValue("X", []string{"y  Z: z    HTTP/1.1 200 OK"}))
+	})
+
 	// Guards against clients that wait a second before they send a body that nobody has refused.
 	ginkgo.It("tell a client that waits for it to send the body", func() {
 		c := dial(listen(func(w http.ResponseWriter, r *http.Request) {
