Let silent connections with incomplete requests make room for others

Cause: only idle connections made room for a new one, so clients that send the beginning of a head and nothing more could take all connections of the listener.

Change: any connection without a request in progress makes room once it has been silent for a second, where less than 1 KB of a request counts as silence. The time for an idle connection counts from the last response again.

--- a/internal/sequoiafront/budget.go
+++ b/internal/sequoiafront/budget.go
@@ -16,7 +16,9 @@
 
 // budget reserves the memory of a request that is being read.
 type budget struct {
-	holding        *sequoiamemory.Holding
+	holding *sequoiamemory.Holding
+	// conn is the holding of the connection, which makes progress with the request.
+	conn           *sequoiamemory.Holding
 	used, reserved int64
 	// arrived is the number of bytes since the last progress.
 	arrived int
@@ -42,5 +44,6 @@
 	if b.arrived += n; b.arrived >= progressBytes {
 		b.arrived = 0
 		b.holding.Progress()
+		b.conn.Progress()
 	}
 }
--- a/internal/sequoiafront/conn.go
+++ b/internal/sequoiafront/conn.go
@@ -37,8 +37,9 @@
 	pipeline pipeline
 	// closing is true once the last response has been or is being written. What arrives after that is not run.
 	closing bool
-	// reading is true while a request is being read, and idle while no request is in progress or being read.
-	reading, idle bool
+	// idle is true while no request is in progress, and since when it is for the latest time.
+	idle      bool
+	idleSince time.Time
 	// stalled is true once the request that is being read was evicted from the account.
 	stalled bool
 	// evicted is true once the connection must make room for another one.
@@ -82,6 +83,9 @@
 // serve reads requests until the connection ends.
 func (c *serverConn) serve() {
 	defer c.server.unregister(c)
+	c.mu.Lock()
+	c.updateIdle()
+	c.mu.Unlock()
 	err := c.readRequests()
 	if i, ok := refusalOf(err); ok {
 		c.refuse(i)
@@ -118,27 +122,29 @@
 
 // awaitRequest waits for the first byte of a request.
 func (c *serverConn) awaitRequest() error {
-	c.setReading(false)
 	for {
 		c.extendReadDeadline()
 		_, err := c.r.Peek(1)
-		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.busy() {
-			c.setReading(true)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.mayWait() {
+			c.holding.Progress()
 			return err
 		}
 	}
 }
 
-func (c *serverConn) setReading(reading bool) {
+// mayWait reports whether the connection stays open although the client has sent nothing for idleTimeout, because a request
+// has been in progress meanwhile.
+func (c *serverConn) mayWait() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = reading
-	c.updateIdle()
+	return !c.closing && (len(c.pipeline.exchanges) > 0 || c.idle && time.Since(c.idleSince) < idleTimeout)
 }
 
-// updateIdle lets an idle connection make room for another one. The caller must hold mu.
+// updateIdle lets a connection without a request in progress make room for another one. One whose client is sending a
+// request makes progress as it arrives; otherwise clients that send incomplete requests could keep all others out. The
+// caller must hold mu.
 func (c *serverConn) updateIdle() {
-	idle := !c.reading && len(c.pipeline.exchanges) == 0 && !c.closing
+	idle := len(c.pipeline.exchanges) == 0 && !c.closing
 	if idle == c.idle {
 		return
 	}
@@ -147,10 +153,11 @@
 		c.holding.OnEvict(nil)
 		return
 	}
+	c.idleSince = time.Now()
 	c.holding.OnEvict(c.evictConn)
 }
 
-// evictConn ends the connection, which was idle, or lets it end after the requests that have arrived since.
+// evictConn ends the connection, which had no request in progress, or lets it end after the requests that have arrived since.
 func (c *serverConn) evictConn() {
 	c.mu.Lock()
 	c.evicted = true
--- a/internal/sequoiafront/memory_test.go
+++ b/internal/sequoiafront/memory_test.go
@@ -242,6 +242,20 @@
 		Expect(resp.StatusCode).To(Equal(http.StatusOK))
 	})
 
+	// Guards against clients that keep others out by requests that they never complete.
+	ginkgo.It("with incomplete requests make room after a second without progress", func() {
+		_, addr := listenBounded(8*megabyte, echoTarget, sequoiafront.WithMaxConns(8))
+		var conns []net.Conn
+		for range 8 {
+			c := dial(addr)
+			send(c, "GET / HTTP/1.1\r\nX")
+			conns = append(conns, c)
+		}
+		time.Sleep(1100 * time.Millisecond)
+		Expect(getStatus(addr)).To(Equal(http.StatusOK))
+		expectRefusal(conns[0], http.StatusRequestTimeout)
+	})
+
 	ginkgo.It("take at most half of the memory", func() {
 		s, addr := listenBounded(240<<10, echoTarget)
 		refused := 0
--- a/internal/sequoiafront/pipeline.go
+++ b/internal/sequoiafront/pipeline.go
@@ -122,6 +122,7 @@
 	}
 	c.server.inProgress.Add(1)
 	c.pipeline.exchanges = append(c.pipeline.exchanges, e)
+	c.updateIdle()
 	c.startExchanges()
 	return true
 }
@@ -281,10 +282,3 @@
 		c.changed.Wait()
 	}
 }
-
-// busy reports whether requests are in progress.
-func (c *serverConn) busy() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.pipeline.exchanges) > 0
-}
--- a/internal/sequoiafront/request.go
+++ b/internal/sequoiafront/request.go
@@ -23,7 +23,7 @@
 		return nil, errors.WithStack(errNoRoom)
 	}
 	h.OnEvict(c.evictRequest)
-	e, err := c.readParts(&budget{holding: h, reserved: budgetStep})
+	e, err := c.readParts(&budget{holding: h, conn: c.holding, reserved: budgetStep})
 	if !h.OnEvict(nil) && err == nil {
 		err = errors.WithStack(errRequestSilent) // It was evicted just before it was complete.
 	}
--- a/internal/sequoiamemory/account.go
+++ b/internal/sequoiamemory/account.go
@@ -191,6 +191,7 @@
 		return false
 	}
 	stalled := a.stalled(h, now)
+	slices.SortFunc(stalled, compareProgress)
 	var freed, freedLarge int64
 	for i, s := range stalled {
 		freed += s.size
@@ -215,12 +216,8 @@
 	if now.Before(a.searches[h.group()].next) {
 		return false
 	}
-	for _, s := range a.stalled(h, now) {
-		if s.kind == kind && a.evictHolding(s) {
-			return true
-		}
-	}
-	return false
+	stalled := slices.DeleteFunc(a.stalled(h, now), func(s *Holding) bool { return s.kind != kind })
+	return len(stalled) > 0 && a.evictHolding(slices.MinFunc(stalled, compareProgress))
 }
 
 // evictHolding evicts one holding. It returns false if the owner has just forbidden it. The caller must hold mu.
@@ -236,7 +233,7 @@
 	return true
 }
 
-// stalled returns the holdings that may be evicted for h, those longest without progress first.
+// stalled returns the holdings that may be evicted for h.
 func (a *Account) stalled(h *Holding, now time.Time) []*Holding {
 	var stalled []*Holding
 	next := now.Add(stallTime)
@@ -250,7 +247,6 @@
 			next = since
 		}
 	}
-	slices.SortFunc(stalled, func(x, y *Holding) int { return cmp.Compare(x.progress.Load(), y.progress.Load()) })
 	if len(stalled) == 0 {
 		a.searches[h.group()].next = next
 	}
@@ -305,6 +301,9 @@
 	previous, next *Holding
 }
 
+// compareProgress orders holdings by the time of their last progress.
+func compareProgress(x, y *Holding) int { return cmp.Compare(x.progress.Load(), y.progress.Load()) }
+
 // group returns the index of the group of holdings that make room for each other.
 func (h *Holding) group() int {
 	if h.kind == Connection {
