Test that a stop closes a connection after its last response

WithClosing, which the node uses, had no test of its own; the test of Drain covers the same decision.

--- a/internal/sequoiafront/pipeline_test.go
+++ b/internal/sequoiafront/pipeline_test.go
@@ -262,6 +262,26 @@
 		}
 	})
 
+	// Guards against a process that stops and closes a connection while other requests of it are in progress.
+	ginkgo.It("are answered while the listener closes connections, which end with the last response", func() {
+		var closing atomic.Bool
+		s := sequoiafront.New(1 << 20)
+		ginkgo.DeferCleanup(s.Close)
+		addr, err := s.Listen(netip.MustParseAddrPort(serverAddress), http.HandlerFunc(echoTarget), sequoiafront.WithClosing(closing.Load))
+		Expect(err).NotTo(HaveOccurred())
+		c := dial(addr)
+		b := bufio.NewReader(c)
+		send(c, get("/"))
+		resp, _ := receive(b, http.MethodGet)
+		Expect(resp.Close).To(BeFalse())
+		closing.Store(true)
+		send(c, post("/"))
+		resp, _ = receive(b, http.MethodPost)
+		Expect(resp.Close).To(BeTrue())
+		_, err = b.ReadByte()
+		Expect(err).To(MatchError(io.EOF))
+	})
+
 	// Guards against a stop that closes a connection after the first of several responses.
 	ginkgo.It("in progress at a stop are answered, and the last response closes the connection", func() {
 		var started atomic.Int64
