Run no request after one whose client closes the connection

Cause: a request pipelined behind one with 'Connection: close' was started beside it and cancelled after its response, which used a slot of an upstream for nothing.

--- a/internal/sequoiafront/pipeline.go
+++ b/internal/sequoiafront/pipeline.go
@@ -104,13 +104,17 @@
 }
 
 // mayStart reports whether the first exchange that has not been started may be: it is the only one, or it and all those
-// before it may be repeated. An exchange that may not be repeated is started only as the first, so that the one before
-// tells about all of them.
+// before it may be repeated and leave the connection open. An exchange that may not be repeated is started only as the
+// first, so that the one before tells about all of them.
 func (p *pipeline) mayStart() bool {
 	if p.ended || p.started >= min(len(p.exchanges), maxConcurrent) {
 		return false
 	}
-	return p.started == 0 || p.exchanges[p.started].repeatable && p.exchanges[p.started-1].repeatable
+	if p.started == 0 {
+		return true
+	}
+	before := p.exchanges[p.started-1]
+	return p.exchanges[p.started].repeatable && before.repeatable && !before.response.closing
 }
 
 // enqueue adds an exchange and starts it if it may start. It returns false if the connection takes no further requests.
--- a/internal/sequoiafront/pipeline_test.go
+++ b/internal/sequoiafront/pipeline_test.go
@@ -207,6 +207,24 @@
 		Consistently(func() int { return len(started) }, "50ms").Should(Equal(3))
 	})
 
+	ginkgo.It("after one whose client closes the connection are not run", func() {
+		started := make(chan string, 10)
+		_, addr := listenPipelined(func(w http.ResponseWriter, r *http.Request) {
+			started <- r.RequestURI
+			time.Sleep(20 * time.Millisecond)
+			echoTarget(w, r)
+		})
+		c := dial(addr)
+		send(c, get("/0"), "GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", get("/2"))
+		b := bufio.NewReader(c)
+		receive(b, http.MethodGet)
+		resp, _ := receive(b, http.MethodGet)
+		Expect(resp.Close).To(BeTrue())
+		_, err := b.ReadByte()
+		Expect(err).To(MatchError(io.EOF))
+		Expect(started).To(HaveLen(2))
+	})
+
 	// Guards against requests that hold slots for a client that has left, because the front does not read on.
 	ginkgo.DescribeTable("are all cancelled when the client leaves", func(requests int) {
 		var started, cancelled atomic.Int64
