--- a/internal/sequoiafront/pipeline.go
+++ b/internal/sequoiafront/pipeline.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,6 +17,8 @@
 const maxConcurrent = 8
 
 const (
+	// watchInterval is how often it is checked whether a client has left whose connection is not being read.
+	watchInterval = 100 * time.Millisecond
 	// noRoomWriteTimeout is the write timeout of a response for which the account has no room.
 	noRoomWriteTimeout = time.Second
 )
@@ -101,13 +104,17 @@
 }
 
 // mayStart reports whether the first exchange that has not been started may be: it is the only one, or it and all those
-// before it may be repeated. An exchange that may not be repeated is started only as the first, so that the one before
-// tells about all of them.
+// before it may be repeated and leave the connection open. An exchange that may not be repeated is started only as the
+// first, so that the one before tells about all of them.
 func (p *pipeline) mayStart() bool {
 	if p.ended || p.started >= min(len(p.exchanges), maxConcurrent) {
 		return false
 	}
-	return p.started == 0 || p.exchanges[p.started].repeatable && p.exchanges[p.started-1].repeatable
+	if p.started == 0 {
+		return true
+	}
+	before := p.exchanges[p.started-1]
+	return p.exchanges[p.started].repeatable && before.repeatable && !before.response.closing
 }
 
 // enqueue adds an exchange and starts it if it may start. It returns false if the connection takes no further requests.
@@ -119,6 +126,7 @@
 	}
 	c.server.inProgress.Add(1)
 	c.pipeline.exchanges = append(c.pipeline.exchanges, e)
+	c.updateIdle()
 	c.startExchanges()
 	return true
 }
@@ -236,12 +244,40 @@
 func (c *serverConn) await(n int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.pipeline.ended || len(c.pipeline.exchanges) <= n {
+		return !c.pipeline.ended
+	}
+	done := make(chan struct{})
+	defer close(done)
+	go c.watchClient(done)
 	for !c.pipeline.ended && len(c.pipeline.exchanges) > n {
 		c.changed.Wait()
 	}
 	return !c.pipeline.ended
 }
 
+// watchClient cancels the requests when the client leaves, until done is closed. It is needed only while the connection is
+// not read, since reading shows the same.
+func (c *serverConn) watchClient(done <-chan struct{}) {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	t := time.NewTicker(watchInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-t.C:
+			if peerClosed(conn) {
+				c.abandon(io.EOF)
+				return
+			}
+		}
+	}
+}
+
 // awaitHandlers waits until no handler is running and no response is being written.
 func (c *serverConn) awaitHandlers() {
 	c.mu.Lock()
@@ -250,10 +286,3 @@
 		c.changed.Wait()
 	}
 }
-
-// busy reports whether requests are in progress.
-func (c *serverConn) busy() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.pipeline.exchanges) > 0
-}
--- a/internal/sequoiafront/pipeline_test.go
+++ b/internal/sequoiafront/pipeline_test.go
@@ -207,7 +207,26 @@
 		Consistently(func() int { return len(started) }, "50ms").Should(Equal(3))
 	})
 
-	ginkgo.It("are all cancelled when the client leaves", func() {
+	ginkgo.It("after one whose client closes the connection are not run", func() {
+		started := make(chan string, 10)
+		_, addr := listenPipelined(func(w http.ResponseWriter, r *http.Request) {
+			started <- r.RequestURI
+			time.Sleep(20 * time.Millisecond)
+			echoTarget(w, r)
+		})
+		c := dial(addr)
+		send(c, get("/0"), "GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", get("/2"))
+		b := bufio.NewReader(c)
+		receive(b, http.MethodGet)
+		resp, _ := receive(b, http.MethodGet)
+		Expect(resp.Close).To(BeTrue())
+		_, err := b.ReadByte()
+		Expect(err).To(MatchError(io.EOF))
+		Expect(started).To(HaveLen(2))
+	})
+
+	// Guards against requests that hold slots for a client that has left, because the front does not read on.
+	ginkgo.DescribeTable("are all cancelled when the client leaves", func(requests int) {
 		var started, cancelled atomic.Int64
 		s, addr := listenPipelined(func(_ http.ResponseWriter, r *http.Request) {
 			started.Add(1)
@@ -215,13 +234,16 @@
 			cancelled.Add(1)
 		})
 		c := dial(addr)
-		send(c, strings.Repeat(get("/"), 12))
+		send(c, strings.Repeat(get("/"), requests))
 		Eventually(started.Load).Should(BeEquivalentTo(8))
 		Expect(c.Close()).To(Succeed())
 		Eventually(cancelled.Load).Should(BeEquivalentTo(8))
 		Consistently(started.Load, "50ms").Should(BeEquivalentTo(8))
 		Eventually(s.InProgress).Should(BeZero())
-	})
+	},
+		ginkgo.Entry("after few requests", 12),
+		ginkgo.Entry("after more requests than are read ahead", 200),
+	)
 
 	// Guards against requests that hold slots for a client that does not read its responses.
 	ginkgo.It("are all cancelled when the client takes no bytes for the write timeout", func() {
@@ -258,6 +280,26 @@
 		}
 	})
 
+	// Guards against a process that stops and closes a connection while other requests of it are in progress.
+	ginkgo.It("are answered while the listener closes connections, which end with the last response", func() {
+		var closing atomic.Bool
+		s := sequoiafront.New(1 << 20)
+		ginkgo.DeferCleanup(s.Close)
+		addr, err := s.Listen(netip.MustParseAddrPort(serverAddress), http.HandlerFunc(echoTarget), sequoiafront.WithClosing(closing.Load))
+		Expect(err).NotTo(HaveOccurred())
+		c := dial(addr)
+		b := bufio.NewReader(c)
+		send(c, get("/"))
+		resp, _ := receive(b, http.MethodGet)
+		Expect(resp.Close).To(BeFalse())
+		closing.Store(true)
+		send(c, post("/"))
+		resp, _ = receive(b, http.MethodPost)
+		Expect(resp.Close).To(BeTrue())
+		_, err = b.ReadByte()
+		Expect(err).To(MatchError(io.EOF))
+	})
+
 	// Guards against a stop that closes a connection after the first of several responses.
 	ginkgo.It("in progress at a stop are answered, and the last response closes the connection", func() {
 		var started atomic.Int64
@@ -334,6 +376,21 @@
 		ginkgo.Entry("HTTP/1.0 with keep-alive", "GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n", false),
 	)
 
+	// Guards against an upstream that adds headers, or another response, by a value with line ends.
+	ginkgo.It("have no more headers than the handler set", func() {
+		c := dial(listen(func(w http.ResponseWriter, r *http.Request) {
+			w.Header()["X"] = []string{"y\r\nZ: z\r\n\r\nHTTP/1.1 200 OK"}
+			w.Header()["A b"] = []string{"c"}
+			w.Header()["Transfer-Encoding"] = []string{"chunked"}
+			echoTarget(w, r)
+		}))
+		send(c, get("/"))
+		resp, body := receive(bufio.NewReader(c), http.MethodGet)
+		Expect(body).To(Equal("/"))
+		Expect(resp.Header).To(HaveLen(4))
+		Expect(resp.Header).To(HaveKeyWithValue("X", []string{"y  Z: z    HTTP/1.1 200 OK"}))
+	})
+
 	// Guards against clients that wait a second before they send a body that nobody has refused.
 	ginkgo.It("tell a client that waits for it to send the body", func() {
 		c := dial(listen(func(w http.ResponseWriter, r *http.Request) {
