--- a/internal/sequoianode/sync.go
+++ b/internal/sequoianode/sync.go
@@ -78,7 +78,8 @@
 
 // startStoreSync registers the process in the store and starts watching the members and the configuration.
 func (n *Node) startStoreSync(ctx context.Context) {
-	membersWatch, configurationWatch := n.watches.add(memberPrefix, memberQuestionWait), n.watches.add(n.dialect.ConfigurationKey, configurationQuestionWait)
+	membersWatch := n.watches.add(memberPrefix, memberQuestionWait)
+	configurationWatch := n.watches.add(n.dialect.ConfigurationKey, configurationQuestionWait)
 	members := &sequoiaregistry.Watcher{
 		Store: membersWatch.store(), Prefix: memberPrefix, Wait: memberWatchTimeout, CallLimit: watchCallLimit(memberWatchTimeout),
 		Now: sequoiatimer.BootTime, OnItems: n.onStoreItems, OnListed: n.onMembersListed, OnError: n.storeFaultHandler("members"),
