--- a/internal/sequoialink/scheduler.go
+++ b/internal/sequoialink/scheduler.go
@@ -217,7 +217,11 @@
 	s.lastSequence++
 	t.sequence = s.lastSequence
 	i, _ := slices.BinarySearchFunc(s.transfers, t, order)
-	if late := max(s.lateness(now, t, i), s.excess(now, t, i)); late > 0 {
+	late := s.lateness(now, t, i)
+	if late == 0 {
+		late = s.excess(now, t, i)
+	}
+	if late > 0 {
 		return s.refuse(ReasonBusy, late)
 	}
 	s.transfers = slices.Insert(s.transfers, i, t)
