Reserve memory for whole requests and responses of other processes, too

Forwarder.ReserveBody bounded request frames that are incomplete and bodies in pieces. A frame's reservation ended once it was complete, so requests that wait or run, of up to 16 MB each from processes with protocol version 1 and 64 KB from others, were not counted; responses in one frame were not either. The reservation of a frame becomes the request's until it has ended; a complete request above 16 KB reserves its size. A large response reserves its frame; without memory its call ends with ErrNoMemory and the rest is skipped. Smaller requests need no reservation, so that messages between processes get through when clients' requests use up the memory.

Not covered: complete requests of up to 16 KB (at most 1,024 a connection), and what nbio buffers for a peer that does not read (up to 64 MB a connection until it is closed as silent after 720 ms).

--- a/internal/sequoiapeer/forward.go
+++ b/internal/sequoiapeer/forward.go
@@ -98,7 +98,7 @@
 	Rejected func(peer netip.AddrPort, err error)
 	// Dial opens a TCP connection. Tests replace it to cut connections.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
-	// ReserveBody reserves memory for n bytes of an offered body, a large request of another process, or the body of a
+	// ReserveBody reserves memory for n bytes of an offered body, a large request or response of another process, or the body of a
 	// response that comes in pieces. release is called once, when the request has ended or Forward returns the response. A
 	// request for which ok is false is refused as not run; for a response, Forward returns ErrNoMemory.
 	ReserveBody func(n int) (release func(), ok bool)
--- a/internal/sequoiapeer/forwardconn.go
+++ b/internal/sequoiapeer/forwardconn.go
@@ -563,18 +563,24 @@
 
 // handleResponse delivers a response to the call with the same number.
 func (c *forwardConn) handleResponse(fr frame) error {
+	return c.endCall(fr.number, callResult{payload: fr.payload})
+}
+
+// endCall delivers a result, with a copy of its payload, to the call with a number.
+func (c *forwardConn) endCall(number uint64, result callResult) error {
 	c.mu.Lock()
-	pending := c.calls[fr.number]
-	delete(c.calls, fr.number)
+	pending := c.calls[number]
+	delete(c.calls, number)
 	abandoned := pending != nil && pending.abandoned
 	c.mu.Unlock()
 	if pending == nil {
-		return errors.Wrapf(ErrRequestNumber, "response %d", fr.number)
+		return errors.Wrapf(ErrRequestNumber, "response %d", number)
 	}
 	if abandoned {
 		return nil
 	}
-	pending.done <- callResult{payload: bytes.Clone(fr.payload)}
+	result.payload = bytes.Clone(result.payload)
+	pending.done <- result
 	return nil
 }
 
@@ -637,8 +643,12 @@
 	if req.BodySize > 0 {
 		return errors.Wrapf(ErrMalformed, "request: offered body of %d bytes", req.BodySize)
 	}
+	release, ok := c.reserveRequest(len(fr.payload))
+	if !ok {
+		return c.refuseNoMemory(fr.number, req)
+	}
 	ctx, cancel := requestContext(req)
-	return c.start(ctx, cancel, fr.number, req, func() {})
+	return c.start(ctx, cancel, fr.number, req, release)
 }
 
 // start starts to serve a request. release is called once the request has ended.
--- a/internal/sequoiapeer/framebuffer.go
+++ b/internal/sequoiapeer/framebuffer.go
@@ -4,21 +4,26 @@
 	"encoding/binary"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
 )
 
 const (
-	// largeFrame is the size in bytes from which memory is reserved for an incomplete request. Processes with protocol
-	// version 2 send larger requests in pieces.
+	// largeFrame is the size in bytes from which memory is reserved for an incomplete request or response. Processes with
+	// protocol version 2 send larger ones in pieces.
 	largeFrame = 64 << 10
+	// unreservedRequest is the size in bytes up to which a request is served without a reservation, so that messages
+	// between processes get through when clients' requests use up the memory.
+	unreservedRequest = 16 << 10
 	// noMemoryRetryAfter is the Retry-After time of a request for which there is no memory.
 	noMemoryRetryAfter = 250 * time.Millisecond
 )
 
-// reserveFrame reserves memory for the large request whose first part is in rest. If there is none, it refuses the request
-// and lets the rest of the frame be skipped. It returns the part of rest to keep.
+// reserveFrame reserves memory for the large request or response whose first part is in rest. If there is none, it refuses
+// the request or ends the call, and lets the rest of the frame be skipped. It returns the part of rest to keep.
 func (c *forwardConn) reserveFrame(rest []byte) ([]byte, error) {
-	if c.dialed || c.state != stateReady || c.releaseFrame.Load() != nil || len(rest) < headerSize || frameKind(rest[1]) != frameRequest {
+	if c.state != stateReady || c.releaseFrame.Load() != nil || len(rest) < headerSize || frameKind(rest[1]) != c.largeKind() {
 		return rest, nil
 	}
 	size := headerSize + int(binary.BigEndian.Uint32(rest[4:]))
@@ -33,13 +38,41 @@
 		}
 		return rest, nil
 	}
+	c.skip = size - len(rest)
 	number := binary.BigEndian.Uint64(rest[8:])
+	if c.dialed {
+		c.forwarder.bodies.countNoMemory()
+		return nil, c.endCall(number, callResult{err: errors.Wrapf(ErrNoMemory, "response with %d bytes", size)})
+	}
 	if err := c.acceptNumber(number); err != nil {
 		return nil, err
 	}
-	c.skip = size - len(rest)
+	return nil, c.refuseNoMemory(number, &sequoiarouter.Request{})
+}
+
+// largeKind returns the kind of the frames that the peer may send and that may be large.
+func (c *forwardConn) largeKind() frameKind {
+	if c.dialed {
+		return frameResponse
+	}
+	return frameRequest
+}
+
+func (c *forwardConn) refuseNoMemory(number uint64, req *sequoiarouter.Request) error {
 	c.forwarder.bodies.countNoMemory()
-	return nil, c.respond(number, c.forwarder.Refuse(&sequoiarouter.Request{}, ReasonNoMemory, noMemoryRetryAfter))
+	return c.respond(number, c.forwarder.Refuse(req, ReasonNoMemory, noMemoryRetryAfter))
+}
+
+// reserveRequest returns the function that releases the memory of a complete request. That which is reserved for its frame
+// becomes the request's. It returns false if there is no memory.
+func (c *forwardConn) reserveRequest(size int) (release func(), ok bool) {
+	if reserved := c.releaseFrame.Swap(nil); reserved != nil {
+		return *reserved, true
+	}
+	if size <= unreservedRequest {
+		return func() {}, true
+	}
+	return c.forwarder.ReserveBody(size)
 }
 
 // frameComplete releases the memory reserved for an incomplete request that is complete now, or whose connection is closed.
