Ready: divide the excess of an overloaded upstream at once

The package sequoiabalance takes over the decisions of the balancer. An overloaded owner plans all parts of its excess for as many destinations as needed, while earlier moves are under way, and asks its candidates concurrently. The destinations reserve the room for 2 s and learn the measured load of the keys, so that their meters show it once the keys arrive. Requests count on the meter when they arrive, and a second, faster average shows the onset. The load of single keys is averaged over neighbours before it is cut: windows around the keys that happen to have had the most requests had far less load than measured.

--- a/internal/sequoianode/balance.go
+++ b/internal/sequoianode/balance.go
@@ -1,81 +1,43 @@
 package sequoianode
 
 import (
-	"cmp"
 	"context"
+	"encoding/json"
 	"math/rand/v2"
-	"slices"
+	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiabalance"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
 
-const (
-	// balanceInterval is the interval of load balancing runs.
-	balanceInterval = 300 * time.Millisecond
-	// meterDecay is the factor applied to the measured load at each run, so that it covers about 2 s.
-	meterDecay = 0.86
-	// moveCooldown is how long keys stay at an upstream after a move before they may be moved for balance again. The
-	// measured load is noisy, and without a cooldown a busy key would move back and forth.
-	moveCooldown = 3 * time.Second
-	// sampleSize is the number of other upstreams that a process compares its upstream's load with.
-	sampleSize = 4
-	// minUtilization is the utilization below which no keys are moved, except to an idle upstream. Below it, requests
-	// hardly wait.
-	minUtilization = 0.45
-	// minDifference is the difference in utilization below which no keys are moved. The measured utilization of an
-	// upstream with six slots varies by about half of this.
-	minDifference = 0.18
-	// idleUtilization is the utilization below which an upstream counts as idle, such as one that has just joined.
-	// idleDifference is the difference in utilization from which an idle upstream is given keys.
-	idleUtilization = 0.08
-	idleDifference  = 0.12
-	// overloadUtilization is the utilization above which keys are moved regardless of moveCooldown.
-	overloadUtilization = 0.9
-	// targetUtilization is the utilization up to which another upstream is filled in one run.
-	targetUtilization = 0.7
-	// minMoveFraction and maxMoveFraction limit the load that is moved, relative to the desired load.
-	minMoveFraction, maxMoveFraction = 0.5, 1.1
-)
-
-// loadReport is the load of a process's upstream, as sent to other processes.
-type loadReport struct {
-	// Utilization is the measured work per second divided by the number of slots. Under a limit on requests per second,
-	// the work of a request is the part of the limit that it uses.
-	Utilization float64
-	Slots       int
-	// Capacity is the number of requests per second that the upstream can process, zero if it is not known.
-	Capacity float64
-	// Open is true if the upstream accepts more keys.
-	Open bool
-}
+// loadTimeout limits a load report or a reservation of room for a plan. The other processes answer without waiting for
+// anything; one that takes longer is left out.
+const loadTimeout = 100 * time.Millisecond
 
-// balancer moves keys from the local upstream to less loaded ones. Each process balances only its own upstream and
-// compares it with a small sample of others, so the number of messages per process does not grow with the fleet.
+// balancer moves keys from the local upstream to less loaded ones. sequoiabalance decides which ones. Each process
+// balances only its own upstream and asks as many others for their load as the excess needs.
 type balancer struct {
 	node    *Node
 	running atomic.Bool
+
+	// The following fields are protected by the node's mu.
+	pace         sequoiabalance.Pace
+	reservations sequoiabalance.Reservations
+	// current is the local upstream's current utilization at the end of the last interval.
+	current float64
 }
 
 func newBalancer(n *Node) *balancer { return &balancer{node: n} }
 
-// run decays the measured load and starts moving keys if the local upstream has enough load to offload.
+// run ends an interval of the meter and starts a plan if one is due.
 func (b *balancer) run(ctx context.Context) {
-	n := b.node
-	own := n.currentLoadReport()
-	n.mu.Lock()
-	n.meter.Decay(meterDecay)
-	held := n.core.HeldRanges()
-	moving := n.core.MoveCount()
-	usable := n.core.Upstream().Usable()
-	n.mu.Unlock()
-	if len(held) == 0 || moving > 0 || !usable || own.Utilization < idleDifference || n.stopping.Load() {
-		return
-	}
-	if !b.running.CompareAndSwap(false, true) {
+	own, due := b.measure()
+	if !due || !b.running.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
@@ -84,27 +46,112 @@
 	}()
 }
 
+// measure ends an interval of the meter. It returns the load of the local upstream and whether a plan is due.
+func (b *balancer) measure() (sequoiabalance.Owner, bool) {
+	n := b.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	defer n.meter.Advance()
+	now, held := sequoiatimer.BootTime(), n.core.HeldRanges()
+	for _, r := range b.reservations.Arrived(now, held) {
+		n.meter.Seed(r.From, r.To, r.Rates)
+		b.pace.Arrived(now, r.Utilization)
+	}
+	recent := 0.0
+	for _, r := range held {
+		recent += n.meter.RecentRate(r.From, r.To)
+	}
+	own := sequoiabalance.Owner{Report: n.loadReportLocked(), MaxRanges: sequoiaowner.MaxRanges}
+	own.Current = b.pace.Measured(now, own.Utilization, recent, n.meter.RecentDeviation(), own.Slots)
+	b.current = own.Current
+	due := b.pace.Due(now, own.Report, n.core.MoveCount())
+	if !due || len(held) == 0 || !n.core.Upstream().Usable() || n.stopping.Load() {
+		return own, false
+	}
+	own.RequestRate = n.meter.RequestRate(own.UseRecent())
+	for _, r := range held {
+		own.Held = append(own.Held, sequoiabalance.Held{
+			Profile: n.meter.Profile(r, own.UseRecent()), Since: n.core.HeldFor(now, r),
+		})
+	}
+	return own, true
+}
+
 // currentLoadReport returns the load of the local upstream.
-func (n *Node) currentLoadReport() loadReport {
+func (n *Node) currentLoadReport() sequoiabalance.Report {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	return n.loadReportLocked()
+}
+
+// loadReportLocked is currentLoadReport for callers that hold mu.
+func (n *Node) loadReportLocked() sequoiabalance.Report {
 	held := n.core.HeldRanges()
-	work := 0.0
+	rate := 0.0
 	for _, r := range held {
-		work += n.meter.Sum(r.From, r.To)
+		rate += n.meter.Rate(r.From, r.To)
 	}
-	// A load that is multiplied by f at each interval and grows at a constant rate converges to rate*interval/(1-f).
-	rate := work * (1 - meterDecay) / balanceInterval.Seconds()
-	return loadReport{
+	return sequoiabalance.Report{
 		Utilization: rate / float64(n.queue.Slots()), Slots: n.queue.Slots(), Capacity: n.queue.Capacity(),
 		Open: n.core.Upstream().Usable() && !n.stopping.Load() && time.Now().After(n.warmUntil) && n.warmup.gate.ColdFor(time.Now()) == 0 && !n.evacuated() &&
 			n.core.RegistrationConfirmed() && len(held) < sequoiaowner.MaxRanges,
+		Current: n.balancer.current, Steady: n.balancer.pace.Steady(), Reserved: n.balancer.reservations.Utilization(sequoiatimer.BootTime()), Empty: len(held) == 0,
 	}
 }
 
-// offload fetches the load of a sample of other upstreams and moves keys to the least loaded ones, to each as many as
-// it has capacity for. A burst on adjacent keys may need several upstreams at once.
-func (b *balancer) offload(ctx context.Context, own loadReport) {
+// serveLoad handles a request for the load report, which may ask to reserve room for keys.
+func (n *Node) serveLoad(req *sequoiarouter.Request) *sequoiarouter.Response {
+	var r sequoiabalance.Reservation
+	if len(req.Body) > 0 {
+		if err := json.Unmarshal(req.Body, &r); err != nil || r.To < r.From {
+			n.log.Event("reservation rejected", "Error", err)
+			return n.notRunResponseWithLoad(reasonBadRequest, 0)
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	report := n.loadReportLocked()
+	if len(req.Body) > 0 {
+		report.Refused = !n.balancer.reservations.Reserve(
+			sequoiatimer.BootTime(), r, report, len(n.core.HeldRanges()), sequoiaowner.MaxRanges,
+		)
+	}
+	return okResponse(json.Marshal(report))
+}
+
+// offload fetches the load of a sample of other upstreams, plans moves and starts those for which the destinations have
+// reserved room.
+func (b *balancer) offload(ctx context.Context, own sequoiabalance.Owner) {
+	n := b.node
+	members := map[string]sequoiaowner.Member{}
+	moves := sequoiabalance.Plan(own, b.candidates(ctx, sequoiabalance.SampleSize(own.Report), members))
+	reserved := make([]bool, len(moves))
+	var wg sync.WaitGroup
+	for i, m := range moves {
+		wg.Go(func() {
+			r, ok := b.fetchLoad(ctx, members[m.Candidate.Instance], loadTimeout, &m.Reservation)
+			reserved[i] = ok && r.Open && !r.Refused
+		})
+	}
+	wg.Wait()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now, started, load := sequoiatimer.BootTime(), 0, 0.0
+	for i, m := range moves {
+		if !reserved[i] || !n.core.BeginMove(now, m.From, m.To, members[m.Candidate.Instance], sequoiaowner.ReasonBalance) {
+			continue
+		}
+		started++
+		load += m.Load
+		n.log.Event("keys move for balance", "From", m.From, "To", m.To, "Destination", m.Candidate.Instance,
+			"Utilization", own.Utilization, "Current", own.Current, "Other", m.Candidate.Report.Expected(), "Load", m.Load)
+	}
+	b.pace.Planned(now, own.Report, started, load)
+}
+
+// candidates returns the load of at most size other upstreams that may get keys, drawn at random, and adds them to
+// members.
+func (b *balancer) candidates(ctx context.Context, size int, members map[string]sequoiaowner.Member) []sequoiabalance.Candidate {
 	n := b.node
 	n.mu.Lock()
 	var others []sequoiaowner.Member
@@ -116,74 +163,46 @@
 	}
 	n.mu.Unlock()
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	var candidates []candidate
-	for _, m := range others[:min(sampleSize, len(others))] {
-		if r, ok := b.fetchLoad(ctx, m); ok && r.Open {
-			candidates = append(candidates, candidate{m, r})
-		}
-	}
-	slices.SortFunc(candidates, func(x, y candidate) int { return cmp.Compare(x.report.Utilization, y.report.Utilization) })
-	cooldown := moveCooldown
-	if own.Utilization > overloadUtilization {
-		cooldown = 0
-	}
-	for _, c := range candidates {
-		if !shouldMove(own.Utilization, c.report.Utilization) {
-			return
-		}
-		share := moveShare(own, c.report)
-		want := share * float64(own.Slots) * balanceInterval.Seconds() / (1 - meterDecay)
-		if b.beginMove(c, want, own, cooldown) {
-			own.Utilization -= share
-		}
+	others = others[:min(size, len(others))]
+	var mu sync.Mutex
+	var candidates []sequoiabalance.Candidate
+	var wg sync.WaitGroup
+	for _, m := range others {
+		members[m.Instance] = m
+		wg.Go(func() {
+			r, ok := b.fetchLoad(ctx, m, loadTimeout, nil)
+			if !ok || !r.Open {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			candidates = append(candidates, sequoiabalance.Candidate{Instance: m.Instance, Report: r})
+		})
 	}
+	wg.Wait()
+	return candidates
 }
 
-// candidate is a possible destination for keys.
-type candidate struct {
-	member sequoiaowner.Member
-	report loadReport
-}
-
-// shouldMove reports whether keys should move from an upstream with utilization own to one with utilization other.
-func shouldMove(own, other float64) bool {
-	if other < idleUtilization {
-		return own-other >= idleDifference
-	}
-	return own >= minUtilization && own-other >= minDifference
-}
-
-// moveShare returns the part of the upstream's own capacity that should move to another upstream, so that both are
-// equally utilized and the other one is not filled beyond targetUtilization.
-func moveShare(own, other loadReport) float64 {
-	ratio := 1.0
-	if own.Capacity > 0 && other.Capacity > 0 {
-		ratio = own.Capacity / other.Capacity
-	}
-	return min((own.Utilization-other.Utilization)/(1+ratio), max(targetUtilization-other.Utilization, minDifference/2)/ratio)
-}
-
-// beginMove starts moving the smallest range of keys whose load is close to the desired one. It reports whether a move
-// was started.
-func (b *balancer) beginMove(c candidate, want float64, own loadReport, cooldown time.Duration) bool {
-	n := b.node
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	now := sequoiatimer.BootTime()
-	best, found := sequoiakeyspace.Window{}, false
-	for _, r := range n.core.HeldRanges() {
-		if n.core.HeldFor(now, r) < cooldown {
-			continue
-		}
-		w, ok := n.meter.FindWindow(r, want*minMoveFraction, want*maxMoveFraction)
-		if ok && (!found || w.Size() < best.Size()) {
-			best, found = w, true
+// fetchLoad fetches the load report of a member's process. With a reservation, it asks the process to reserve room.
+func (b *balancer) fetchLoad(
+	ctx context.Context, m sequoiaowner.Member, timeout time.Duration, r *sequoiabalance.Reservation,
+) (sequoiabalance.Report, bool) {
+	req := &sequoiarouter.Request{Path: pathLoad, Method: http.MethodGet}
+	if r != nil {
+		body, err := json.Marshal(r)
+		if err != nil {
+			return sequoiabalance.Report{}, false
 		}
+		req.Method, req.Body = http.MethodPost, body
+	}
+	resp, err := b.node.sendMessage(ctx, m.Address, timeout, req)
+	if err != nil {
+		return sequoiabalance.Report{}, false
 	}
-	if !found || !n.core.BeginMove(now, best.From, best.To, c.member, sequoiaowner.ReasonBalance) {
-		return false
+	var report sequoiabalance.Report
+	if err := json.Unmarshal(resp.Body, &report); err != nil {
+		b.node.log.Event("load report rejected", "Member", m.Instance, "Error", err)
+		return sequoiabalance.Report{}, false
 	}
-	n.log.Event("keys move for balance", "From", best.From, "To", best.To, "Destination", c.member.Instance,
-		"Utilization", own.Utilization, "Other", c.report.Utilization, "Load", best.Load, "Wanted", want)
-	return true
+	return report, true
 }
--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -395,7 +395,7 @@
 	start := time.Now()
 	for time.Since(start) < unreachableTimeout {
 		_ = sequoiatimer.Sleep(context.Background(), probeInterval)
-		if _, ok := n.balancer.fetchLoad(context.Background(), sequoiaowner.Member{Instance: instance, Address: addr}); ok {
+		if _, ok := n.balancer.fetchLoad(context.Background(), sequoiaowner.Member{Instance: instance, Address: addr}, peerTimeout, nil); ok {
 			n.log.Event("process reached again", "Member", instance, "After", time.Since(start).Milliseconds())
 			break
 		}
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -248,7 +248,7 @@
 	n.onRestored = func() { go n.restoreSecret(running, secret) }
 	step := n.timers.Every(ownershipStepInterval, func(time.Time) { n.stepOwnership(running) })
 	defer step.Cancel()
-	balance := n.timers.Every(balanceInterval, func(time.Time) { n.balancer.run(running) })
+	balance := n.timers.Every(sequoiakeyspace.MeterInterval, func(time.Time) { n.balancer.run(running) })
 	defer balance.Cancel()
 	<-ctx.Done()
 	n.stop(running)
--- a/internal/sequoianode/peer.go
+++ b/internal/sequoianode/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -22,7 +21,7 @@
 
 // Paths of messages between processes.
 const (
-	// pathLoad returns the load of the process's upstream.
+	// pathLoad returns the load of the process's upstream. A body asks to reserve room for keys.
 	pathLoad = "/load"
 	// pathTable delivers a table update.
 	pathTable = "/table"
@@ -88,7 +87,7 @@
 func (n *Node) servePeerMessage(ctx context.Context, req *sequoiarouter.Request) *sequoiarouter.Response {
 	switch {
 	case req.Path == pathLoad:
-		return okResponse(json.Marshal(n.currentLoadReport()))
+		return n.serveLoad(req)
 	case req.Path == pathTable:
 		n.passUpdateOn(req)
 		if !n.applyUpdate(req.Body) {
@@ -223,17 +222,3 @@
 	}
 	return &sequoiarouter.Response{Outcome: sequoiarouter.Answered, Status: http.StatusOK, Body: body}
 }
-
-// fetchLoad fetches the load report of a member's process.
-func (b *balancer) fetchLoad(ctx context.Context, m sequoiaowner.Member) (loadReport, bool) {
-	resp, err := b.node.sendMessage(ctx, m.Address, peerTimeout, &sequoiarouter.Request{Path: pathLoad, Method: http.MethodGet})
-	if err != nil {
-		return loadReport{}, false
-	}
-	var r loadReport
-	if err := json.Unmarshal(resp.Body, &r); err != nil {
-		b.node.log.Event("load report rejected", "Member", m.Instance, "Error", err)
-		return loadReport{}, false
-	}
-	return r, true
-}
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -80,6 +80,7 @@
 		return n.notRunResponseWithLoad(resp.Reason, resp.RetryAfter)
 	}
 	suspect := j.alone()
+	expected := n.meterArrival(req, key)
 	r, reason, retryAfter := n.admit(ctx, req, suspect)
 	if j = n.quarantine.judge(j, req); reason == "" && j.alone() && !suspect {
 		// The request became a suspect while it waited.
@@ -88,7 +89,7 @@
 		j = n.quarantine.judge(j, req)
 	}
 	if reason != "" {
-		n.meterRejected(req, key, reason)
+		n.meterRejected(req, key, reason, expected)
 		return n.notRunResponseWithLoad(n.currentReason(req, key, reason), retryAfter)
 	}
 	j = n.quarantine.startTrial(ctx, j)
@@ -99,8 +100,12 @@
 	took := n.finish(r, resp)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if req.Key != "" && resp.Outcome == sequoiarouter.Answered {
-		n.meter.Add(key, n.queue.Cost(took))
+	if req.Key != "" {
+		work := time.Duration(0)
+		if resp.Outcome == sequoiarouter.Answered {
+			work = n.queue.Cost(took)
+		}
+		n.meter.Correct(key, work-expected)
 	}
 	resp.Load = n.loadLocked()
 	_, resp.LogIndex = n.core.Table()
@@ -136,15 +141,28 @@
 	return took
 }
 
-// meterRejected adds the expected work of a request that was rejected for lack of capacity to the load of its key.
-// Otherwise the measured load of a full upstream would never exceed its capacity.
-func (n *Node) meterRejected(req *sequoiarouter.Request, key sequoiakeyspace.Key, reason string) {
-	if req.Key == "" || reason != sequoiaadmission.ReasonBusy && reason != sequoiaadmission.ReasonFull {
+// meterArrival adds the expected work of a request to the load of its key and returns it. If only requests that have ended
+// counted, those that wait would be missing at the onset of an overload.
+func (n *Node) meterArrival(req *sequoiarouter.Request, key sequoiakeyspace.Key) time.Duration {
+	if req.Key == "" {
+		return 0
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	expected := n.queue.Cost(n.queue.MeanDuration())
+	n.meter.Add(key, expected)
+	return expected
+}
+
+// meterRejected removes the expected work of a rejected request from the load of its key, unless it was rejected for lack
+// of capacity. Otherwise the measured load of a full upstream would never exceed its capacity.
+func (n *Node) meterRejected(req *sequoiarouter.Request, key sequoiakeyspace.Key, reason string, expected time.Duration) {
+	if req.Key == "" || reason == sequoiaadmission.ReasonBusy || reason == sequoiaadmission.ReasonFull {
 		return
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.meter.Add(key, n.queue.Cost(n.queue.MeanDuration()))
+	n.meter.Correct(key, -expected)
 }
 
 // notRunResponseWithLoad returns a NotRun response with the table revision and the load of the local upstream.
