--- a/internal/sequoiabalance/pace.go
+++ b/internal/sequoiabalance/pace.go
@@ -4,16 +4,18 @@
 
 const (
 	// fruitlessDelay is the pause after a plan of an overloaded upstream that found no move, such as for a single key that
-	// is too hot for every upstream.
-	fruitlessDelay = time.Second
+	// is too hot for every upstream. It doubles with each further one up to maxFruitlessDelay: if the whole service is
+	// overloaded, all of its processes ask others in vain.
+	fruitlessDelay, maxFruitlessDelay = 600 * time.Millisecond, 5 * time.Second
 	// calmDelay is the pause between plans of an upstream that is not overloaded.
 	calmDelay = 2 * time.Second
 	// arrivalDelay is the pause after an arrival of keys in which only an overloaded upstream plans.
 	arrivalDelay = 5 * time.Second
-	// minOverload is the number of intervals that an overload must last before a plan, and minSlightOverload that of one
-	// below slightOverload.
-	minOverload, minSlightOverload = 2, 8
-	slightOverload                 = 1.2
+	// minOverload is the number of intervals that an overload must last before a plan. One below slightOverload must also
+	// show in the steady utilization.
+	minOverload         = 2
+	slightOverload      = 1.2
+	minSteadyOverloaded = 0.85
 	// steadyWeight is the weight of an interval in Report.Steady, which covers about 12 s.
 	steadyWeight = 0.025
 	// recentDeviations is the number of standard deviations by which the recent load must differ from the long average to
@@ -32,6 +34,8 @@
 	steady     float64
 	// divided is when an overloaded upstream last planned moves.
 	divided time.Time
+	// fruitless is the last pause after a plan without moves, zero if the last plan had moves.
+	fruitless time.Duration
 }
 
 // Steady returns Report.Steady.
@@ -58,19 +62,18 @@
 
 // Due reports whether the upstream should plan now. An overload must last for two intervals: the first one shows only
 // part of a load that began during it, which would be divided into parts that are too large. A slight overload must last
-// longer, because it may be noise, unless it is what is left of a larger one. moving is the number of ranges that are being
+// for several seconds, because it may be noise, unless it is what is left of a larger one. moving is the number of ranges that are being
 // moved. Only an overloaded upstream plans meanwhile.
 func (p *Pace) Due(now time.Time, own Report, moving int) bool {
 	if !own.Overloaded() {
-		p.overloaded = 0
+		p.overloaded, p.fruitless = 0, 0
 		return own.steady() >= minIdleUtilization && moving == 0 && !now.Before(p.next) && !now.Before(p.calmFrom)
 	}
 	p.overloaded++
-	intervals := minOverload
-	if own.current() < slightOverload && now.Sub(p.divided) >= onsetTime {
-		intervals = minSlightOverload
+	if own.current() < slightOverload && own.steady() < minSteadyOverloaded && now.Sub(p.divided) >= onsetTime {
+		return false
 	}
-	return p.overloaded >= intervals && !now.Before(p.next)
+	return p.overloaded >= minOverload && !now.Before(p.next)
 }
 
 // Planned records that a plan was made, of which the given number of moves have begun, with the given load in slots.
@@ -80,8 +83,10 @@
 	case !own.Overloaded():
 		p.next = now.Add(calmDelay)
 	case moves == 0:
-		p.next = now.Add(fruitlessDelay)
+		p.fruitless = min(max(2*p.fruitless, fruitlessDelay), maxFruitlessDelay)
+		p.next = now.Add(p.fruitless)
 	default:
+		p.fruitless = 0
 		p.next, p.divided, p.calmFrom = now, now, now.Add(arrivalDelay)
 	}
 }
--- a/internal/sequoiabalance/plan.go
+++ b/internal/sequoiabalance/plan.go
@@ -19,7 +19,7 @@
 	roomPerCandidate = 0.15
 	// minUtilization is the utilization below which no keys are moved, except to an empty upstream. Below it, requests
 	// hardly wait.
-	minUtilization = 0.55
+	minUtilization = 0.7
 	// minDifference is the difference in utilization below which no keys are moved.
 	minDifference = 0.25
 	// minIdleUtilization is the utilization below which an upstream gives no keys to an empty one.
@@ -33,10 +33,13 @@
 	targetUtilization, maxTargetUtilization = 0.7, 0.9
 	// reserveTolerance is how much more than planned a destination accepts, because its load varies meanwhile.
 	reserveTolerance = 0.1
-	// minMoveFraction and maxMoveFraction limit the load that is moved, relative to the desired load.
-	minMoveFraction, maxMoveFraction = 0.8, 1.1
+	// minMoveFraction and maxMoveFraction limit the load that is moved, relative to the desired load. A part of at least
+	// closeFraction is preferred.
+	closeFraction, minMoveFraction, maxMoveFraction = 0.95, 0.8, 1.1
 	// minLumpyFraction replaces minMoveFraction if no window is that close because single keys are too hot.
 	minLumpyFraction = 0.4
+	// spareRanges is the number of ranges that balancing leaves free at each upstream, for keys of lost or leaving ones.
+	spareRanges = 4
 	// minPart is the smallest part of the own capacity that is worth a move in a plan of an overloaded upstream.
 	minPart = 0.04
 	// hotKeyFraction is the part of a destination's room from which a key gets a destination of its own.
@@ -50,6 +53,8 @@
 	sequoiakeyspace.Profile
 	// Since is how long the upstream has held the keys.
 	Since time.Duration
+	// Fixed is true if the keys cannot be moved now.
+	Fixed bool
 }
 
 // Owner is the upstream whose load is balanced.
@@ -86,7 +91,9 @@
 
 // Plan returns the moves of an upstream. An overloaded one divides all of its excess among as many candidates as needed.
 func Plan(own Owner, candidates []Candidate) []Move {
-	candidates = slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return !c.Report.Open })
+	candidates = slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool {
+		return !c.Report.Open || c.Report.Ranges >= own.MaxRanges-spareRanges
+	})
 	if len(candidates) == 0 {
 		return nil
 	}
@@ -97,7 +104,10 @@
 	if !shouldMove(own.Report, best.Report) {
 		return nil
 	}
-	own.Held = slices.DeleteFunc(slices.Clone(own.Held), func(h Held) bool { return h.Since < moveCooldown })
+	own.Held = slices.Clone(own.Held)
+	for i := range own.Held {
+		own.Held[i].Fixed = own.Held[i].Fixed || own.Held[i].Since < moveCooldown
+	}
 	return newPlanner(own, nil).single(best)
 }
 
@@ -133,8 +143,12 @@
 
 // planner divides the excess of an upstream. Loads are in slots of the upstream.
 type planner struct {
-	own          Owner
+	own Owner
+	// segments are the parts of the held ranges that may still be cut. fixed is the load of those that cannot be moved, and
+	// ranges their number.
 	segments     []segment
+	fixed        float64
+	ranges       int
 	destinations []destination
 	// excess is the load that must still be moved, and level the utilization up to which upstreams are filled.
 	excess, level float64
@@ -144,6 +158,11 @@
 func newPlanner(own Owner, candidates []Candidate) *planner {
 	p := &planner{own: own}
 	for _, h := range own.Held {
+		if h.Fixed {
+			p.fixed += h.Sum()
+			p.ranges++
+			continue
+		}
 		p.segments = append(p.segments, segment{
 			Profile: sequoiakeyspace.Profile{From: h.From, Loads: smooth(h.Loads, own.RequestRate)},
 		})
@@ -167,7 +186,7 @@
 
 // load returns the load of the keys that are not being moved.
 func (p *planner) load() float64 {
-	sum := 0.0
+	sum := p.fixed
 	for _, s := range p.segments {
 		sum += s.Sum()
 	}
@@ -183,6 +202,9 @@
 		for i := range p.destinations {
 			d := &p.destinations[i]
 			d.room = max(0, p.level-d.Report.Expected()) * d.capacity
+			if p.own.current()-d.Report.Expected() < minDifference {
+				d.room = 0
+			}
 			total += d.room
 		}
 		if total >= p.excess || p.level+0.02 > maxTargetUtilization {
@@ -202,12 +224,11 @@
 		if want < minPart*float64(p.own.Slots) {
 			continue
 		}
-		s, w, ok := p.find(want, minMoveFraction)
-		if !ok {
-			s, w, ok = p.find(want, minLumpyFraction)
-		}
-		if ok {
-			p.cut(s, w, d)
+		for _, fraction := range []float64{closeFraction, minMoveFraction, minLumpyFraction} {
+			if s, w, ok := p.find(want, fraction); ok {
+				p.cut(s, w, d)
+				break
+			}
 		}
 	}
 	p.moveLargeKey()
@@ -252,7 +273,8 @@
 
 // moveLargeKey moves a key that no destination has room for. A key that an upstream cannot process alone moves only to one
 // with more capacity, and only once its neighbours have moved away. Of several keys with which the upstream is overloaded,
-// one moves to an upstream that ends up less utilized, which gives its other keys away.
+// one moves to an upstream that ends up less utilized, which gives its other keys away. That needs the steady utilization,
+// because the load of a key that is too much for any upstream looks smaller while it rises.
 func (p *planner) moveLargeKey() {
 	slots := float64(p.own.Slots)
 	s, i, load := p.hottest()
@@ -266,7 +288,7 @@
 		after := d.Report.Expected() + load/d.capacity
 		switch {
 		case alone && (load <= slots || d.capacity < largerCapacity*slots || d.Report.Expected() > targetUtilization):
-		case !alone && (load > slots || after > (load+rest)/slots-minDifference):
+		case !alone && (load > slots || p.own.steady() < minSteadyOverloaded || after > (load+rest)/slots-minDifference):
 		case !found || after < best.Report.Expected()+load/best.capacity:
 			best, found = d, true
 		}
@@ -279,7 +301,7 @@
 
 // mayCut reports whether the upstream may hold the ranges that are left when the i-th to j-th keys of a segment are cut out.
 func (p *planner) mayCut(s, i, j int) bool {
-	return i == 0 || j == len(p.segments[s].Loads) || len(p.segments) < p.own.MaxRanges-1
+	return i == 0 || j == len(p.segments[s].Loads) || len(p.segments)+p.ranges < p.own.MaxRanges-spareRanges
 }
 
 // find returns a window of a segment with close to the wanted load. It prefers keys beside those that already move, unless
--- a/internal/sequoiabalance/report.go
+++ b/internal/sequoiabalance/report.go
@@ -19,8 +19,10 @@
 	Steady float64
 	// Reserved is the utilization by keys that were promised room and have not arrived.
 	Reserved float64
-	// Empty is true if the upstream holds no keys.
-	Empty bool
+	// Ranges is the number of ranges that the upstream holds, and Empty is true if there is none. A process that does not say
+	// seems to be at zero ranges without being empty.
+	Ranges int
+	Empty  bool
 	// Refused is true in the answer to a Reservation for which there is no room. A process that knows no reservations
 	// does not set it, and gets the keys.
 	Refused bool
--- a/internal/sequoiabalance/reservations.go
+++ b/internal/sequoiabalance/reservations.go
@@ -26,6 +26,8 @@
 	Limit float64
 	// Rates is the measured load of the keys in processing time per second, in at most maxLoadParts parts of equal size.
 	Rates []float64
+	// Cancelled is true if the keys do not move after all.
+	Cancelled bool
 }
 
 type reservation struct {
@@ -38,17 +40,23 @@
 	pending []reservation
 }
 
-// Reserve promises room for keys if the upstream still has it. ranges is the number of ranges that it holds and maxRanges
-// the number that it may hold.
-func (s *Reservations) Reserve(now time.Time, r Reservation, own Report, ranges, maxRanges int) bool {
+// Reserve promises room for keys if the upstream still has it. It replaces an earlier promise for the same keys. maxRanges
+// is the number of ranges that the upstream may hold.
+func (s *Reservations) Reserve(now time.Time, r Reservation, own Report, maxRanges int) bool {
+	s.Cancel(r)
 	own.Reserved = s.Utilization(now)
-	if !own.Open || ranges+len(s.current(now)) >= maxRanges || own.Expected()+r.Utilization > r.Limit+reserveTolerance {
+	if !own.Open || own.Ranges+len(s.current(now)) >= maxRanges-spareRanges || own.Expected()+r.Utilization > r.Limit+reserveTolerance {
 		return false
 	}
 	s.pending = append(s.pending, reservation{r, now})
 	return true
 }
 
+// Cancel removes the promises for keys that do not move after all.
+func (s *Reservations) Cancel(r Reservation) {
+	s.pending = slices.DeleteFunc(s.pending, func(p reservation) bool { return p.From <= r.To && r.From <= p.To })
+}
+
 // current returns the reservations that count as taken.
 func (s *Reservations) current(now time.Time) []reservation {
 	return slices.DeleteFunc(slices.Clone(s.pending), func(r reservation) bool { return now.Sub(r.at) >= reservationTime })
--- a/internal/sequoiakeyspace/meter.go
+++ b/internal/sequoiakeyspace/meter.go
@@ -178,16 +178,6 @@
 	return best, found
 }
 
-// FindWindow returns the smallest contiguous part of a range whose load is at least low and at most high. It returns
-// false if there is none.
-func (m *Meter) FindWindow(r Range, low, high float64) (Window, bool) {
-	p := Profile{From: r.From, Loads: make([]float64, r.Size())}
-	for i := range p.Loads {
-		p.Loads[i] = float64(m.load[int(r.From)+i])
-	}
-	return p.FindWindow(low, high)
-}
-
 // Split divides a range into at most n contiguous parts of about equal load, or of about equal size if the range has no
 // load.
 func (m *Meter) Split(r Range, n int) []Range {
--- a/internal/sequoianode/balance.go
+++ b/internal/sequoianode/balance.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,13 @@
 // anything; one that takes longer is left out.
 const loadTimeout = 100 * time.Millisecond
 
+// beginAttempts and beginRetryDelay limit the attempts to start a move. One cannot start while a grant of its keys is being
+// renewed, which takes a few milliseconds at an upstream that is not slow.
+const (
+	beginAttempts   = 4
+	beginRetryDelay = 25 * time.Millisecond
+)
+
 // balancer moves keys from the local upstream to less loaded ones. sequoiabalance decides which ones. Each process
 // balances only its own upstream and asks as many others for their load as the excess needs.
 type balancer struct {
@@ -71,7 +79,7 @@
 	own.RequestRate = n.meter.RequestRate(own.UseRecent())
 	for _, r := range held {
 		own.Held = append(own.Held, sequoiabalance.Held{
-			Profile: n.meter.Profile(r, own.UseRecent()), Since: n.core.HeldFor(now, r),
+			Profile: n.meter.Profile(r, own.UseRecent()), Since: n.core.HeldFor(now, r), Fixed: !n.core.Movable(now, r),
 		})
 	}
 	return own, true
@@ -95,7 +103,7 @@
 		Utilization: rate / float64(n.queue.Slots()), Slots: n.queue.Slots(), Capacity: n.queue.Capacity(),
 		Open: n.core.Upstream().Usable() && !n.stopping.Load() && time.Now().After(n.warmUntil) && n.warmup.gate.ColdFor(time.Now()) == 0 && !n.evacuated() &&
 			n.core.RegistrationConfirmed() && len(held) < sequoiaowner.MaxRanges,
-		Current: n.balancer.current, Steady: n.balancer.pace.Steady(), Reserved: n.balancer.reservations.Utilization(sequoiatimer.BootTime()), Empty: len(held) == 0,
+		Current: n.balancer.current, Steady: n.balancer.pace.Steady(), Reserved: n.balancer.reservations.Utilization(sequoiatimer.BootTime()), Ranges: len(held), Empty: len(held) == 0,
 	}
 }
 
@@ -111,10 +119,11 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	report := n.loadReportLocked()
-	if len(req.Body) > 0 {
-		report.Refused = !n.balancer.reservations.Reserve(
-			sequoiatimer.BootTime(), r, report, len(n.core.HeldRanges()), sequoiaowner.MaxRanges,
-		)
+	switch {
+	case r.Cancelled:
+		n.balancer.reservations.Cancel(r)
+	case len(req.Body) > 0:
+		report.Refused = !n.balancer.reservations.Reserve(sequoiatimer.BootTime(), r, report, sequoiaowner.MaxRanges)
 	}
 	return okResponse(json.Marshal(report))
 }
@@ -134,19 +143,45 @@
 		})
 	}
 	wg.Wait()
+	moves = slices.DeleteFunc(moves, func(sequoiabalance.Move) bool {
+		keep := reserved[0]
+		reserved = reserved[1:]
+		return !keep
+	})
+	started, load := 0, 0.0
+	for range beginAttempts {
+		moves = slices.DeleteFunc(moves, func(m sequoiabalance.Move) bool {
+			if !b.begin(m, members[m.Candidate.Instance], own.Report) {
+				return false
+			}
+			started++
+			load += m.Load
+			return true
+		})
+		if len(moves) == 0 || sequoiatimer.Sleep(ctx, beginRetryDelay) != nil {
+			break
+		}
+	}
+	n.mu.Lock()
+	b.pace.Planned(sequoiatimer.BootTime(), own.Report, started, load)
+	n.mu.Unlock()
+	for _, m := range moves {
+		m.Reservation.Cancelled = true
+		go b.fetchLoad(ctx, members[m.Candidate.Instance], loadTimeout, &m.Reservation)
+	}
+}
+
+// begin starts a move and reports whether it was possible.
+func (b *balancer) begin(m sequoiabalance.Move, dest sequoiaowner.Member, own sequoiabalance.Report) bool {
+	n := b.node
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now, started, load := sequoiatimer.BootTime(), 0, 0.0
-	for i, m := range moves {
-		if !reserved[i] || !n.core.BeginMove(now, m.From, m.To, members[m.Candidate.Instance], sequoiaowner.ReasonBalance) {
-			continue
-		}
-		started++
-		load += m.Load
-		n.log.Event("keys move for balance", "From", m.From, "To", m.To, "Destination", m.Candidate.Instance,
-			"Utilization", own.Utilization, "Current", own.Current, "Other", m.Candidate.Report.Expected(), "Load", m.Load)
+	if !n.core.BeginMove(sequoiatimer.BootTime(), m.From, m.To, dest, sequoiaowner.ReasonBalance) {
+		return false
 	}
-	b.pace.Planned(now, own.Report, started, load)
+	n.log.Event("keys move for balance", "From", m.From, "To", m.To, "Destination", dest.Instance,
+		"Utilization", own.Utilization, "Current", own.Current, "Other", m.Candidate.Report.Expected(), "Load", m.Load)
+	return true
 }
 
 // candidates returns the load of at most size other upstreams that may get keys, drawn at random, and adds them to
--- a/internal/sequoiaowner/moves.go
+++ b/internal/sequoiaowner/moves.go
@@ -43,13 +43,19 @@
 	}
 	r := held[i]
 	r.From, r.To = from, to
-	if c.hasUnansweredGrant(now, r) || c.hasGrantInFlight(r) || c.heldWithEarlierFence(now, r) {
+	if !c.Movable(now, r) || c.hasGrantInFlight(r) {
 		return false
 	}
 	c.moves = append(c.moves, &move{part: r, to: dest.Holder(), reason: reason})
 	return true
 }
 
+// Movable reports whether part of one of the local upstream's ranges may be moved once no grant of it is in flight. It may
+// not while the release of its keys could not be relied on.
+func (c *Core) Movable(now time.Time, r sequoiakeyspace.Range) bool {
+	return !c.hasUnansweredGrant(now, r) && !c.heldWithEarlierFence(now, r)
+}
+
 // stepLeaving starts moves of all keys of an upstream that is leaving or lost, whose failure domain is being evacuated, or
 // whose process is stopping. While the
 // store may be failing, it does so only for a lost upstream: the new holder could not be written, and an upstream that
