--- a/internal/sequoianode/announce_test.go
+++ b/internal/sequoianode/announce_test.go
@@ -69,7 +69,11 @@
 	return record
 }
 
-func offered(n *Node) bool { return n.core.Upstream().Usable() }
+// offered reports whether the upstream may get requests.
+func offered(n *Node) (usable bool) {
+	n.withCore(func(c *sequoiaowner.Core) { usable = c.Upstream().Usable() })
+	return usable
+}
 
 var _ = ginkgo.Describe("announcements of the upstream", func() {
 	// Guards against a late heartbeat that brings an upstream back which has deregistered at the process before (review/5).
