Call a store that fails less and less often

A Watcher listed all items anew every 150 ms while its store refused it, and each list is priced. The delay now doubles up to 1 s while calls fail. Only a watch that succeeds ends the series, so that a store which answers lists and refuses watches is spared as well. Refresh also ends the delay; before, it had no effect between two calls.

The items are still listed after each watch that failed, for the reason given at Poll.

--- a/internal/sequoiaregistry/follow.go
+++ b/internal/sequoiaregistry/follow.go
@@ -13,8 +13,10 @@
 const (
 	// WatchGrace is how long after its wait time the response to a watch may arrive.
 	WatchGrace = 600 * time.Millisecond
-	// watchRetryDelay is the delay after a failed list or watch call.
-	watchRetryDelay = 150 * time.Millisecond
+	// minWatchRetryDelay is the delay after the first failed list or watch call. It doubles up to maxWatchRetryDelay while
+	// calls fail: the store charges for each list, also in an outage, and a configuration must be in force within 2.5 s.
+	minWatchRetryDelay = 150 * time.Millisecond
+	maxWatchRetryDelay = time.Second
 )
 
 // Watcher lists the items below a prefix and then reports their changes.
@@ -53,17 +55,23 @@
 	interrupt context.CancelFunc
 }
 
-// Run watches the prefix until ctx ends.
+// Run watches the prefix until ctx ends. Only a watch that succeeds ends the series of failures for which it waits longer
+// and longer: a store that answers lists but no watches is listed again after each of them.
 func (w *Watcher) Run(ctx context.Context) {
+	delay := minWatchRetryDelay
 	for ctx.Err() == nil {
 		pollCtx, cancel := context.WithCancel(ctx)
 		w.setInterrupt(cancel)
+		watched := w.listed
 		err := w.Poll(pollCtx)
-		interrupted := pollCtx.Err() != nil
-		cancel()
-		if err != nil && !interrupted && !errors.Is(err, ErrCompacted) {
-			_ = sequoiatimer.Sleep(ctx, watchRetryDelay)
+		if err != nil && pollCtx.Err() == nil && !errors.Is(err, ErrCompacted) {
+			_ = sequoiatimer.Sleep(pollCtx, delay)
+			delay = min(2*delay, maxWatchRetryDelay)
+		}
+		if err == nil && watched || pollCtx.Err() != nil {
+			delay = minWatchRetryDelay
 		}
+		cancel()
 	}
 }
 
@@ -73,8 +81,8 @@
 	w.interrupt = cancel
 }
 
-// Refresh makes Run repeat the call in progress. Use it when the store is reached again: a call that was sent while the
-// store was lost may never get a response.
+// Refresh makes Run repeat the call in progress, or the one that has failed, at once. Use it when the store is reached
+// again: a call that was sent while the store was lost may never get a response.
 func (w *Watcher) Refresh() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/sequoiaregistry/registry_test.go
+++ b/internal/sequoiaregistry/registry_test.go
@@ -34,6 +34,10 @@
 	lost           []sequoiaregistry.Transaction
 	// hang makes watches that begin now hang until they are cancelled.
 	hang bool
+	// refuseWatches makes watches fail although the store is available.
+	refuseWatches bool
+	// lists is the number of list calls.
+	lists int
 }
 
 var errDown = errors.New("the store is unavailable")
@@ -65,6 +69,7 @@
 func (f *fakeStore) list(context.Context, string) ([]sequoiaregistry.Item, uint64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.lists++
 	if f.down {
 		return nil, 0, errDown
 	}
@@ -85,7 +90,7 @@
 	}
 	for ctx.Err() == nil {
 		f.mu.Lock()
-		if f.down {
+		if f.down || f.refuseWatches {
 			f.mu.Unlock()
 			return nil, 0, errDown
 		}
@@ -310,6 +315,45 @@
 		Expect(reported).To(BeEmpty(), "a repeated call is no fault")
 	})
 
+	// Guards against an outage in which each process lists the items every 150 ms, which the store charges for.
+	ginkgo.DescribeTable("calls a store that fails less and less often, and at once when it is told to",
+		func(fail func(f *fakeStore)) {
+			f := newFakeStore()
+			r := &itemRecorder{items: map[string]sequoiaregistry.Item{}}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			watcher := &sequoiaregistry.Watcher{
+				Store: f.store(), Wait: time.Minute, Now: time.Now, OnItems: r.record, OnError: func(error) {},
+			}
+			f.put(sequoiaregistry.Item{Key: "a"})
+			go watcher.Run(ctx)
+			Eventually(r.keys).Should(ConsistOf("a"))
+			lists := func() (n int) {
+				f.withLock(func() { n = f.lists })
+				return n
+			}
+			before := lists()
+			f.withLock(func() { fail(f) })
+			// After 0.15, 0.45, 1.05 and 2.05 s.
+			Eventually(func() int { return lists() - before }, "5s", "1ms").Should(Equal(4))
+			Consistently(func() int { return lists() - before }, "500ms").Should(Equal(4))
+			f.withLock(func() {
+				f.down, f.refuseWatches = false, false
+				f.put(sequoiaregistry.Item{Key: "b"})
+			})
+			watcher.Refresh()
+			Eventually(r.keys, "200ms", "5ms").Should(ConsistOf("a", "b"))
+
+			f.withLock(func() { f.put(sequoiaregistry.Item{Key: "c"}) })
+			Eventually(r.keys, "200ms", "5ms").Should(ConsistOf("a", "b", "c"))
+			f.withLock(func() { f.refuseWatches = true })
+			before = lists()
+			Eventually(func() int { return lists() - before }, "300ms", "5ms").Should(Equal(1), "a new series of failures")
+		},
+		ginkgo.Entry("that is down", func(f *fakeStore) { f.down = true }),
+		ginkgo.Entry("that answers lists and refuses watches", func(f *fakeStore) { f.refuseWatches = true }),
+	)
+
 	ginkgo.It("reports up to which time it has received all changes", func() {
 		f := newFakeStore()
 		now := time.Unix(100, 0)
