Close a connection although the caller of a dropped response has left

If there is no memory for a response in pieces, its call gets an error and keeps its number until all pieces have arrived. A connection that was closed meanwhile sent a second result to the call. If the caller had left at that moment without reading the first one, the second send blocked for ever, and with it the event loop that closed the connection and all other connections of that loop. Abandoned calls get no result now.

--- a/internal/sequoiapeer/body_test.go
+++ b/internal/sequoiapeer/body_test.go
@@ -544,6 +544,29 @@
 		Expect(string(resp.Body)).To(Equal("second"))
 	})
 
+	// Guards against an event loop that waits for ever, with all of its connections, for the caller of a request that has left
+	// at the moment at which its response was dropped.
+	ginkgo.It("that is dropped does not keep its connection from being closed", func() {
+		server := startLinkForwarder(echo)
+		client := startForwarder(testKey, nil)
+		conn, err := client.connection(context.Background(), server.Addr())
+		Expect(err).NotTo(HaveOccurred())
+		_, pending, err := conn.register(nil)
+		Expect(err).NotTo(HaveOccurred())
+		client.ReserveBody = (&counter{}).reserve
+		var buf bytes.Buffer
+		head := &wireResponseHead{Response: wireResponse{Outcome: sequoiarouter.Answered}, BodySize: 100 << 10}
+		Expect(encodeResponseFrame(&buf, frameResponseHead, 1, head)).To(Succeed())
+		Expect(conn.handleResponseHead(frame{kind: frameResponseHead, number: 1, payload: buf.Bytes()[headerSize:]})).To(Succeed())
+		closed := make(chan struct{})
+		go func() {
+			defer close(closed)
+			conn.close(ErrClosed)
+		}()
+		Eventually(closed).Should(BeClosed())
+		Expect((<-pending.done).err).To(MatchError(ErrNoMemory))
+	})
+
 	// Guards against a process that exceeds its memory limit because of responses.
 	ginkgo.It("is dropped by a caller without memory for it, and its memory is released otherwise", func() {
 		server := startLinkForwarder(echo)
--- a/internal/sequoiapeer/forwardconn.go
+++ b/internal/sequoiapeer/forwardconn.go
@@ -59,8 +59,9 @@
 // call is a request that waits for its response. done is buffered for the single result.
 type call struct {
 	done chan callResult
-	// abandoned is set when the caller no longer waits. The call keeps its number until the response arrives, so that
-	// a late response is neither delivered to another request nor rejected as an unexpected request number.
+	// abandoned is set when the caller no longer waits, or gets a result although the response has not arrived. The call
+	// keeps its number until the response arrives, so that a late response is neither delivered to another request nor
+	// rejected as an unexpected request number.
 	abandoned bool
 	// body is the request's body if it is sent in pieces.
 	body *outgoingBody
@@ -403,7 +404,10 @@
 	close(c.done)
 	_ = c.nb.Close()
 	for _, pending := range calls {
-		pending.done <- callResult{err: reason}
+		// The caller of an abandoned call has left or has a result, which would still be in the channel if it has left.
+		if !pending.abandoned {
+			pending.done <- callResult{err: reason}
+		}
 	}
 	for _, cancel := range serving {
 		cancel()
