Assume that an upstream without reports is as quick as the others

An upstream that had not answered yet was assumed to take 150 ms. A burst that arrived after one upstream had answered a request in 1 ms went to that one alone: 24 of 24 requests, at four times its slots, while two others were idle, also across failure domains. The mean of the service is assumed now, and 150 ms only if no upstream has reported one.

--- a/internal/sequoiaspread/spread.go
+++ b/internal/sequoiaspread/spread.go
@@ -9,13 +9,14 @@
 package sequoiaspread
 
 import (
+	"cmp"
 	"time"
 )
 
 const (
 	// MaxReportAge is the age from which a reported load is ignored.
 	MaxReportAge = 1500 * time.Millisecond
-	// DefaultWork is the assumed duration of a request at an upstream that has not reported one.
+	// DefaultWork is the assumed duration of a request if no upstream of its service has reported one.
 	DefaultWork = 150 * time.Millisecond
 	// maxHome and maxAway limit the upstreams that are compared for one request, in its failure domain and outside.
 	// Requests that all went to the best of many would meet at it, because reports are up to a second old.
@@ -49,7 +50,8 @@
 	// Outstanding is the number of requests that this process has in progress at the upstream.
 	Outstanding int
 	Slots       int
-	// Work is the mean duration of the requests at the upstream, zero if it has not been reported.
+	// Work is the mean duration of the requests at the upstream, zero if it has not been reported. The upstream is then
+	// assumed to be as quick as the others.
 	Work time.Duration
 	// StartDelay is the wait for the upstream's limit on requests per second, and LinkDelay the wait for the link of its
 	// instance, as reported.
@@ -127,10 +129,7 @@
 // ExpectedFinish returns the expected time until an upstream has answered one more request, without the transfer
 // between failure domains.
 func ExpectedFinish(c *Candidate, req Request) time.Duration {
-	work := c.Work
-	if work == 0 {
-		work = DefaultWork
-	}
+	work := cmp.Or(c.Work, req.TypicalWork, DefaultWork)
 	inProgress := float64(c.Outstanding)
 	if c.Age < MaxReportAge {
 		reported := float64(c.Running+c.Waiting) * (1 - float64(c.Age)/float64(MaxReportAge))
