Wait for responses in pieces at a planned stop

Only requests that run counted as in progress. The body of a response above 64 KB follows at the rate of the link after its request has ended, so a process that stopped closed the connection in the middle of it, and the caller got a 502 for a request that had run.

--- a/internal/sequoianode/stop.go
+++ b/internal/sequoianode/stop.go
@@ -69,7 +69,7 @@
 		defer close(left)
 		n.leave(ctx, plan.end)
 	}()
-	for time.Now().Before(plan.end) && (time.Now().Before(settledAt) || n.front.InProgress() > 0) {
+	for time.Now().Before(plan.end) && (time.Now().Before(settledAt) || n.front.InProgress() > 0 || n.forwarder.Sending() > 0) {
 		_ = sequoiatimer.Sleep(ctx, ownershipStepInterval/5)
 	}
 	<-left
--- a/internal/sequoiapeer/bodyresponse.go
+++ b/internal/sequoiapeer/bodyresponse.go
@@ -12,6 +12,10 @@
 // in pieces if the other process has protocol version 2, so that small responses overtake it.
 const inlineResponse = 64 << 10
 
+// smallQueue is the size in bytes of a send queue that may hold pongs only. On connections with long round trips some are
+// always on their way.
+const smallQueue = 1 << 10
+
 // wireResponseHead is a response whose body follows in pieces.
 type wireResponseHead struct {
 	Response wireResponse `cbor:"1,keyasint"`
@@ -55,6 +59,14 @@
 	return nil
 }
 
+// sendsResponses reports whether the connection carries responses that the peer has not received completely.
+func (c *forwardConn) sendsResponses() bool {
+	c.mu.Lock()
+	sending := len(c.sending) > 0
+	c.mu.Unlock()
+	return !c.dialed && (sending || c.queuedBytes() > smallQueue)
+}
+
 // forgetResponseBody removes the body of a response that has been sent completely.
 func (c *forwardConn) forgetResponseBody(number uint64) {
 	c.mu.Lock()
--- a/internal/sequoiapeer/forward.go
+++ b/internal/sequoiapeer/forward.go
@@ -313,6 +313,17 @@
 // the link is not known.
 func (f *Forwarder) LinkDelay() time.Duration { return f.bodies.delay() }
 
+// Sending returns the number of connections on which responses to other processes are being sent. Those of requests that
+// have ended are among them: large bodies follow at the rate of the link.
+func (f *Forwarder) Sending() (n int) {
+	for _, c := range f.connections() {
+		if c.sendsResponses() {
+			n++
+		}
+	}
+	return n
+}
+
 // BodyStats returns the counts of offered bodies so far.
 func (f *Forwarder) BodyStats() BodyStats { return f.bodies.stats() }
 
