--- a/internal/sequoianode/dialect.go
+++ b/internal/sequoianode/dialect.go
@@ -54,10 +54,22 @@
 	// ColdFor is how much longer the upstream is cold, if ColdStated is true.
 	ColdFor    time.Duration
 	ColdStated bool
+	// Load is the load that the upstream states, if LoadStated is true.
+	Load       UpstreamLoad
+	LoadStated bool
 	// Malformed describes an attribute that could not be read; it is left out.
 	Malformed error
 }
 
+// UpstreamLoad is the load that an upstream states in a response.
+type UpstreamLoad struct {
+	// Running and Waiting are the numbers of requests in progress and queued, and Slots that of requests that it processes
+	// concurrently.
+	Running, Waiting, Slots int
+	// Speed is how long work takes there at that moment, relative to the usual time, zero if the upstream does not say.
+	Speed float64
+}
+
 // Refused reports whether the upstream that sent the response did not run the request.
 func (a ResponseAttributes) Refused() bool { return a.NotRun || a.WrongUpstream }
 
--- a/internal/sequoianode/directory.go
+++ b/internal/sequoianode/directory.go
@@ -33,11 +33,13 @@
 
 // peer holds the state of a member and its upstream as known to this process.
 type peer struct {
-	member           sequoiaowner.Member
-	removedAt        time.Time
-	load             sequoiarouter.Load
-	loadReportedAt   time.Time
-	outstanding      int
+	member         sequoiaowner.Member
+	removedAt      time.Time
+	load           sequoiarouter.Load
+	loadReportedAt time.Time
+	outstanding    int
+	// sent is the number of requests that this process has sent to the upstream since loadReportedAt.
+	sent             int
 	failureRate      float64
 	unreachableUntil time.Time
 	// coldUntil is when the upstream becomes warm, as its entry or its process's latest response said.
@@ -252,7 +254,7 @@
 func (p *peer) candidate(now time.Time) sequoiaspread.Candidate {
 	return sequoiaspread.Candidate{
 		Domain: p.member.Domain, Running: p.load.Running, Waiting: p.load.Waiting, Age: now.Sub(p.loadReportedAt),
-		Outstanding: p.outstanding, Slots: p.member.Upstream.Slots, Work: p.load.Work,
+		Outstanding: p.outstanding, Sent: p.sent, Slots: p.member.Upstream.Slots, Work: p.load.Work,
 		StartDelay: p.load.StartDelay, LinkDelay: p.load.LinkDelay, FailureRate: p.failureRate,
 	}
 }
@@ -285,12 +287,8 @@
 
 // inProgress estimates the number of requests at a peer's upstream.
 func (d *directory) inProgress(now time.Time, p *peer) float64 {
-	inProgress := float64(p.outstanding)
-	if age := now.Sub(p.loadReportedAt); age < sequoiaspread.MaxReportAge {
-		reported := float64(p.load.Running+p.load.Waiting) * (1 - float64(age)/float64(sequoiaspread.MaxReportAge))
-		inProgress = max(inProgress, reported)
-	}
-	return inProgress
+	c := p.candidate(now)
+	return c.InProgress()
 }
 
 // beginRequest records that a request is being sent to an instance, and returns the upstream that it is sent to.
@@ -302,6 +300,7 @@
 		return sequoiakeyspace.Holder{}
 	}
 	p.outstanding++
+	p.sent++
 	return p.member.Holder()
 }
 
@@ -348,7 +347,7 @@
 		return
 	}
 	if resp.Load.Slots > 0 {
-		p.load, p.loadReportedAt = resp.Load, time.Now()
+		p.load, p.loadReportedAt, p.sent = resp.Load, time.Now(), 0
 		p.coldUntil = p.loadReportedAt.Add(resp.Load.ColdFor)
 	}
 	failed := 0.0
--- a/internal/sequoiaspread/spread.go
+++ b/internal/sequoiaspread/spread.go
@@ -18,21 +18,26 @@
 	// DefaultWork is the assumed duration of a request at an upstream that has not reported one.
 	DefaultWork = 150 * time.Millisecond
 	// maxHome and maxAway limit the upstreams that are compared for one request, in its failure domain and outside.
-	// Requests that all went to the best of many would meet at it, because reports are up to a second old.
-	maxHome, maxAway = 5, 2
+	// Requests that all went to the best of many outside would meet at it, because reports from there are up to a second
+	// old. Those from the failure domain itself are younger.
+	maxHome, maxAway = 10, 3
 	// utilizationWeight is the relative increase of a request's duration at a full upstream compared to an idle one.
 	utilizationWeight = 0.2
-	// queueingThreshold is the utilization above which a request is likely to wait for a slot, and queueingWeight is the
-	// weight of utilization beyond it.
+	// queueingThreshold is the utilization above which a request may have to wait for a slot, and queueingWeight is the
+	// wait, in durations of a request, for each further full use of all slots. A queue as long as the slots takes one.
 	queueingThreshold = 0.7
-	queueingWeight    = 2.0
+	queueingWeight    = 1.0
+	// usualWeight is the part of the usual utilization of a failure domain that takes the place of a report that is too
+	// old or has never come. Without it an upstream would appear idle because it is silent. With the full utilization
+	// a silent upstream would not be tried again.
+	usualWeight = 0.5
 	// failureWeight is the relative increase of the expected duration at an upstream where all requests fail.
 	failureWeight = 6.0
 	// roundTrip is the time that a request and its response take between two failure domains.
 	roundTrip = 3 * time.Millisecond
 	// leaveCost is what leaving the failure domain must gain for a request without a body, and transferCost what it must
 	// gain more for each KB that is transferred: about the time that 1 KB takes on the link of a small instance.
-	leaveCost    = 10 * time.Millisecond
+	leaveCost    = 15 * time.Millisecond
 	transferCost = time.Millisecond
 	// objectiveMargin is the part of the time to the objective up to which a response counts as comfortably early, and
 	// earlyWeight is the weight of time saved before that.
@@ -43,12 +48,15 @@
 // Candidate is an upstream as the choosing process knows it.
 type Candidate struct {
 	Domain string
-	// Running and Waiting are the requests at the upstream when it was last reported, Age ago.
+	// Running and Waiting are the requests at the upstream when it was last reported, Age ago. An upstream that has not
+	// reported yet has an Age of MaxReportAge or more.
 	Running, Waiting int
 	Age              time.Duration
 	// Outstanding is the number of requests that this process has in progress at the upstream.
 	Outstanding int
-	Slots       int
+	// Sent is the number of requests that this process has sent to the upstream since the report.
+	Sent  int
+	Slots int
 	// Work is the mean duration of the requests at the upstream, zero if it has not been reported.
 	Work time.Duration
 	// StartDelay is the wait for the upstream's limit on requests per second, and LinkDelay the wait for the link of its
@@ -56,6 +64,24 @@
 	StartDelay, LinkDelay time.Duration
 	// FailureRate is the moving average of failures, from 0 to 1.
 	FailureRate float64
+	// usual is the mean utilization of the upstreams of the failure domain according to their reports.
+	usual float64
+}
+
+// reportWeight returns how much the report counts, from 1 if it is new to 0 from MaxReportAge on.
+func (c *Candidate) reportWeight() float64 {
+	return 1 - float64(min(max(0, c.Age), MaxReportAge))/float64(MaxReportAge)
+}
+
+// InProgress returns the expected number of requests at the upstream.
+func (c *Candidate) InProgress() float64 {
+	weight := c.reportWeight()
+	reported := weight * float64(c.Running+c.Waiting)
+	if weight > 0 {
+		reported += float64(c.Sent)
+	}
+	usual := usualWeight * c.usual * float64(max(1, c.Slots))
+	return max(float64(c.Outstanding), reported) + (1-weight)*usual
 }
 
 // Request is what the choice depends on.
@@ -70,6 +96,19 @@
 	BodyBytes, ResponseBytes int
 }
 
+// Decision is the choice for a request and its reasons.
+type Decision struct {
+	// Home and Away are the indexes of the best candidates in the failure domain and outside, -1 if there is none.
+	Home, Away int
+	// HomeFinish and AwayFinish are the expected times until they have answered, without the transfer.
+	HomeFinish, AwayFinish time.Duration
+	// Gain is what leaving the failure domain gains, zero unless there are candidates on both sides. Cost is what it must
+	// gain.
+	Gain, Cost time.Duration
+	// Chosen is the index of the chosen candidate, -1 if there are none.
+	Chosen int
+}
+
 // Chooser chooses upstreams for the requests that arrive in one failure domain.
 type Chooser struct {
 	domain string
@@ -84,7 +123,22 @@
 
 // Choose returns the index of the candidate that the request should go to, or -1 if there are none.
 func (c *Chooser) Choose(candidates []Candidate, req Request) int {
-	home, away := make([]int, 0, len(candidates)), make([]int, 0, len(candidates))
+	setUsual(candidates)
+	home, away := c.split(candidates)
+	return c.decide(candidates, c.sample(home, maxHome), c.sample(away, maxAway), req).Chosen
+}
+
+// Compare returns how Choose would decide if it compared all candidates instead of a random sample. It draws no random
+// number.
+func (c *Chooser) Compare(candidates []Candidate, req Request) Decision {
+	setUsual(candidates)
+	home, away := c.split(candidates)
+	return c.decide(candidates, home, away, req)
+}
+
+// split returns the indexes of the candidates inside and outside the failure domain.
+func (c *Chooser) split(candidates []Candidate) (home, away []int) {
+	home, away = make([]int, 0, len(candidates)), make([]int, 0, len(candidates))
 	for i := range candidates {
 		if candidates[i].Domain == c.domain {
 			home = append(home, i)
@@ -92,15 +146,45 @@
 			away = append(away, i)
 		}
 	}
-	bestHome, homeFinish := c.best(candidates, c.sample(home, maxHome), req)
-	bestAway, awayFinish := c.best(candidates, c.sample(away, maxAway), req)
+	return home, away
+}
+
+// decide chooses among the candidates with the given indexes.
+func (c *Chooser) decide(candidates []Candidate, home, away []int, req Request) Decision {
+	d := Decision{Cost: LeavingCost(req)}
+	d.Home, d.HomeFinish = c.best(candidates, home, req)
+	d.Away, d.AwayFinish = c.best(candidates, away, req)
+	d.Chosen = d.Home
 	switch {
-	case bestHome < 0:
-		return bestAway
-	case bestAway < 0 || !LeavingPays(homeFinish, awayFinish, req):
-		return bestHome
+	case d.Home < 0:
+		d.Chosen = d.Away
+	case d.Away >= 0:
+		d.Gain = leavingGain(d.HomeFinish, d.AwayFinish, req)
+		if d.Gain > d.Cost {
+			d.Chosen = d.Away
+		}
+	}
+	return d
+}
+
+// setUsual sets the usual utilization of each candidate's failure domain. Newer reports count more.
+func setUsual(candidates []Candidate) {
+	type domain struct{ inProgress, slots float64 }
+	domains := make(map[string]domain, 4)
+	for i := range candidates {
+		c := &candidates[i]
+		weight := c.reportWeight()
+		d := domains[c.Domain]
+		d.inProgress += weight * float64(c.Running+c.Waiting)
+		d.slots += weight * float64(max(1, c.Slots))
+		domains[c.Domain] = d
+	}
+	for i := range candidates {
+		candidates[i].usual = 0
+		if d := domains[candidates[i].Domain]; d.slots > 0 {
+			candidates[i].usual = d.inProgress / d.slots
+		}
 	}
-	return bestAway
 }
 
 // sample moves up to n random elements to the front of indexes and returns them.
@@ -131,13 +215,7 @@
 	if work == 0 {
 		work = DefaultWork
 	}
-	inProgress := float64(c.Outstanding)
-	if c.Age < MaxReportAge {
-		reported := float64(c.Running+c.Waiting) * (1 - float64(c.Age)/float64(MaxReportAge))
-		inProgress = max(inProgress, reported)
-	}
-	slots := float64(max(1, c.Slots))
-	utilization := (inProgress + 1) / slots
+	utilization := (c.InProgress() + 1) / float64(max(1, c.Slots))
 	wait := float64(work) * queueingWeight * max(0, utilization-queueingThreshold)
 	duration := float64(work)
 	if req.Work > 0 && req.TypicalWork > 0 {
@@ -145,18 +223,23 @@
 	}
 	duration *= 1 + utilizationWeight*utilization
 	delay := time.Duration((wait + duration) * (1 + failureWeight*c.FailureRate))
-	delay += max(0, c.StartDelay-c.Age)
+	age := max(0, c.Age)
+	delay += max(0, c.StartDelay-age)
 	if req.BodyBytes > 0 {
-		delay += max(0, c.LinkDelay-c.Age)
+		delay += max(0, c.LinkDelay-age)
 	}
 	return delay
 }
 
-// LeavingPays reports whether a request should leave its failure domain, where it would finish after home, for another
-// one, where it would finish after away. Time that is saved before the response is due counts less.
-func LeavingPays(home, away time.Duration, req Request) bool {
-	cost := leaveCost + transferCost*time.Duration(req.BodyBytes+req.ResponseBytes)/1024
-	return weigh(home, req.Left)-weigh(away+roundTrip, req.Left) > cost
+// LeavingCost returns what leaving the failure domain must gain.
+func LeavingCost(req Request) time.Duration {
+	return leaveCost + transferCost*time.Duration(req.BodyBytes+req.ResponseBytes)/1024
+}
+
+// leavingGain returns what a request gains that would finish after home in its failure domain and after away in another
+// one. Time that is saved before the response is due counts less.
+func leavingGain(home, away time.Duration, req Request) time.Duration {
+	return weigh(home, req.Left) - weigh(away+roundTrip, req.Left)
 }
 
 // weigh returns what a finish after d costs a caller whose objective is due after left.
