--- a/cmd/sequoiaspring/main.go
+++ b/cmd/sequoiaspring/main.go
@@ -33,7 +33,7 @@
 	Demo          *demoCommand          `arg:"subcommand:demo" help:"run a whole deployment on loopback under load, kill one process and drain another"`
 	Apply         *applyCommand         `arg:"subcommand:apply" help:"put a configuration document in force in every process"`
 	Status        *statusCommand        `arg:"subcommand:status" help:"show one process's lease, the members and the services"`
-	Explain       *explainCommand       `arg:"subcommand:explain" help:"show who owns a key, why and since when"`
+	Explain       *explainCommand       `arg:"subcommand:explain" help:"show who owns a key, why and since when; on the users' platform, where a request would go now and why"`
 	Move          *moveCommand          `arg:"subcommand:move" help:"move shards or hot keys to an instance"`
 	Drain         *drainCommand         `arg:"subcommand:drain" help:"hand over all keys of a process and stop it"`
 	ConfirmLoss   *confirmLossCommand   `arg:"subcommand:confirm-loss" help:"DANGEROUS: reassign the keys of a lost process whose witnesses are lost too"`
--- a/cmd/sequoiaspring/operator.go
+++ b/cmd/sequoiaspring/operator.go
@@ -149,11 +149,18 @@
 
 type explainCommand struct {
 	adminOptions
-	Service string `arg:"--service,required" help:"name of the service"`
-	Key     string `arg:"--key,required" help:"the key"`
+	Service string `arg:"--service" help:"name of the service, in the product's own deployments"`
+	Key     string `arg:"--key" help:"the key"`
+	explainRequestOptions
 }
 
 func (c *explainCommand) run(ctx context.Context, out io.Writer) error {
+	if c.Process != "" {
+		return c.explainRequest(ctx, c.Key, out)
+	}
+	if c.Service == "" || c.Key == "" {
+		return inputError{errors.New("give --service and --key, or --process, --host and --path on the users' platform")}
+	}
 	client, err := c.client()
 	if err != nil {
 		return err
--- a/internal/sequoianode/directory.go
+++ b/internal/sequoianode/directory.go
@@ -235,19 +235,26 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	peers := d.withoutCold(now, req.Service, d.candidates(now, req.Service, tried))
+	peers := d.withoutCold(now, req.Service, d.candidates(now, req.Service, tried), rand.Float64)
+	candidates := d.spreadCandidates(now, peers, len(req.Body))
+	best := d.chooser.Choose(candidates, d.usage.expect(req))
+	if best < 0 {
+		return sequoiaowner.Member{}, false
+	}
+	return peers[best].member, true
+}
+
+// spreadCandidates returns the peers' upstreams as candidates for a request with a body of the given size. The caller must
+// hold mu.
+func (d *directory) spreadCandidates(now time.Time, peers []*peer, bodyBytes int) []sequoiaspread.Candidate {
 	candidates := make([]sequoiaspread.Candidate, len(peers))
 	for i, p := range peers {
 		candidates[i] = p.candidate(now)
-		if len(req.Body) <= linkBody || p.member.Instance == d.settings.Instance {
+		if bodyBytes <= linkBody || p.member.Instance == d.settings.Instance {
 			candidates[i].LinkDelay = 0
 		}
 	}
-	best := d.chooser.Choose(candidates, d.usage.expect(req))
-	if best < 0 {
-		return sequoiaowner.Member{}, false
-	}
-	return peers[best].member, true
+	return candidates
 }
 
 // candidate returns the peer's upstream as a candidate for a request.
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -273,7 +273,7 @@
 		return err
 	}
 	if n.settings.Metrics.IsValid() {
-		if _, err := n.front.Listen(n.settings.Metrics, n.metrics.handler(), controlOptions()...); err != nil {
+		if _, err := n.front.Listen(n.settings.Metrics, n.serveControl(), controlOptions()...); err != nil {
 			return err
 		}
 	}
--- a/internal/sequoianode/warmup.go
+++ b/internal/sequoianode/warmup.go
@@ -1,7 +1,6 @@
 package sequoianode
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
@@ -88,8 +87,9 @@
 	d.warmupRates = rates
 }
 
-// withoutCold leaves out cold upstreams for all but the share of the requests that they can take. The caller must hold mu.
-func (d *directory) withoutCold(now time.Time, service string, candidates []*peer) []*peer {
+// withoutCold leaves out cold upstreams for all but the share of the requests that they can take. roll returns random
+// numbers from 0 to 1. The caller must hold mu.
+func (d *directory) withoutCold(now time.Time, service string, candidates []*peer, roll func() float64) []*peer {
 	rate := d.warmupRates[service]
 	if rate <= 0 {
 		return candidates
@@ -100,7 +100,7 @@
 	}
 	share := sequoiawarmup.Share(rate, upstreams, sequoiaspread.DefaultWork)
 	var considered []*peer
-	for _, i := range sequoiawarmup.Considered(upstreams, share, rand.Float64) {
+	for _, i := range sequoiawarmup.Considered(upstreams, share, roll) {
 		considered = append(considered, candidates[i])
 	}
 	return considered
--- a/internal/sequoiaspread/spread.go
+++ b/internal/sequoiaspread/spread.go
@@ -107,6 +107,8 @@
 	Gain, Cost time.Duration
 	// Chosen is the index of the chosen candidate, -1 if there are none.
 	Chosen int
+	// Sampled is true if there are more candidates than Choose compares.
+	Sampled bool
 }
 
 // Chooser chooses upstreams for the requests that arrive in one failure domain.
@@ -129,11 +131,13 @@
 }
 
 // Compare returns how Choose would decide if it compared all candidates instead of a random sample. It draws no random
-// number.
+// number. ExpectedFinish of the candidates afterwards returns the times that were compared.
 func (c *Chooser) Compare(candidates []Candidate, req Request) Decision {
 	setUsual(candidates)
 	home, away := c.split(candidates)
-	return c.decide(candidates, home, away, req)
+	d := c.decide(candidates, home, away, req)
+	d.Sampled = len(home) > maxHome || len(away) > maxAway
+	return d
 }
 
 // split returns the indexes of the candidates inside and outside the failure domain.
