Ready: Order queued requests by priority first, and let few late ones wait

Requests that could still meet their objective went before all late ones, and up to 6 late requests for each slot waited. So upstreams spent much of their time on late responses while others were free, and late requests of priority 0 waited behind all of priority 1.

The order is now by priority, then in time before late. A late request is queued only while few of its priority or above wait, and is otherwise refused at once, so that another upstream can serve it in time. Objectives are judged by the mean duration plus the mean deviation. A class with less than 0.4 of the mean share started gets the next slot while none of its requests runs. Retry-After has jitter of up to half.

Request.Call is removed: an upstream's requests cannot be told from those of clients on its machine by the address.

--- a/internal/sequoiaadmission/queue.go
+++ b/internal/sequoiaadmission/queue.go
@@ -2,13 +2,15 @@
 // are queued and which are rejected. It does no I/O.
 //
 // All requests for an upstream pass through the process on its instance, so that the queue knows exactly how many are
-// running. Requests that can still meet their objective go first, by priority and then by objective, so that short ones
-// do not wait behind long ones that have time left. Under overload, a request that cannot end before its deadline is
-// rejected at once, while its client can still retry, and queued requests that will miss their objective are evicted in
-// favor of those that can meet it.
+// running. The order is by priority; within a priority, requests that can still meet their objective go first, by
+// objective, so that short ones do not wait behind long ones that have time left. Under overload, a request that would be
+// late is rejected at once, while another upstream can still serve it in time, unless few others of its priority wait.
+// Queued requests that will miss their objective are evicted in favor of those that can meet it.
 package sequoiaadmission
 
 import (
+	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -35,12 +37,23 @@
 	initialDurationShare = 0.35
 	// maxWaitingPerSlot is the maximum length of the queue for each slot.
 	maxWaitingPerSlot = 8
-	// lateQueueLimitPerSlot is the length of the queue, for each slot, below which requests that are expected to miss
-	// their objective are still queued. They use slots that become free between bursts.
-	lateQueueLimitPerSlot = 6
-	// evictionThresholdPerSlot is the number of queued requests that can meet their objective, for each slot, from
-	// which the other queued requests are evicted.
-	evictionThresholdPerSlot = 1.5
+	// lateQueueLimitPerSlot is the number of queued requests of the same or a higher priority, for each slot, below which
+	// requests that are expected to miss their objective are still queued. They use slots that become free between bursts.
+	// With 6 of them, upstreams spent half of their time on late responses while others were free.
+	lateQueueLimitPerSlot = 0.7
+	// evictionThresholdPerSlot is the number of queued requests that can meet their objective and go before a late one,
+	// for each slot, from which the late one is evicted.
+	evictionThresholdPerSlot = 0.3
+	// shareTime is the time constant of the share of a class's requests that are started.
+	shareTime = 6 * time.Second
+	// minShareSample is the number of recent requests from which the share of a class is judged.
+	minShareSample = 10
+	// starvedShare is the part of the mean share over all classes below which a request of a class goes first. No class
+	// may be served for less than a quarter of the mean.
+	starvedShare = 0.4
+	// retryJitter is the part of a Retry-After time that is added to it at most. Clients that are rejected together must
+	// not return together.
+	retryJitter = 0.5
 	// minRetryAfter is the shortest time after which a rejected client is asked to retry. A slot becomes free about
 	// every 40 ms.
 	minRetryAfter = 40 * time.Millisecond
@@ -63,6 +76,43 @@
 	OnDecision func(reason string, retryAfter time.Duration)
 
 	started time.Time
+	// late is true if the request will probably miss its objective, and rank is its priority or starvedRank, both as of
+	// the last call of assess.
+	late bool
+	rank int
+}
+
+// starvedRank is the rank of the requests of a class that has been served too little, while none of them runs. It is higher
+// than all priorities.
+const starvedRank = -1
+
+// class holds what is known about the requests of a class.
+type class struct {
+	// mean and deviation are moving averages of the duration and of its difference from the mean. mean is zero if no
+	// request of the class has ended.
+	mean, deviation time.Duration
+	// submitted and started are the numbers of requests, which decay with shareTime. They are valid at updated.
+	submitted, started float64
+	updated            time.Time
+	// running is the number of running requests.
+	running int
+	starved bool
+}
+
+// ended records the duration of a request.
+func (c *class) ended(duration time.Duration) {
+	if c.mean > 0 {
+		c.deviation += time.Duration(meanSmoothing * float64((duration-c.mean).Abs()-c.deviation))
+	}
+	c.mean = updateMean(c.mean, duration)
+}
+
+// decay updates the numbers of requests.
+func (c *class) decay(now time.Time) {
+	if elapsed := now.Sub(c.updated); elapsed > 0 {
+		f := math.Exp(-elapsed.Seconds() / shareTime.Seconds())
+		c.submitted, c.started, c.updated = c.submitted*f, c.started*f, now
+	}
 }
 
 // Queue holds the running and waiting requests of one upstream. It is not safe for concurrent use.
@@ -70,11 +120,13 @@
 	slots   int
 	running map[*Ticket]struct{}
 	// alone is the number of running requests with Alone.
-	alone      int
-	waiting    []*Ticket
-	classMeans map[string]time.Duration
-	mean       time.Duration
-	pace       pace
+	alone   int
+	waiting []*Ticket
+	classes map[string]*class
+	mean    time.Duration
+	pace    pace
+	// random returns a random number from 0 to 1.
+	random func() float64
 	// latestDeadline is the latest deadline of requests that may start, zero if there is none.
 	latestDeadline time.Time
 	// lastStart is when the last request may start, zero if there is no such time.
@@ -82,8 +134,20 @@
 }
 
 // New returns a queue for an upstream that processes up to slots requests concurrently.
-func New(slots int) *Queue {
-	return &Queue{slots: max(1, slots), running: map[*Ticket]struct{}{}, classMeans: map[string]time.Duration{}}
+func New(slots int, options ...Option) *Queue {
+	q := &Queue{slots: max(1, slots), running: map[*Ticket]struct{}{}, classes: map[string]*class{}, random: rand.Float64}
+	for _, o := range options {
+		o(q)
+	}
+	return q
+}
+
+// Option configures a Queue.
+type Option func(q *Queue)
+
+// WithRandom replaces the source of random numbers from 0 to 1.
+func WithRandom(random func() float64) Option {
+	return func(q *Queue) { q.random = random }
 }
 
 // SetSlots changes the maximum number of concurrent requests.
@@ -228,12 +292,22 @@
 
 // ExpectedDuration returns the expected duration of the request at the upstream.
 func (q *Queue) ExpectedDuration(t *Ticket) time.Duration {
-	if mean, ok := q.classMeans[t.Class]; ok {
-		return mean
+	if c := q.classes[t.Class]; c != nil && c.mean > 0 {
+		return c.mean
 	}
 	return time.Duration(float64(t.Objective.Sub(t.Arrived)) * initialDurationShare)
 }
 
+// likelyDuration returns a duration that most requests of the class do not exceed: the expected one and the mean
+// deviation. Requests that start when only the expected duration is left are late half of the time.
+func (q *Queue) likelyDuration(t *Ticket) time.Duration {
+	d := q.ExpectedDuration(t)
+	if c := q.classes[t.Class]; c != nil {
+		d += c.deviation
+	}
+	return d
+}
+
 // ExpectedEnd returns how long a request that is submitted now is expected to wait and run.
 func (q *Queue) ExpectedEnd(now time.Time, t *Ticket) time.Duration {
 	return q.expectedWait(now, t) + q.ExpectedDuration(t)
@@ -248,26 +322,26 @@
 		t.OnDecision(ReasonLeaving, minRetryAfter)
 		return
 	}
-	duration := q.ExpectedDuration(t)
 	if now.After(q.latestStart(t)) {
 		t.OnDecision(ReasonDeadline, 0)
 		return
 	}
+	q.countSubmitted(now, t)
 	if q.canStart(now) && q.mayRun(t) && !slices.ContainsFunc(q.waiting, q.mayRun) {
 		q.start(now, t)
 		return
 	}
-	if len(q.waiting) >= maxWaitingPerSlot*q.slots {
-		t.OnDecision(ReasonFull, q.retryAfter(now))
-		return
-	}
 	wait := q.expectedWait(now, t)
-	end := now.Add(wait + duration)
+	end := now.Add(wait + q.likelyDuration(t))
 	if q.limitBinds() {
 		end = end.Add(paceMargin)
 	}
 	if end.After(t.Objective) && !q.mayQueueLate(end, t) {
-		t.OnDecision(ReasonBusy, max(wait, minRetryAfter))
+		q.reject(t, ReasonBusy, max(wait, minRetryAfter))
+		return
+	}
+	if len(q.waiting) >= maxWaitingPerSlot*q.slots && !q.displaceLast(now, t) {
+		q.reject(t, ReasonFull, q.retryAfter(now))
 		return
 	}
 	q.waiting = append(q.waiting, t)
@@ -288,31 +362,104 @@
 func (q *Queue) mayRun(t *Ticket) bool { return !t.Alone || q.alone == 0 }
 
 // mayQueueLate reports whether a request may be queued that would end at the given time, after its objective. This is
-// allowed while the queue is shorter than lateQueueLimitPerSlot for each slot, so that late requests can use slots that
-// become free between bursts. If the limit on requests per second binds, free slots are of no use.
+// allowed while few requests of its rank or above wait, so that late requests can use slots that become free between
+// bursts. If the limit on requests per second binds, free slots are of no use.
 func (q *Queue) mayQueueLate(end time.Time, t *Ticket) bool {
-	return !q.limitBinds() && !end.After(t.Deadline) && len(q.waiting) < lateQueueLimitPerSlot*q.slots
+	if q.limitBinds() || end.After(t.Deadline) {
+		return false
+	}
+	ahead := 0
+	for _, other := range q.waiting {
+		if other.rank <= t.rank {
+			ahead++
+		}
+	}
+	return float64(ahead) < lateQueueLimitPerSlot*float64(q.slots)
 }
 
-// before reports whether queued request a starts before b. Requests that can still meet their objective go first, then
-// the order is by priority and by objective.
-func (q *Queue) before(now time.Time, a, b *Ticket) bool {
-	lateA, lateB := q.missesObjective(now, a), q.missesObjective(now, b)
+// displaceLast rejects the last request of a full queue if t goes before it. It reports whether it did so.
+func (q *Queue) displaceLast(now time.Time, t *Ticket) bool {
+	last := 0
+	for i, other := range q.waiting {
+		if before(q.waiting[last], other) {
+			last = i
+		}
+	}
+	other := q.waiting[last]
+	if !before(t, other) {
+		return false
+	}
+	q.waiting = slices.Delete(q.waiting, last, last+1)
+	q.reject(other, ReasonFull, q.retryAfter(now))
+	return true
+}
+
+// reject rejects a request because of the others, with some jitter in the Retry-After time.
+func (q *Queue) reject(t *Ticket, reason string, retryAfter time.Duration) {
+	t.OnDecision(reason, retryAfter+time.Duration(retryJitter*q.random()*float64(retryAfter)))
+}
+
+// assess updates late and rank of the queued requests and of others. It must be called before requests are compared.
+func (q *Queue) assess(now time.Time, others ...*Ticket) {
+	q.findStarved(now)
+	for _, tickets := range [][]*Ticket{q.waiting, others} {
+		for _, t := range tickets {
+			t.late = q.missesObjective(now, t)
+			t.rank = t.Priority
+			if c := q.classes[t.Class]; c != nil && c.starved && c.running == 0 {
+				t.rank = starvedRank
+			}
+		}
+	}
+}
+
+// findStarved finds the classes of which a much smaller share is started than of the others. There are none while the limit
+// on requests per second binds: requests that have been told to wait for it would be displaced.
+func (q *Queue) findStarved(now time.Time) {
+	sum, n := 0.0, 0
+	limited := q.limitBinds()
+	for _, c := range q.classes {
+		c.decay(now)
+		if c.submitted >= minShareSample {
+			sum += c.started / c.submitted
+			n++
+		}
+	}
+	for _, c := range q.classes {
+		c.starved = !limited && c.submitted >= minShareSample && c.started/c.submitted < starvedShare*sum/float64(n)
+	}
+}
+
+// countSubmitted counts a request for the share of its class.
+func (q *Queue) countSubmitted(now time.Time, t *Ticket) {
+	c := q.classes[t.Class]
+	if c == nil {
+		c = &class{updated: now}
+		q.classes[t.Class] = c
+	}
+	c.decay(now)
+	c.submitted++
+}
+
+// before reports whether queued request a starts before b: by rank, then those that can still meet their objective, then
+// by objective. A late request of a higher priority goes before all of a lower one.
+func before(a, b *Ticket) bool {
 	switch {
-	case lateA != lateB:
-		return lateB
-	case a.Priority != b.Priority:
-		return a.Priority < b.Priority
+	case a.rank != b.rank:
+		return a.rank < b.rank
+	case a.late != b.late:
+		return b.late
 	}
 	return a.Objective.Before(b.Objective)
 }
 
 func (q *Queue) missesObjective(now time.Time, t *Ticket) bool {
-	return now.Add(q.ExpectedDuration(t)).After(t.Objective)
+	return now.Add(q.likelyDuration(t)).After(t.Objective)
 }
 
 // expectedWait returns the expected time until the request would start.
 func (q *Queue) expectedWait(now time.Time, t *Ticket) time.Duration {
+	q.assess(now, t)
 	// alone is the wait for the requests that must not run beside this one.
 	var ahead, alone time.Duration
 	for r := range q.running {
@@ -324,7 +471,7 @@
 	}
 	first := 1
 	for _, other := range q.waiting {
-		if q.before(now, other, t) {
+		if before(other, t) {
 			ahead += q.ExpectedDuration(other)
 			first++
 			if t.Alone && other.Alone {
@@ -345,6 +492,10 @@
 func (q *Queue) start(now time.Time, t *Ticket) {
 	t.started = now
 	q.pace.take()
+	c := q.classes[t.Class]
+	c.decay(now)
+	c.started++
+	c.running++
 	q.running[t] = struct{}{}
 	if t.Alone {
 		q.alone++
@@ -381,8 +532,10 @@
 		q.alone--
 	}
 	duration := now.Sub(t.started)
+	c := q.classes[t.Class]
+	c.running--
 	if counted {
-		q.classMeans[t.Class] = updateMean(q.classMeans[t.Class], duration)
+		c.ended(duration)
 		q.mean = updateMean(q.mean, duration)
 	}
 	q.startWaiting(now)
@@ -405,10 +558,14 @@
 		q.waiting = nil
 		return
 	}
+	if len(q.waiting) == 0 {
+		return
+	}
 	for q.canStart(now) {
+		q.assess(now)
 		best := -1
 		for i, t := range q.waiting {
-			if q.mayRun(t) && (best < 0 || q.before(now, t, q.waiting[best])) {
+			if q.mayRun(t) && (best < 0 || before(t, q.waiting[best])) {
 				best = i
 			}
 		}
@@ -423,6 +580,7 @@
 		}
 		q.start(now, t)
 	}
+	q.assess(now)
 	if q.limitBinds() {
 		q.evictUnservable(now)
 		return
@@ -435,9 +593,9 @@
 func (q *Queue) evictUnservable(now time.Time) {
 	slices.SortStableFunc(q.waiting, func(a, b *Ticket) int {
 		switch {
-		case q.before(now, a, b):
+		case before(a, b):
 			return -1
-		case q.before(now, b, a):
+		case before(b, a):
 			return 1
 		}
 		return 0
@@ -447,7 +605,7 @@
 		wait := q.pace.delay(now, len(kept)+1)
 		end := now.Add(wait + q.ExpectedDuration(t))
 		if end.After(t.Deadline) || end.After(t.Objective) && len(kept) > 0 {
-			t.OnDecision(ReasonBusy, max(wait, minRetryAfter))
+			q.reject(t, ReasonBusy, max(wait, minRetryAfter))
 			continue
 		}
 		kept = append(kept, t)
@@ -456,23 +614,28 @@
 	q.waiting = kept
 }
 
-// evictLate rejects the queued requests that will miss their objective if enough others that can meet it are queued:
-// the late ones would wait without a chance of being served on time.
+// evictLate rejects the queued requests that will miss their objective if enough others that can meet theirs go before
+// them: the late ones would wait without a chance of being served on time.
 func (q *Queue) evictLate(now time.Time) {
-	onTime := 0
+	onTime := make([]int, 0, len(q.waiting))
 	for _, t := range q.waiting {
-		if !q.missesObjective(now, t) {
-			onTime++
+		if !t.late {
+			onTime = append(onTime, t.rank)
 		}
 	}
-	if float64(onTime) < evictionThresholdPerSlot*float64(q.slots) {
+	if float64(len(onTime)) < evictionThresholdPerSlot*float64(q.slots) {
 		return
 	}
+	slices.Sort(onTime)
 	q.waiting = slices.DeleteFunc(q.waiting, func(t *Ticket) bool {
-		if !q.missesObjective(now, t) {
+		if !t.late {
+			return false
+		}
+		ahead, _ := slices.BinarySearch(onTime, t.rank+1)
+		if float64(ahead) < evictionThresholdPerSlot*float64(q.slots) {
 			return false
 		}
-		t.OnDecision(ReasonBusy, q.retryAfter(now))
+		q.reject(t, ReasonBusy, q.retryAfter(now))
 		return true
 	})
 }
--- a/internal/sequoialink/scheduler.go
+++ b/internal/sequoialink/scheduler.go
@@ -70,8 +70,6 @@
 type Transfer struct {
 	// Size is the size of the body in bytes.
 	Size int
-	// Call is true if an upstream sent the request while it worked on another one. Such bodies go first.
-	Call bool
 	// Priority ranks the request; a lower number goes first.
 	Priority int
 	// Objective is when the request should be answered, Deadline when it must be. A zero deadline is none.
@@ -115,14 +113,14 @@
 
 // sameRank reports whether neither transfer goes before the other whatever their objectives are.
 func (t *Transfer) sameRank(other *Transfer) bool {
-	return t.Call == other.Call && t.Priority == other.Priority
+	return t.Priority == other.Priority
 }
 
-// order compares transfers by the order in which they are granted: calls of upstreams first, then by priority, those that
-// can meet their objective, objective and time of the offer.
+// order compares transfers by the order in which they are granted: by priority, those that can meet their objective, objective
+// and time of the offer.
 func order(a, b *Transfer) int {
 	return cmp.Or(
-		-compareBool(a.Call, b.Call), cmp.Compare(a.Priority, b.Priority), compareBool(a.late, b.late),
+		cmp.Compare(a.Priority, b.Priority), compareBool(a.late, b.late),
 		a.Objective.Compare(b.Objective), cmp.Compare(a.sequence, b.sequence),
 	)
 }
--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -149,16 +149,9 @@
 		Service: n.splitter.Choose(route), RequestID: attrs.ID, Repeatable: route.Idempotent,
 		Deadline: began.Add(timeout), Method: r.Method, Path: r.RequestURI, Host: r.Host, Header: r.Header, Body: body,
 		Route: route.Name, Origin: n.settings.Service, Priority: route.Priority, Objective: route.Objective,
-		Call: n.sentByUpstream(r),
 	}, attrs, nil
 }
 
-// sentByUpstream reports whether the local upstream sent the request. Clients have addresses of their own.
-func (n *Node) sentByUpstream(r *http.Request) bool {
-	remote, err := netip.ParseAddrPort(r.RemoteAddr)
-	return err == nil && remote.Addr().Unmap() == n.settings.Upstream.Addr()
-}
-
 // attemptState holds the results of a request's previous attempts.
 type attemptState struct {
 	// upstreamAttempts counts the attempts that an upstream may have received.
@@ -457,7 +450,7 @@
 	fields := []any{"Outcome", resp.Outcome, "Status", status, "Reason", resp.Reason, "Milliseconds", took.Milliseconds()}
 	if req != nil {
 		fields = append(fields, "RequestID", req.RequestID, "Route", req.Route, "Service", req.Service, "Key", req.Key,
-			"Target", req.Target, "Attempts", req.Attempts, "Call", req.Call, "Waiting", resp.Load.Waiting, "Running", resp.Load.Running,
+			"Target", req.Target, "Attempts", req.Attempts, "Waiting", resp.Load.Waiting, "Running", resp.Load.Running,
 			"Left", time.Until(req.Deadline).Milliseconds())
 	} else {
 		fields = append(fields, "Host", r.Host, "Path", r.URL.Path)
--- a/internal/sequoiapeer/bodyreceive.go
+++ b/internal/sequoiapeer/bodyreceive.go
@@ -239,7 +239,7 @@
 	b := &incomingBody{
 		conn: c, number: fr.number, req: req, ctx: ctx, cancel: cancel, release: release,
 		transfer: &sequoialink.Transfer{
-			Size: req.BodySize, Call: req.Call, Priority: req.Priority, Objective: objective(req, time.Now()),
+			Size: req.BodySize, Priority: req.Priority, Objective: objective(req, time.Now()),
 			Deadline: req.Deadline, After: after,
 		},
 	}
--- a/internal/sequoiapeer/frame.go
+++ b/internal/sequoiapeer/frame.go
@@ -132,9 +132,10 @@
 	Priority   int                 `cbor:"13,keyasint,omitempty"`
 	Objective  time.Duration       `cbor:"14,keyasint,omitempty"`
 	Route      string              `cbor:"15,keyasint,omitempty"`
-	Call       bool                `cbor:"16,keyasint,omitempty"`
-	Version    int                 `cbor:"17,keyasint,omitempty"`
-	BodySize   int                 `cbor:"18,keyasint,omitempty"`
+	// Reserved16 was sent by earlier builds and is ignored. Without the field the decoder would reject their requests.
+	Reserved16 bool `cbor:"16,keyasint,omitempty"`
+	Version    int  `cbor:"17,keyasint,omitempty"`
+	BodySize   int  `cbor:"18,keyasint,omitempty"`
 	// SentAt is when the sender encoded the request, as the time since the origin of its clock. It is zero if the receiver
 	// has an older protocol version.
 	SentAt time.Duration `cbor:"19,keyasint,omitempty"`
@@ -188,7 +189,7 @@
 		Version: req.Version,
 	}
 	if w.Version >= sequoiarouter.ProtocolVersion {
-		w.Call, w.BodySize, w.SentAt = req.Call, req.BodySize, now.Sub(monotonicOrigin)
+		w.BodySize, w.SentAt = req.BodySize, now.Sub(monotonicOrigin)
 	}
 	if !req.Deadline.IsZero() {
 		w.Remaining = req.Deadline.Sub(now)
@@ -218,7 +219,7 @@
 		Service: w.Service, Key: w.Key, RequestID: w.RequestID, FirstEpoch: w.FirstEpoch,
 		Repeatable: w.Repeatable, Forwarded: true, Method: w.Method, Path: w.Path, Header: w.Header, Body: w.Body,
 		Host: w.Host, Route: w.Route, Origin: w.Origin, Priority: w.Priority, Objective: w.Objective,
-		Call: w.Call, Version: w.Version, BodySize: w.BodySize,
+		Version: w.Version, BodySize: w.BodySize,
 	}
 	if w.Remaining > 0 {
 		req.Deadline = sent.Add(w.Remaining)
--- a/internal/sequoiarouter/request.go
+++ b/internal/sequoiarouter/request.go
@@ -80,8 +80,6 @@
 	// BodySize is the size in bytes of a body that follows the request in pieces; zero if Body is complete. It is set only
 	// while a request is sent to another process.
 	BodySize int
-	// Call is true if an upstream sent the request while it worked on another one. If it fails, that work is lost.
-	Call bool
 	// Version is the protocol version of the process that forwards the request, zero for one before ProtocolVersion 2. It
 	// says which fields of a response that process can read.
 	Version int
