Ready: Order late requests among those in time, and keep more of those with keys

A late request went after all of its priority that were in time, and was refused while many of them waited, so short calls lost what long orders of the same priority gained. It is now ordered as if its objective were four expected durations later, and only requests that go before it count for its refusal. A request with a key has no other upstream, so refusing it early gains nothing; 2 for each slot may wait.

--- a/internal/sequoiaadmission/queue.go
+++ b/internal/sequoiaadmission/queue.go
@@ -2,8 +2,8 @@
 // are queued and which are rejected. It does no I/O.
 //
 // All requests for an upstream pass through the process on its instance, so that the queue knows exactly how many are
-// running. The order is by priority; within a priority, requests that can still meet their objective go first, by
-// objective, so that short ones do not wait behind long ones that have time left. Under overload, a request that would be
+// running. The order is by priority and then by objective, so that short ones do not wait behind long ones that have time
+// left; those that miss their objective are ordered as if it were some of their durations later. Under overload, a request that would be
 // late is rejected at once, while another upstream can still serve it in time, unless few others of its priority wait.
 // Queued requests that will miss their objective are evicted in favor of those that can meet it.
 package sequoiaadmission
@@ -37,10 +37,15 @@
 	initialDurationShare = 0.35
 	// maxWaitingPerSlot is the maximum length of the queue for each slot.
 	maxWaitingPerSlot = 8
-	// lateQueueLimitPerSlot is the number of queued requests of the same or a higher priority, for each slot, below which
-	// requests that are expected to miss their objective are still queued. They use slots that become free between bursts.
-	// With 6 of them, upstreams spent half of their time on late responses while others were free.
+	// lateQueueLimitPerSlot is the number of queued requests that go before it, for each slot, below which a request that is
+	// expected to miss its objective is still queued. Late requests use slots that become free between bursts. With a
+	// limit of 6, upstreams spent much of their time on late responses while others were free.
 	lateQueueLimitPerSlot = 0.7
+	// keyedLateQueueLimitPerSlot is the same for requests that no other upstream can serve.
+	keyedLateQueueLimitPerSlot = 2
+	// lateDelay is the number of expected durations by which a request that misses its objective is ordered later. A
+	// short one goes before long ones that have time left, and costs them little.
+	lateDelay = 4
 	// evictionThresholdPerSlot is the number of queued requests that can meet their objective and go before a late one,
 	// for each slot, from which the late one is evicted.
 	evictionThresholdPerSlot = 0.3
@@ -70,16 +75,19 @@
 	Priority int
 	// Alone is true if the request must not run at the same time as another one with Alone.
 	Alone bool
+	// Keyed is true if no other upstream can serve the request.
+	Keyed bool
 	// Arrived is the time of arrival. A response loses part of its value after Objective and all of it after Deadline.
 	Arrived, Objective, Deadline time.Time
 	// OnDecision is called once: with an empty reason when the request may run, or with the reason for its rejection.
 	OnDecision func(reason string, retryAfter time.Duration)
 
 	started time.Time
-	// late is true if the request will probably miss its objective, and rank is its priority or starvedRank, both as of
-	// the last call of assess.
+	// late is true if the request will probably miss its objective, rank is its priority or starvedRank, and due is its
+	// place among requests of its rank, all as of the last call of assess.
 	late bool
 	rank int
+	due  time.Time
 }
 
 // starvedRank is the rank of the requests of a class that has been served too little, while none of them runs. It is higher
@@ -362,19 +370,23 @@
 func (q *Queue) mayRun(t *Ticket) bool { return !t.Alone || q.alone == 0 }
 
 // mayQueueLate reports whether a request may be queued that would end at the given time, after its objective. This is
-// allowed while few requests of its rank or above wait, so that late requests can use slots that become free between
+// allowed while few requests that go before it wait, so that late requests can use slots that become free between
 // bursts. If the limit on requests per second binds, free slots are of no use.
 func (q *Queue) mayQueueLate(end time.Time, t *Ticket) bool {
 	if q.limitBinds() || end.After(t.Deadline) {
 		return false
 	}
+	limit := lateQueueLimitPerSlot
+	if t.Keyed {
+		limit = keyedLateQueueLimitPerSlot
+	}
 	ahead := 0
 	for _, other := range q.waiting {
-		if other.rank <= t.rank {
+		if before(other, t) {
 			ahead++
 		}
 	}
-	return float64(ahead) < lateQueueLimitPerSlot*float64(q.slots)
+	return float64(ahead) < limit*float64(q.slots)
 }
 
 // displaceLast rejects the last request of a full queue if t goes before it. It reports whether it did so.
@@ -399,13 +411,16 @@
 	t.OnDecision(reason, retryAfter+time.Duration(retryJitter*q.random()*float64(retryAfter)))
 }
 
-// assess updates late and rank of the queued requests and of others. It must be called before requests are compared.
+// assess updates late, rank and due of the queued requests and of others. It must be called before requests are compared.
 func (q *Queue) assess(now time.Time, others ...*Ticket) {
 	q.findStarved(now)
 	for _, tickets := range [][]*Ticket{q.waiting, others} {
 		for _, t := range tickets {
 			t.late = q.missesObjective(now, t)
-			t.rank = t.Priority
+			t.rank, t.due = t.Priority, t.Objective
+			if t.late {
+				t.due = t.due.Add(lateDelay * q.ExpectedDuration(t))
+			}
 			if c := q.classes[t.Class]; c != nil && c.starved && c.running == 0 {
 				t.rank = starvedRank
 			}
@@ -441,16 +456,13 @@
 	c.submitted++
 }
 
-// before reports whether queued request a starts before b: by rank, then those that can still meet their objective, then
-// by objective. A late request of a higher priority goes before all of a lower one.
+// before reports whether queued request a starts before b. A late request of a higher priority goes before all of a lower
+// one.
 func before(a, b *Ticket) bool {
-	switch {
-	case a.rank != b.rank:
+	if a.rank != b.rank {
 		return a.rank < b.rank
-	case a.late != b.late:
-		return b.late
 	}
-	return a.Objective.Before(b.Objective)
+	return a.due.Before(b.due)
 }
 
 func (q *Queue) missesObjective(now time.Time, t *Ticket) bool {
@@ -617,22 +629,27 @@
 // evictLate rejects the queued requests that will miss their objective if enough others that can meet theirs go before
 // them: the late ones would wait without a chance of being served on time.
 func (q *Queue) evictLate(now time.Time) {
-	onTime := make([]int, 0, len(q.waiting))
+	onTime := make([]*Ticket, 0, len(q.waiting))
 	for _, t := range q.waiting {
 		if !t.late {
-			onTime = append(onTime, t.rank)
+			onTime = append(onTime, t)
 		}
 	}
-	if float64(len(onTime)) < evictionThresholdPerSlot*float64(q.slots) {
+	threshold := evictionThresholdPerSlot * float64(q.slots)
+	if float64(len(onTime)) < threshold {
 		return
 	}
-	slices.Sort(onTime)
 	q.waiting = slices.DeleteFunc(q.waiting, func(t *Ticket) bool {
 		if !t.late {
 			return false
 		}
-		ahead, _ := slices.BinarySearch(onTime, t.rank+1)
-		if float64(ahead) < evictionThresholdPerSlot*float64(q.slots) {
+		ahead := 0
+		for _, other := range onTime {
+			if before(other, t) {
+				ahead++
+			}
+		}
+		if float64(ahead) < threshold {
 			return false
 		}
 		q.reject(t, ReasonBusy, q.retryAfter(now))
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -214,7 +214,7 @@
 	decided := make(chan decision, 1)
 	now := time.Now()
 	t := &sequoiaadmission.Ticket{
-		Class: req.Route, Priority: req.Priority, Alone: alone, Arrived: now, Deadline: req.Deadline,
+		Class: req.Route, Priority: req.Priority, Alone: alone, Keyed: req.Key != "", Arrived: now, Deadline: req.Deadline,
 		Objective: objective(now, req),
 		OnDecision: func(reason string, retryAfter time.Duration) {
 			n.noteStart(reason)
