--- a/internal/sequoiaadmission/queue_test.go
+++ b/internal/sequoiaadmission/queue_test.go
@@ -285,3 +285,82 @@
 		Expect(started).To(HaveKeyWithValue("at another upstream", true))
 	})
 })
+
+var _ = ginkgo.Describe("Queue with several priorities", func() {
+	now := time.Unix(1000, 0)
+	type decision struct {
+		reason     string
+		retryAfter time.Duration
+	}
+	submit := func(q *sequoiaadmission.Queue, class string, priority int, objective, deadline time.Duration) (*sequoiaadmission.Ticket, *decision) {
+		d := &decision{reason: "waits"}
+		t := &sequoiaadmission.Ticket{
+			Class: class, Priority: priority, Arrived: now, Objective: now.Add(objective), Deadline: now.Add(deadline),
+			OnDecision: func(reason string, retryAfter time.Duration) { *d = decision{reason, retryAfter} },
+		}
+		q.Submit(now, t)
+		return t, d
+	}
+
+	// Guards against requests of the highest priority that are refused because lower ones fill the queue.
+	ginkgo.It("rejects the last of a full queue in favor of a higher priority", func() {
+		q := sequoiaadmission.New(1)
+		running, _ := submit(q, "low", 1, time.Minute, time.Minute)
+		q.Done(now.Add(ms), running, true)
+		submit(q, "low", 1, time.Minute, time.Minute)
+		var low []*decision
+		for range 9 {
+			_, d := submit(q, "low", 1, time.Minute, time.Minute)
+			low = append(low, d)
+		}
+		Expect(low[8].reason).To(Equal(sequoiaadmission.ReasonFull))
+		_, high := submit(q, "high", 0, time.Minute, time.Minute)
+		Expect(high.reason).To(Equal("waits"))
+		Expect(q.Waiting()).To(Equal(8))
+		_, next := submit(q, "low", 1, time.Minute, time.Minute)
+		Expect(next.reason).To(Equal(sequoiaadmission.ReasonFull))
+	})
+
+	// Guards against a late request of the highest priority that waits behind all of the lower ones.
+	ginkgo.It("starts a late request before those of a lower priority, and a short late one before long ones with time left", func() {
+		q := sequoiaadmission.New(3)
+		known, _ := submit(q, "long", 1, time.Minute, time.Minute)
+		start := now
+		now = now.Add(400 * ms)
+		q.Done(now, known, true)
+		known, _ = submit(q, "short", 1, time.Minute, time.Minute)
+		now = now.Add(40 * ms)
+		q.Done(now, known, true)
+		var running []*sequoiaadmission.Ticket
+		for range 3 {
+			t, _ := submit(q, "long", 1, time.Minute, time.Minute)
+			running = append(running, t)
+		}
+		_, long := submit(q, "long", 1, 5*time.Second, 10*time.Second)
+		_, short := submit(q, "short", 1, 100*ms, time.Second)
+		_, late := submit(q, "long", 0, 300*ms, 4*time.Second)
+		now = now.Add(100 * ms)
+		q.Done(now, running[0], true)
+		Expect([]string{late.reason, short.reason, long.reason}).To(Equal([]string{"", "waits", "waits"}))
+		q.Done(now, running[1], true)
+		Expect([]string{short.reason, long.reason}).To(Equal([]string{"", "waits"}))
+		now = start
+	})
+
+	// Guards against clients that are refused together and return together.
+	ginkgo.It("spreads the Retry-After times of clients that it rejects by up to a half", func() {
+		randoms := []float64{0, 1}
+		q := sequoiaadmission.New(1, sequoiaadmission.WithRandom(func() float64 {
+			r := randoms[0]
+			randoms = randoms[1:]
+			return r
+		}))
+		known, _ := submit(q, "c", 0, time.Minute, time.Minute)
+		q.Done(now.Add(400*ms), known, true)
+		submit(q, "c", 0, time.Minute, time.Minute)
+		_, first := submit(q, "c", 0, 500*ms, 700*ms)
+		_, second := submit(q, "c", 0, 500*ms, 700*ms)
+		Expect(*first).To(Equal(decision{sequoiaadmission.ReasonBusy, 400 * ms}))
+		Expect(*second).To(Equal(decision{sequoiaadmission.ReasonBusy, 600 * ms}))
+	})
+})
