Apply the limit of a cold upstream before waiting requests start

The queue's timer started waiting requests without a look at the state of the upstream. One that had become silent, and may have been replaced, got them at the limit that its predecessor had named until the next step of the ownership state machine, 50 ms later at most, or the next request.

--- a/internal/sequoianode/limit.go
+++ b/internal/sequoianode/limit.go
@@ -103,6 +103,7 @@
 		}
 		n.queueTimer = nil
 		now := time.Now()
+		n.stepWarmup(now)
 		n.queue.Advance(now)
 		n.scheduleQueue(now)
 	})
--- a/internal/sequoianode/warmup_test.go
+++ b/internal/sequoianode/warmup_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaadmission"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaroute"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
@@ -56,6 +58,37 @@
 		Expect(started(n)).To(Equal(40))
 	})
 
+	// Guards against an upstream that was replaced while requests waited for the limit that the earlier one had named: they
+	// went to the new one at that rate.
+	ginkgo.It("gets waiting requests at the warm-up rate once it has been silent", func() {
+		n := newNode()
+		Expect(accept(n, cold(1, 0))).To(Succeed())
+		var began atomic.Int32
+		n.withCore(func(*sequoiaowner.Core) {
+			n.warmup.gate = sequoiawarmup.New(time.Now().Add(-time.Minute), sequoiawarmup.WithInterval(50*time.Millisecond))
+			n.warmup.gate.Announced(time.Now(), sequoiawarmup.Announcement{Stated: true})
+			n.setWarmupRule(sequoiaroute.Service{WarmupPeriod: 20 * time.Second, WarmupRate: 5})
+			n.queue.SetSlots(100)
+			n.limit = rateLimit{named: true, perSecond: 100}
+			n.applyLimit(time.Now())
+			for range 60 {
+				now := time.Now()
+				n.queue.Submit(now, &sequoiaadmission.Ticket{
+					Arrived: now, Objective: now.Add(5 * time.Second), Deadline: now.Add(10 * time.Second),
+					OnDecision: func(reason string, _ time.Duration) {
+						if n.noteStart(reason); reason == "" {
+							began.Add(1)
+						}
+					},
+				})
+			}
+			n.scheduleQueue(time.Now())
+		})
+		time.Sleep(500 * time.Millisecond)
+		// At most 10 in the first 100 ms, and 5 a second afterwards.
+		Expect(began.Load()).To(And(BeNumerically(">=", 5), BeNumerically("<=", 14)))
+	})
+
 	ginkgo.It("is known from a response of its health path", func() {
 		n := newNode()
 		Expect(accept(n, cold(1, 0))).To(Succeed())
