--- a/internal/sequoiaadmission/pace.go
+++ b/internal/sequoiaadmission/pace.go
@@ -26,8 +26,8 @@
 }
 
 // set changes the limit; zero removes it. A new limit begins without a burst, because the upstream has counted the
-// requests that were started before.
-// If from is later than in earlier calls, no request starts before it and there is no burst then.
+// requests that were started before. If from is later than in earlier calls, no request starts before it and there is no
+// burst then.
 func (p *pace) set(now time.Time, perSecond float64, from time.Time) {
 	if p.perSecond == 0 {
 		p.tokens, p.updated = 0, now
--- a/internal/sequoianode/directory.go
+++ b/internal/sequoianode/directory.go
@@ -283,16 +283,6 @@
 	return best, found
 }
 
-// inProgress estimates the number of requests at a peer's upstream.
-func (d *directory) inProgress(now time.Time, p *peer) float64 {
-	inProgress := float64(p.outstanding)
-	if age := now.Sub(p.loadReportedAt); age < sequoiaspread.MaxReportAge {
-		reported := float64(p.load.Running+p.load.Waiting) * (1 - float64(age)/float64(sequoiaspread.MaxReportAge))
-		inProgress = max(inProgress, reported)
-	}
-	return inProgress
-}
-
 // beginRequest records that a request is being sent to an instance, and returns the upstream that it is sent to.
 func (d *directory) beginRequest(instance string) sequoiakeyspace.Holder {
 	d.mu.Lock()
--- a/internal/sequoianode/evacuation.go
+++ b/internal/sequoianode/evacuation.go
@@ -189,5 +189,6 @@
 	case d.warmupRates[p.member.Upstream.Service] > 0 && now.Before(p.coldUntil):
 		return 0
 	}
-	return max(minRoom, float64(p.member.Upstream.Slots)-d.inProgress(now, p))
+	candidate := p.candidate(now)
+	return max(minRoom, float64(candidate.Slots)-candidate.InProgress())
 }
--- a/internal/sequoiaowner/moves.go
+++ b/internal/sequoiaowner/moves.go
@@ -51,10 +51,9 @@
 }
 
 // stepLeaving starts moves of all keys of an upstream that is leaving or lost, whose failure domain is being evacuated, or
-// whose process is stopping. While the
-// store may be failing, it does so only for a lost upstream: the new holder could not be written, and an upstream that
-// still works would have given up its keys for nothing. Keys of an upstream that stays are kept, and their grants renewed,
-// while a request in progress on them may outlast the grant.
+// whose process is stopping. While the store may be failing, it does so only for a lost upstream: the new holder could not
+// be written, and an upstream that still works would have given up its keys for nothing. Keys of an upstream that stays
+// are kept, and their grants renewed, while a request in progress on them may outlast the grant.
 func (c *Core) stepLeaving(now time.Time) {
 	u := c.upstream
 	if u.ID == "" || !u.Leaving && !u.Lost && !c.stopping && !c.evacuated[c.domain] {
--- a/internal/sequoiaspread/spread.go
+++ b/internal/sequoiaspread/spread.go
@@ -60,6 +60,16 @@
 	FailureRate float64
 }
 
+// InProgress estimates the number of requests at the upstream.
+func (c *Candidate) InProgress() float64 {
+	inProgress := float64(c.Outstanding)
+	if c.Age < MaxReportAge {
+		reported := float64(c.Running+c.Waiting) * (1 - float64(c.Age)/float64(MaxReportAge))
+		inProgress = max(inProgress, reported)
+	}
+	return inProgress
+}
+
 // Request is what the choice depends on.
 type Request struct {
 	// Work is the mean duration of the request's class over all upstreams, zero if it is not known.
@@ -130,13 +140,8 @@
 // between failure domains.
 func ExpectedFinish(c *Candidate, req Request) time.Duration {
 	work := cmp.Or(c.Work, req.TypicalWork, DefaultWork)
-	inProgress := float64(c.Outstanding)
-	if c.Age < MaxReportAge {
-		reported := float64(c.Running+c.Waiting) * (1 - float64(c.Age)/float64(MaxReportAge))
-		inProgress = max(inProgress, reported)
-	}
 	slots := float64(max(1, c.Slots))
-	utilization := (inProgress + 1) / slots
+	utilization := (c.InProgress() + 1) / slots
 	wait := float64(work) * queueingWeight * max(0, utilization-queueingThreshold)
 	duration := float64(work)
 	if req.Work > 0 && req.TypicalWork > 0 {
