--- a/internal/sequoianode/directory.go
+++ b/internal/sequoianode/directory.go
@@ -292,12 +292,6 @@
 	return best, found
 }
 
-// inProgress estimates the number of requests at a peer's upstream.
-func (d *directory) inProgress(now time.Time, p *peer) float64 {
-	c := p.candidate(now)
-	return c.InProgress()
-}
-
 // beginRequest records that a request is being sent to an instance, and returns the upstream that it is sent to.
 func (d *directory) beginRequest(instance string) sequoiakeyspace.Holder {
 	d.mu.Lock()
