--- a/cmd/sequoiaspring/explain.go
+++ b/cmd/sequoiaspring/explain.go
@@ -143,10 +143,12 @@
 }
 
 func describeAction(s sequoianode.ExplainedService) string {
-	switch s.Action {
-	case sequoianode.ActionRefuse:
+	switch {
+	case s.Action == sequoianode.ActionRefuse && s.Keyed && s.Key == nil:
+		return "refuse it: " + s.Reason + " (the service is divided by key; give --key)"
+	case s.Action == sequoianode.ActionRefuse:
 		return "refuse it: " + s.Reason
-	case sequoianode.ActionWait:
+	case s.Action == sequoianode.ActionWait:
 		return fmt.Sprintf("let it wait at %s: %s", s.Target, s.Reason)
 	}
 	return "send it to " + s.Target
--- a/cmd/sequoiaspring/explain_test.go
+++ b/cmd/sequoiaspring/explain_test.go
@@ -55,6 +55,12 @@
 		}
 	})
 
+	It("says that the key is missing", func() {
+		answer = `{"Services":[{"Service":"desk","Weight":1,"Keyed":true,"Action":"Refuse","Reason":"BadRequest"}]}`
+		_, out, _ := explain("--host", "h", "--path", "/")
+		Expect(out).To(ContainSubstring("refuse it: BadRequest (the service is divided by key; give --key)"))
+	})
+
 	It("prints the answer as it is with --json", func() {
 		answer = `{"Route":"parts","Services":[]}`
 		_, out, _ := explain("--host", "h", "--path", "/", "--json")
