--- a/internal/sequoianode/directory.go
+++ b/internal/sequoianode/directory.go
@@ -39,8 +39,10 @@
 	loadReportedAt time.Time
 	outstanding    int
 	// sent is the number of requests that this process has sent to the upstream since loadReportedAt.
-	sent             int
+	sent int
+	// failureRate is the moving average of the failures as of resultAt.
 	failureRate      float64
+	resultAt         time.Time
 	unreachableUntil time.Time
 	// coldUntil is when the upstream becomes warm, as its entry or its process's latest response said.
 	coldUntil time.Time
@@ -262,10 +264,15 @@
 	return sequoiaspread.Candidate{
 		Domain: p.member.Domain, Running: p.load.Running, Waiting: p.load.Waiting, Age: now.Sub(p.loadReportedAt),
 		Outstanding: p.outstanding, Sent: p.sent, Slots: p.member.Upstream.Slots, Work: p.load.Work,
-		StartDelay: p.load.StartDelay, LinkDelay: p.load.LinkDelay, FailureRate: p.failureRate,
+		StartDelay: p.load.StartDelay, LinkDelay: p.load.LinkDelay, FailureRate: p.fadedFailureRate(now),
 	}
 }
 
+// fadedFailureRate returns what the peer's failure rate is worth now.
+func (p *peer) fadedFailureRate(now time.Time) float64 {
+	return sequoiaspread.FadedFailureRate(p.failureRate, now.Sub(p.resultAt))
+}
+
 // candidates returns the peers whose upstreams of a service are usable and were not tried yet. The caller must hold mu.
 func (d *directory) candidates(now time.Time, service string, tried map[string]bool) (candidates []*peer) {
 	for instance, p := range d.peers {
@@ -361,5 +368,7 @@
 	if resp.Outcome == sequoiarouter.Unknown || resp.Reason == reasonUpstreamRefused || resp.Status >= 500 {
 		failed = 1
 	}
-	p.failureRate += failureSmoothing * (failed - p.failureRate)
+	now := time.Now()
+	rate := p.fadedFailureRate(now)
+	p.failureRate, p.resultAt = rate+failureSmoothing*(failed-rate), now
 }
--- a/internal/sequoiaspread/simulation_test.go
+++ b/internal/sequoiaspread/simulation_test.go
@@ -273,7 +273,7 @@
 			continue
 		}
 		c := k.load
-		c.Domain, c.Outstanding, c.Slots, c.FailureRate, c.Age = s.upstreams[i].domain, k.outstanding, testSlots, k.failureRate, s.now-k.reportedAt
+		c.Domain, c.Outstanding, c.Slots, c.FailureRate, c.Age = s.upstreams[i].domain, k.outstanding, testSlots, FadedFailureRate(k.failureRate, s.now-k.reportedAt), s.now-k.reportedAt
 		c.Sent = k.sent
 		if !k.reported {
 			c.Age = math.MaxInt64
@@ -395,12 +395,13 @@
 		k.unreachable = true
 		return
 	}
+	rate := FadedFailureRate(k.failureRate, s.now-k.reportedAt)
 	k.load, k.reportedAt, k.reported, k.sent = r.returned, s.now, true, 0
 	failed := 0.0
 	if r.failed {
 		failed = 1
 	}
-	k.failureRate += 0.15 * (failed - k.failureRate)
+	k.failureRate = rate + 0.15*(failed-rate)
 	if !r.failed && s.now-r.began <= r.class.objective {
 		s.result.inTime++
 		return
--- a/internal/sequoiaspread/spread.go
+++ b/internal/sequoiaspread/spread.go
@@ -33,6 +33,9 @@
 	usualWeight = 0.5
 	// failureWeight is the relative increase of the expected duration at an upstream where all requests fail.
 	failureWeight = 6.0
+	// failureMemory is how long a failure rate counts after the latest result. An upstream that is avoided has no new
+	// results, and would be avoided for good after it has recovered.
+	failureMemory = 10 * time.Second
 	// roundTrip is the time that a request and its response take between two failure domains.
 	roundTrip = 3 * time.Millisecond
 	// leaveCost is what leaving the failure domain must gain for a request without a body, and transferCost what it must
@@ -84,6 +87,11 @@
 	return max(float64(c.Outstanding), reported) + (1-weight)*usual
 }
 
+// FadedFailureRate returns what a failure rate is worth when the latest result is age old.
+func FadedFailureRate(rate float64, age time.Duration) float64 {
+	return rate * (1 - float64(min(max(0, age), failureMemory))/float64(failureMemory))
+}
+
 // Request is what the choice depends on.
 type Request struct {
 	// Work is the mean duration of the request's class over all upstreams, zero if it is not known.
--- a/internal/sequoiaspread/spread_test.go
+++ b/internal/sequoiaspread/spread_test.go
@@ -119,6 +119,18 @@
 	)
 })
 
+var _ = Describe("an upstream that has recovered", func() {
+	// Guards against an upstream that is avoided for good, because nothing shows that it has recovered.
+	It("gets its share again", func() {
+		s := newSimulation(testDomains(0.1, 0.18, 0.26, 0.34), 0.4, 0.2)
+		s.upstreams[0].failing = true
+		s.after(testPeriod, func() { s.upstreams[0].failing = false })
+		s.after(3*testPeriod, func() { clear(s.result.sentTo) })
+		r := s.run(4 * testPeriod)
+		Expect(float64(r.sentTo[0])).To(BeNumerically(">", 0.7*float64(r.sentTo[3])))
+	})
+})
+
 var _ = Describe("a single choice", func() {
 	const work = 100 * time.Millisecond
 	request := Request{Left: 600 * time.Millisecond}
@@ -160,7 +172,11 @@
 	It("counts the delay of the link for bodies only, less the age of the report", func() {
 		a := Candidate{Domain: "east", Slots: 4, Work: work, LinkDelay: 200 * time.Millisecond, Age: 50 * time.Millisecond}
 		without := ExpectedFinish(&a, request)
-		Expect(ExpectedFinish(&a, Request{Left: request.Left, BodyBytes: 1 << 16}) - without).To(Equal(150 * time.Millisecond))
+		body := Request{Left: request.Left, BodyBytes: 1 << 16}
+		Expect(ExpectedFinish(&a, body) - without).To(Equal(150 * time.Millisecond))
+		busier := Candidate{Domain: "east", Running: 3, Slots: 4, Work: work}
+		Expect(c.Choose([]Candidate{a, busier}, body)).To(Equal(1))
+		Expect(c.Choose([]Candidate{a, busier}, request)).To(Equal(0))
 	})
 
 	It("compares all candidates without a random number", func() {
