--- a/internal/sequoiaspread/spread_test.go
+++ b/internal/sequoiaspread/spread_test.go
@@ -121,13 +121,34 @@
 
 var _ = Describe("an upstream that has recovered", func() {
 	// Guards against an upstream that is avoided for good, because nothing shows that it has recovered.
-	It("gets its share again", func() {
-		s := newSimulation(testDomains(0.1, 0.18, 0.26, 0.34), 0.4, 0.2)
-		s.upstreams[0].failing = true
-		s.after(testPeriod, func() { s.upstreams[0].failing = false })
-		s.after(3*testPeriod, func() { clear(s.result.sentTo) })
-		r := s.run(4 * testPeriod)
-		Expect(float64(r.sentTo[0])).To(BeNumerically(">", 0.7*float64(r.sentTo[3])))
+	It("gets requests again, and few of them while it fails", func() {
+		c := New("east", func(int) int { return 0 })
+		const interval, recovery, end = 100 * time.Millisecond, time.Minute, 2 * time.Minute
+		var rates [2]float64
+		var resultAt [2]time.Duration
+		failed, served := 0, 0
+		for now := time.Duration(0); now < end; now += interval {
+			candidates := make([]Candidate, 2)
+			for i := range candidates {
+				candidates[i] = Candidate{
+					Domain: "east", Slots: 4, Work: 100 * time.Millisecond, Age: now - resultAt[i],
+					FailureRate: FadedFailureRate(rates[i], now-resultAt[i]),
+				}
+			}
+			chosen := c.Choose(candidates, Request{Left: 600 * time.Millisecond})
+			result := 0.0
+			switch {
+			case chosen == 0 && now < recovery:
+				failed++
+				result = 1
+			case chosen == 0:
+				served++
+			}
+			rates[chosen] = candidates[chosen].FailureRate + 0.15*(result-candidates[chosen].FailureRate)
+			resultAt[chosen] = now
+		}
+		Expect(failed).To(And(BeNumerically(">", 0), BeNumerically("<", 30)))
+		Expect(served).To(BeNumerically(">", 100))
 	})
 })
 
