--- a/internal/sequoiaspread/spread_test.go
+++ b/internal/sequoiaspread/spread_test.go
@@ -119,6 +119,39 @@
 	)
 })
 
+var _ = Describe("an upstream that has recovered", func() {
+	// Guards against an upstream that is avoided for good, because nothing shows that it has recovered.
+	It("gets requests again, and few of them while it fails", func() {
+		c := New("east", func(int) int { return 0 })
+		const interval, recovery, end = 100 * time.Millisecond, time.Minute, 2 * time.Minute
+		var rates [2]float64
+		var resultAt [2]time.Duration
+		failed, served := 0, 0
+		for now := time.Duration(0); now < end; now += interval {
+			candidates := make([]Candidate, 2)
+			for i := range candidates {
+				candidates[i] = Candidate{
+					Domain: "east", Slots: 4, Work: 100 * time.Millisecond, Age: now - resultAt[i],
+					FailureRate: FadedFailureRate(rates[i], now-resultAt[i]),
+				}
+			}
+			chosen := c.Choose(candidates, Request{Left: 600 * time.Millisecond})
+			result := 0.0
+			switch {
+			case chosen == 0 && now < recovery:
+				failed++
+				result = 1
+			case chosen == 0:
+				served++
+			}
+			rates[chosen] = candidates[chosen].FailureRate + 0.15*(result-candidates[chosen].FailureRate)
+			resultAt[chosen] = now
+		}
+		Expect(failed).To(And(BeNumerically(">", 0), BeNumerically("<", 30)))
+		Expect(served).To(BeNumerically(">", 100))
+	})
+})
+
 var _ = Describe("a single choice", func() {
 	const work = 100 * time.Millisecond
 	request := Request{Left: 600 * time.Millisecond}
@@ -160,7 +193,11 @@
 	It("counts the delay of the link for bodies only, less the age of the report", func() {
 		a := Candidate{Domain: "east", Slots: 4, Work: work, LinkDelay: 200 * time.Millisecond, Age: 50 * time.Millisecond}
 		without := ExpectedFinish(&a, request)
-		Expect(ExpectedFinish(&a, Request{Left: request.Left, BodyBytes: 1 << 16}) - without).To(Equal(150 * time.Millisecond))
+		body := Request{Left: request.Left, BodyBytes: 1 << 16}
+		Expect(ExpectedFinish(&a, body) - without).To(Equal(150 * time.Millisecond))
+		busier := Candidate{Domain: "east", Running: 3, Slots: 4, Work: work}
+		Expect(c.Choose([]Candidate{a, busier}, body)).To(Equal(1))
+		Expect(c.Choose([]Candidate{a, busier}, request)).To(Equal(0))
 	})
 
 	It("compares all candidates without a random number", func() {
