Ready: divide again what was measured too low at an onset

A run of keys that fits into the room of a destination moves in one piece. Beside a key above the capacity of an upstream, the rest of the range was cut into more than 20 small ranges or could not move at all. Plans start no moves while the last confirmation from the store is old, and releases are sent at once.

--- a/internal/sequoiabalance/plan.go
+++ b/internal/sequoiabalance/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -81,14 +80,6 @@
 	Reservation Reservation
 }
 
-// SampleSize returns the number of other upstreams whose load must be known for a plan. It grows with the excess.
-func SampleSize(own Report) int {
-	if !own.Overloaded() {
-		return minSample
-	}
-	return max(minSample, int(math.Ceil((own.current()-targetUtilization)/roomPerCandidate)))
-}
-
 // Plan returns the moves of an upstream. An overloaded one divides all of its excess among as many candidates as needed.
 func Plan(own Owner, candidates []Candidate) []Move {
 	candidates = slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool {
@@ -224,6 +215,12 @@
 		if want < minPart*float64(p.own.Slots) {
 			continue
 		}
+		if s, w := p.largestRun(d.room); w.Load <= want*maxMoveFraction {
+			if w.Load >= minPart*float64(p.own.Slots) {
+				p.cut(s, w, d)
+			}
+			continue
+		}
 		for _, fraction := range []float64{closeFraction, minMoveFraction, minLumpyFraction} {
 			if s, w, ok := p.find(want, fraction); ok {
 				p.cut(s, w, d)
@@ -299,6 +296,27 @@
 	}
 }
 
+// largestRun returns the window with the most load that contains no key with more than the given load, and its segment. If
+// it fits into the room of a destination, such as beside a key that is too hot to move, it moves in one piece: smaller
+// windows would leave many ranges.
+func (p *planner) largestRun(limit float64) (s int, best sequoiakeyspace.Window) {
+	for si, seg := range p.segments {
+		start := 0
+		for i := 0; i <= len(seg.Loads); i++ {
+			if i < len(seg.Loads) && seg.Loads[i] <= limit {
+				continue
+			}
+			if i > start {
+				if w := seg.Window(start, i); w.Load > best.Load && p.mayCut(si, start, i) {
+					s, best = si, w
+				}
+			}
+			start = i + 1
+		}
+	}
+	return s, best
+}
+
 // mayCut reports whether the upstream may hold the ranges that are left when the i-th to j-th keys of a segment are cut out.
 func (p *planner) mayCut(s, i, j int) bool {
 	return i == 0 || j == len(p.segments[s].Loads) || len(p.segments)+p.ranges < p.own.MaxRanges-spareRanges
--- a/internal/sequoianode/balance.go
+++ b/internal/sequoianode/balance.go
@@ -73,7 +73,7 @@
 	own.Current = b.pace.Measured(now, own.Utilization, recent, n.meter.RecentDeviation(), own.Slots)
 	b.current = own.Current
 	due := b.pace.Due(now, own.Report, n.core.MoveCount())
-	if !due || len(held) == 0 || !n.core.Upstream().Usable() || n.stopping.Load() {
+	if !due || len(held) == 0 || !n.core.Upstream().Usable() || !n.core.RecentlyConfirmed(now) || n.stopping.Load() {
 		return own, false
 	}
 	own.RequestRate = n.meter.RequestRate(own.UseRecent())
@@ -132,8 +132,11 @@
 // reserved room.
 func (b *balancer) offload(ctx context.Context, own sequoiabalance.Owner) {
 	n := b.node
+	n.mu.Lock()
+	size := b.pace.SampleSize(own.Report)
+	n.mu.Unlock()
 	members := map[string]sequoiaowner.Member{}
-	moves := sequoiabalance.Plan(own, b.candidates(ctx, sequoiabalance.SampleSize(own.Report), members))
+	moves := sequoiabalance.Plan(own, b.candidates(ctx, size, members))
 	reserved := make([]bool, len(moves))
 	var wg sync.WaitGroup
 	for i, m := range moves {
@@ -165,6 +168,9 @@
 	n.mu.Lock()
 	b.pace.Planned(sequoiatimer.BootTime(), own.Report, started, load)
 	n.mu.Unlock()
+	if started > 0 {
+		n.stepOwnership(ctx) // Sends the releases.
+	}
 	for _, m := range moves {
 		m.Reservation.Cancelled = true
 		go b.fetchLoad(ctx, members[m.Candidate.Instance], loadTimeout, &m.Reservation)
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -157,11 +157,15 @@
 // meterRejected removes the expected work of a rejected request from the load of its key, unless it was rejected for lack
 // of capacity. Otherwise the measured load of a full upstream would never exceed its capacity.
 func (n *Node) meterRejected(req *sequoiarouter.Request, key sequoiakeyspace.Key, reason string, expected time.Duration) {
-	if req.Key == "" || reason == sequoiaadmission.ReasonBusy || reason == sequoiaadmission.ReasonFull {
+	if req.Key == "" {
 		return
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if reason == sequoiaadmission.ReasonBusy || reason == sequoiaadmission.ReasonFull {
+		n.balancer.pace.Refused()
+		return
+	}
 	n.meter.Correct(key, -expected)
 }
 
