--- a/internal/sequoiaadmission/queue.go
+++ b/internal/sequoiaadmission/queue.go
@@ -43,9 +43,6 @@
 	lateQueueLimitPerSlot = 0.7
 	// keyedLateQueueLimitPerSlot is the same for requests that no other upstream can serve.
 	keyedLateQueueLimitPerSlot = 2
-	// refusalDeviations is the number of mean deviations that are added to the expected duration when a request without a
-	// key is judged by its objective on arrival: another upstream may be free, and this one may slow down meanwhile.
-	refusalDeviations = 3
 	// lateDelay is the number of expected durations by which a request that misses its objective is ordered later. A
 	// short one goes before long ones that have time left, and costs them little.
 	lateDelay = 4
@@ -319,15 +316,6 @@
 	return d
 }
 
-// arrivalDuration returns the duration by which the request is judged on arrival.
-func (q *Queue) arrivalDuration(t *Ticket) time.Duration {
-	d := q.ExpectedDuration(t)
-	if c := q.classes[t.Class]; c != nil && !t.Keyed {
-		d += refusalDeviations * c.deviation
-	}
-	return d
-}
-
 // ExpectedEnd returns how long a request that is submitted now is expected to wait and run.
 func (q *Queue) ExpectedEnd(now time.Time, t *Ticket) time.Duration {
 	return q.expectedWait(now, t) + q.ExpectedDuration(t)
@@ -352,7 +340,7 @@
 		return
 	}
 	wait := q.expectedWait(now, t)
-	end := now.Add(wait + q.arrivalDuration(t))
+	end := now.Add(wait + q.likelyDuration(t))
 	if q.limitBinds() {
 		end = end.Add(paceMargin)
 	}
