Start no suspect while an abandoned one counts as in progress

A suspect whose caller has left, or whose deadline has passed, gave its place to the next suspect after 1 s, but counted as in progress until the upstream had answered a request that began 1 s later. If the next suspect ended the upstream at once, both got a strike, and a harmless request with one strike was quarantined. The place is freed now when the abandoned one no longer counts, and after 2 s at the latest if the upstream answers nothing.

An upstream that answers nothing for 2 s still lets both count.

--- a/internal/sequoianode/quarantine_test.go
+++ b/internal/sequoianode/quarantine_test.go
@@ -198,6 +198,45 @@
 		}
 		Expect(len(chosen)).To(BeNumerically(">", 1))
 	})
+
+	// Guards against a harmless request that is quarantined because its caller left a second before another suspect ended
+	// the upstream.
+	ginkgo.It("starts no suspect while an abandoned one would count as in progress", func() {
+		n := startAnnounceNode(nil, 0)
+		n.dialect.Caller = func(http.Header) string { return "" }
+		Expect(accept(n, heartbeatOf(1))).To(Succeed())
+		begin := func(path string, alone bool) *run {
+			ginkgo.GinkgoHelper()
+			req := &sequoiarouter.Request{Service: "desk", Path: path, Deadline: time.Now().Add(10 * time.Second)}
+			r, reason, _ := n.admit(context.Background(), req, alone)
+			Expect(reason).To(BeEmpty())
+			n.runSent(r, sequoiaquarantine.Mark{})
+			return r
+		}
+		abandon := func() {
+			r := begin("/abandoned", true)
+			n.endRun(r, false, true)
+			n.finish(r, &sequoiarouter.Response{Outcome: sequoiarouter.Unknown, Reason: reasonCancelled})
+		}
+		abandon()
+		began := time.Now()
+		time.AfterFunc(sequoiaquarantine.AbandonedTime+300*time.Millisecond, func() {
+			defer ginkgo.GinkgoRecover()
+			other := begin("/other", false)
+			n.withCore(func(*sequoiaowner.Core) { n.runs.Answered(other) })
+			n.finish(other, nil)
+		})
+		suspect := begin("/suspect", true)
+		n.withCore(func(*sequoiaowner.Core) { Expect(n.runs.UpstreamEnded()).To(ConsistOf(suspect)) })
+		Expect(time.Since(began)).To(BeNumerically("<", sequoiaquarantine.AbandonedTime+maxSuspectPause))
+		n.finish(suspect, nil)
+
+		// Without any answer, suspects do not wait for ever.
+		abandon()
+		began = time.Now()
+		begin("/suspect", true)
+		Expect(time.Since(began)).To(BeNumerically("~", sequoiaquarantine.AbandonedTime+maxSuspectPause, 300*time.Millisecond))
+	})
 })
 
 func directoryOf(instance string, members map[string]sequoiaowner.Member) *directory {
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -29,6 +29,10 @@
 	// maxUnsafeIdle is the maximum idle time of a reused upstream connection for a request that must not run twice. If
 	// the connection fails, it is unknown whether the upstream received the request or only the response was lost.
 	maxUnsafeIdle = 1500 * time.Millisecond
+	// maxSuspectPause is how much longer than AbandonedTime the next suspect waits for an answer of the upstream to another
+	// request, and suspectCheckInterval the time between two looks at it.
+	maxSuspectPause      = time.Second
+	suspectCheckInterval = 20 * time.Millisecond
 )
 
 func formatKey(key sequoiakeyspace.Key) string { return strconv.Itoa(int(key)) }
@@ -126,7 +130,7 @@
 	n.runs.NotSent(r)
 	n.quarantine.markSuspects()
 	if r.Owner.Alone && resp != nil && resp.Outcome == sequoiarouter.Unknown && resp.Reason != reasonUpstreamEnded {
-		n.timers.After(sequoiaquarantine.AbandonedTime, func(time.Time) { n.finish(r, nil) })
+		n.timers.After(sequoiaquarantine.AbandonedTime, func(now time.Time) { n.finishAbandoned(r, now.Add(maxSuspectPause)) })
 		return 0
 	}
 	now := time.Now()
@@ -136,6 +140,19 @@
 	return took
 }
 
+// finishAbandoned frees the slot of a suspect that has not been answered, once it would no longer count as in progress if
+// the upstream ended, or at the given time. Otherwise another suspect that ends the upstream would be a strike for both.
+func (n *Node) finishAbandoned(r *run, latest time.Time) {
+	n.mu.Lock()
+	counts := n.runs.MayBeRunning(r)
+	n.mu.Unlock()
+	if counts && time.Now().Before(latest) {
+		n.timers.After(suspectCheckInterval, func(time.Time) { n.finishAbandoned(r, latest) })
+		return
+	}
+	n.finish(r, nil)
+}
+
 // meterRejected adds the expected work of a request that was rejected for lack of capacity to the load of its key.
 // Otherwise the measured load of a full upstream would never exceed its capacity.
 func (n *Node) meterRejected(req *sequoiarouter.Request, key sequoiakeyspace.Key, reason string) {
--- a/internal/sequoiaquarantine/runs.go
+++ b/internal/sequoiaquarantine/runs.go
@@ -100,6 +100,9 @@
 	r.lost = append(r.lost, run)
 }
 
+// MayBeRunning reports whether a run without a response would count as in progress if the upstream ended now.
+func (r *Runs[T]) MayBeRunning(run *Run[T]) bool { return slices.Contains(r.lost, run) }
+
 // NotSent records that a run was not sent. It changes nothing if the end of the run is recorded already.
 func (r *Runs[T]) NotSent(run *Run[T]) { delete(r.open, run) }
 
