Count responses of upstreams before they are read, and collect what was returned

The body of an upstream's response is reserved in the process's account before it is read. The front takes the reservation over with the response; for another process's request it lasts until the response has been written. A response without room waits up to 300 ms and then fails with 502.

The account counts what large holdings have returned, and runs a collection once that matters, since outgrown and evicted buffers occupy memory until then.

--- a/internal/sequoiafront/body.go
+++ b/internal/sequoiafront/body.go
@@ -6,6 +6,8 @@
 	"os"
 
 	"github.com/pkg/errors"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiamemory"
 )
 
 const (
@@ -48,6 +50,9 @@
 			if err := b.charge(int64(size)); err != nil {
 				return nil, err
 			}
+			if size > smallBody {
+				b.holding.AwaitCollection(int64(size))
+			}
 			larger := make([]byte, size)
 			copy(larger, body)
 			body = larger
@@ -98,7 +103,7 @@
 	if err := h.readFields(); err != nil {
 		return nil, unexpectedEOF(err)
 	}
-	return c.server.joinPieces(pieces, length), nil
+	return c.server.joinPieces(pieces, length, h.budget.holding), nil
 }
 
 // consumed returns the number of bytes of the connection that belong to requests that have been read.
@@ -116,13 +121,14 @@
 // joinPieces returns the content of the pieces as one slice. The account does not count the copy while the pieces exist
 // too: a body of the largest size then fits where it would fit with a known length. The memory between the account and the
 // limit of the Go runtime suffices for one such copy, so there is one at a time.
-func (s *Server) joinPieces(pieces [][]byte, length int) []byte {
+func (s *Server) joinPieces(pieces [][]byte, length int, h *sequoiamemory.Holding) []byte {
 	if len(pieces) == 1 {
 		return pieces[0]
 	}
 	if length > lastPiece {
 		s.joinMu.Lock()
 		defer s.joinMu.Unlock()
+		h.AwaitCollection(int64(length))
 	}
 	body := make([]byte, 0, length)
 	for i, p := range pieces {
--- a/internal/sequoiafront/memory_test.go
+++ b/internal/sequoiafront/memory_test.go
@@ -202,6 +202,35 @@
 		Eventually(responses).Should(BeNumerically("<=", 33*megabyte))
 	})
 
+	// Guards against a response that is counted by nobody between its handler and the front, or twice.
+	ginkgo.It("takes the memory that a handler has reserved for a response", func() {
+		var s *sequoiafront.Server
+		refused, handed := make(chan bool, 10), make(chan bool, 10)
+		s, addr := listenBounded(24*megabyte, func(w http.ResponseWriter, r *http.Request) {
+			h, ok := s.Account().Reserve(sequoiamemory.Response, 16*megabyte)
+			refused <- !ok
+			if !ok {
+				w.WriteHeader(http.StatusBadGateway)
+				return
+			}
+			sequoiafront.WriteResponse(w, r, http.StatusOK, make([]byte, 16*megabyte))
+			handed <- sequoiafront.HoldResponse(r, h)
+			handed <- sequoiafront.HoldResponse(r, h)
+		})
+		first := dial(addr)
+		send(first, get("/"))
+		Expect(<-refused).To(BeFalse())
+		Expect(<-handed).To(BeTrue())
+		Expect(<-handed).To(BeFalse(), "it has an owner already")
+		Consistently(func() int64 { return s.Account().Held(sequoiamemory.Response) }, "100ms").
+			Should(And(BeNumerically(">", 16*megabyte-1), BeNumerically("<", 16*megabyte+64<<10)))
+		Expect(statusOf(addr, get("/"))).To(Equal(http.StatusBadGateway))
+		_, body := receive(bufio.NewReader(first), http.MethodGet)
+		Expect(body).To(HaveLen(16 * megabyte))
+		Eventually(func() int64 { return s.Account().Held(sequoiamemory.Response) }).Should(BeZero())
+		Expect(statusOf(addr, get("/"))).To(Equal(http.StatusOK))
+	})
+
 	ginkgo.It("is free after any end of a connection", func() {
 		s, addr := listenBounded(8*megabyte, func(w http.ResponseWriter, r *http.Request) {
 			if r.RequestURI == "/closes" {
--- a/internal/sequoiafront/pipeline.go
+++ b/internal/sequoiafront/pipeline.go
@@ -52,17 +52,38 @@
 	// holding is the memory of the request, and after the handler that of the response. It is nil if there was no room for
 	// the response.
 	holding *sequoiamemory.Holding
+	// handed is memory that the handler has reserved for the response, nil if it has reserved none.
+	handed *sequoiamemory.Holding
 }
 
 // holdResponse releases the memory of the request and reserves that of the response.
 func (e *exchange) holdResponse(a *sequoiamemory.Account) {
-	e.holding.Release()
+	held := e.holding
 	e.request, e.body, e.holding = nil, nil, nil
+	held.Release()
+	if e.handed != nil {
+		// Without room for the head, which is bounded, the body stays counted.
+		e.handed.Resize(e.response.size())
+		e.holding, e.handed = e.handed, nil
+		return
+	}
 	if h, ok := a.Reserve(sequoiamemory.Response, e.response.size()); ok {
 		e.holding = h
 	}
 }
 
+// HoldResponse gives a Server the memory that the handler of a request has reserved for the response, so that the response is
+// counted all the time until the client has taken it. It returns false if no Server has read the request, or if it has
+// memory for the response already. Otherwise the Server releases h.
+func HoldResponse(r *http.Request, h *sequoiamemory.Holding) bool {
+	e := exchangeOf(r)
+	if e == nil || e.handed != nil {
+		return false
+	}
+	e.handed = h
+	return true
+}
+
 // exchangeKey is the key of the exchange in a request's context.
 type exchangeKey struct{}
 
@@ -231,6 +252,8 @@
 
 // release is called once for each exchange, when its response has been written or the exchange was dropped.
 func (c *serverConn) release(e *exchange) {
+	// Nothing may refer to a body once its memory counts as free.
+	e.request, e.body, e.response = nil, nil, nil
 	e.holding.Release()
 	c.server.inProgress.Add(-1)
 }
--- a/internal/sequoiahttp/exchange.go
+++ b/internal/sequoiahttp/exchange.go
@@ -112,6 +112,10 @@
 	OnConnected func()
 	// MaxIdle, if positive, is the maximum idle time of a reused connection.
 	MaxIdle time.Duration
+	// Reserve, if set, reserves memory for n more bytes of the response's body before they are read, and may wait for it
+	// until ctx is done. It returns false if there is none; the request then fails with ErrTooMuchBuffered. A negative n
+	// returns memory: Do returns all that it has reserved if it fails. After a response the caller owns what is reserved.
+	Reserve func(ctx context.Context, n int64) bool
 }
 
 // Response is a complete response.
@@ -119,6 +123,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// reserved is the number of bytes reserved for the body by Request.Reserve.
+	reserved int64
 }
 
 // Client sends requests and pools idle connections. Use New to create one.
@@ -133,6 +139,8 @@
 	// maxBuffered limits buffered, the bytes that are reserved for bodies being read.
 	maxBuffered int64
 	buffered    atomic.Int64
+	// joinMu is held while the pieces of a large body are joined: the copy is not reserved, so there is one at a time.
+	joinMu sync.Mutex
 
 	mu        sync.Mutex
 	maxIdle   int
@@ -212,7 +220,7 @@
 		req.OnConnected()
 	}
 	stop := context.AfterFunc(ctx, func() { c.interrupt(cn) })
-	resp, reusable, err := c.exchange(cn, hr, req)
+	resp, reusable, err := c.exchange(ctx, cn, hr, req)
 	if !stop() || req.OwnConnection {
 		reusable = false
 	}
--- a/internal/sequoiahttp/response.go
+++ b/internal/sequoiahttp/response.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"hash/maphash"
 	"io"
 	"net"
@@ -17,6 +18,9 @@
 	// minBodyPiece and maxBodyPiece are the sizes in bytes of the first and the largest piece of a body's buffer.
 	minBodyPiece = 4 << 10
 	maxBodyPiece = 256 << 10
+	// smallBody is the size in bytes of a body that is read in pieces of just that size in all, so that it takes room for
+	// small responses only.
+	smallBody = 16 << 10
 	// framingFactor is how many times a body's limit may arrive from the network, chunk headers included. The decoder of
 	// chunks rejects more overhead than content.
 	framingFactor = 2
@@ -70,7 +74,9 @@
 
 // exchange sends a request and reads its response. It returns reusable only if the response was read completely, no
 // bytes follow it and the server keeps the connection open.
-func (c *Client) exchange(cn *conn, encoded *http.Request, req *Request) (resp *Response, reusable bool, err error) {
+func (c *Client) exchange(
+	ctx context.Context, cn *conn, encoded *http.Request, req *Request,
+) (resp *Response, reusable bool, err error) {
 	if err := encoded.Write(cn); err != nil {
 		return nil, false, err
 	}
@@ -84,11 +90,12 @@
 		headBytes = cn.allowed
 		cn.allowed = framingFactor * (c.maxResponseBytes + maxHeadBytes)
 		matched := req.Matches == nil || req.Matches(hr.Header)
-		resp, err = c.readBody(hr, matched)
+		resp, err = c.readBody(ctx, hr, req, matched)
 		if err != nil {
 			return nil, false, err
 		}
 		if err := cn.checkNoBody(hr); err != nil {
+			req.returnReserved(resp)
 			return nil, false, err
 		}
 		// The body of a 304 that announces one may still come and would be taken for the next response.
@@ -180,15 +187,20 @@
 }
 
 // readBody reads the body of a response; it discards that of a response that belongs to another request.
-func (c *Client) readBody(hr *http.Response, matched bool) (*Response, error) {
+func (c *Client) readBody(ctx context.Context, hr *http.Response, req *Request, matched bool) (*Response, error) {
 	defer hr.Body.Close()
 	if hr.ContentLength > c.maxResponseBytes && hr.Request.Method != http.MethodHead {
 		return nil, c.tooLarge()
 	}
 	resp := &Response{Status: hr.StatusCode, Header: hr.Header}
 	if matched {
+		if hr.Body == http.NoBody {
+			return resp, nil
+		}
+		b := &bodyBuffer{client: c, reserve: func(n int64) bool { return req.Reserve == nil || req.Reserve(ctx, n) }}
 		var err error
-		resp.Body, err = c.readAll(hr.Body, hr.ContentLength)
+		resp.Body, err = b.readAll(hr.Body, hr.ContentLength)
+		resp.reserved = b.release(err != nil)
 		return resp, err
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(hr.Body, c.maxResponseBytes+1))
@@ -198,6 +210,13 @@
 	return resp, err
 }
 
+// returnReserved returns what has been reserved for a response that is not used.
+func (r *Request) returnReserved(resp *Response) {
+	if r.Reserve != nil && resp.reserved > 0 {
+		r.Reserve(context.Background(), -resp.reserved)
+	}
+}
+
 func (c *Client) tooLarge() error {
 	return errors.Wrapf(ErrResponseTooLarge, "limit %d bytes", c.maxResponseBytes)
 }
@@ -208,21 +227,32 @@
 	return &b
 }}
 
-// bodyBuffer holds a body in pieces that are allocated as bytes arrive: a server may announce any length.
+// bodyBuffer holds a body in pieces that are allocated as bytes arrive, since a server may send any number of them.
 type bodyBuffer struct {
-	client   *Client
+	client *Client
+	// reserve reserves memory of the caller, or returns it.
+	reserve  func(n int64) bool
 	pieces   [][]byte
 	large    []*[]byte
 	reserved int64
 }
 
-// grow adds an empty piece. It returns ErrTooMuchBuffered if the bodies being read at the same time exceed their common
-// limit.
-func (b *bodyBuffer) grow(size int64) error {
-	b.reserved += size
-	if b.client.buffered.Add(size) > b.client.maxBuffered {
+// take reserves size bytes. It returns ErrTooMuchBuffered if there is no room for them, or if the bodies being read at the
+// same time exceed their common limit.
+func (b *bodyBuffer) take(size int64) error {
+	if b.client.buffered.Add(size) > b.client.maxBuffered || !b.reserve(size) {
+		b.client.buffered.Add(-size)
 		return errors.WithStack(ErrTooMuchBuffered)
 	}
+	b.reserved += size
+	return nil
+}
+
+// grow adds an empty piece, or returns ErrTooMuchBuffered.
+func (b *bodyBuffer) grow(size int64) error {
+	if err := b.take(size); err != nil {
+		return err
+	}
 	if size < maxBodyPiece {
 		b.pieces = append(b.pieces, make([]byte, 0, size))
 		return nil
@@ -238,26 +268,37 @@
 	if len(b.pieces) == 1 {
 		return b.pieces[0]
 	}
+	if len(b.large) > 0 {
+		b.client.joinMu.Lock()
+		defer b.client.joinMu.Unlock()
+	}
 	return bytes.Join(b.pieces, nil)
 }
 
-// release returns what the buffer has taken.
-func (b *bodyBuffer) release() {
+// release returns what the buffer has taken. What the caller has reserved is returned only if the reading failed; otherwise
+// release returns its size in bytes.
+func (b *bodyBuffer) release(failed bool) int64 {
 	b.client.buffered.Add(-b.reserved)
 	for _, piece := range b.large {
 		largePieces.Put(piece)
 	}
+	if failed && b.reserved > 0 {
+		b.reserve(-b.reserved)
+		return 0
+	}
+	return b.reserved
 }
 
 // readAll reads a body until its end. length is the announced length, negative if there is none.
-func (c *Client) readAll(r io.Reader, length int64) ([]byte, error) {
-	b := &bodyBuffer{client: c}
-	defer b.release()
-	size := int64(minBodyPiece)
+func (b *bodyBuffer) readAll(r io.Reader, length int64) ([]byte, error) {
 	if length >= 0 {
-		size = min(size, length+1)
+		return b.readLength(r, length)
 	}
+	size := int64(minBodyPiece)
 	for total := int64(0); ; size = min(2*size, maxBodyPiece) {
+		if total < smallBody {
+			size = min(size, smallBody-total)
+		}
 		if err := b.grow(size); err != nil {
 			return nil, err
 		}
@@ -267,8 +308,8 @@
 			*last = (*last)[:len(*last)+n]
 			total += int64(n)
 			switch {
-			case total > c.maxResponseBytes:
-				return nil, c.tooLarge()
+			case total > b.client.maxResponseBytes:
+				return nil, b.client.tooLarge()
 			case errors.Is(err, io.EOF):
 				return b.bytes(), nil
 			case err != nil:
@@ -277,3 +318,19 @@
 		}
 	}
 }
+
+// readLength reads a body of a known length, which is below the limit, without a second copy of it.
+func (b *bodyBuffer) readLength(r io.Reader, length int64) ([]byte, error) {
+	if err := b.take(length); err != nil {
+		return nil, err
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(r, body)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return nil, err
+	}
+	return body, nil
+}
--- a/internal/sequoiamemory/account.go
+++ b/internal/sequoiamemory/account.go
@@ -28,6 +28,12 @@
 	stallTime = time.Second
 	// searchInterval is how long a search for holdings to evict that found too little is not repeated for as much or more.
 	searchInterval = 20 * time.Millisecond
+	// garbageFraction and fullFraction divide the limit. Memory that holdings have returned is free only after a collection.
+	// One begins when large holdings have returned an eighth since the last one, and that and what is used are a quarter.
+	garbageFraction = 8
+	fullFraction    = 4
+	// collectInterval is the least time between two collections; one takes a few milliseconds.
+	collectInterval = 5 * time.Millisecond
 )
 
 // AccountLimit returns the limit in bytes of the Account of a process with a memory limit, zero if it has none.
@@ -69,8 +75,14 @@
 type Account struct {
 	limit int64
 	now   func() time.Time
+	// collect frees memory that is no longer in use, nil if nothing does beside the runtime. collecting is locked meanwhile.
+	collect    func()
+	collecting sync.RWMutex
 
 	mu sync.Mutex
+	// garbage is the number of bytes that large holdings have returned since the last collection began, at collected.
+	garbage   int64
+	collected time.Time
 	// used is the total, by kind in usedBy, and large the part of it in holdings above SmallRequest.
 	used, large int64
 	usedBy      [kinds]int64
@@ -104,6 +116,11 @@
 	return func(a *Account) { a.now = now }
 }
 
+// WithCollect sets the function that frees memory that is no longer in use. It is called in a goroutine of its own.
+func WithCollect(collect func()) Option {
+	return func(a *Account) { a.collect = collect }
+}
+
 // New returns an Account of limit bytes.
 func New(limit int64, opts ...Option) *Account {
 	a := &Account{limit: limit, now: time.Now}
@@ -151,6 +168,9 @@
 		return false
 	}
 	a.add(h, -h.size)
+	if n < 0 {
+		a.discard(-n)
+	}
 	h.size = size
 	a.add(h, size)
 	if !h.linked {
@@ -227,6 +247,7 @@
 		return false
 	}
 	a.evicted++
+	h.left = h.size
 	a.remove(h)
 	// The owner may hold locks that a caller of Reserve holds too.
 	go (*f)()
@@ -253,6 +274,49 @@
 	return stalled
 }
 
+// discard counts n bytes that the owner of a holding no longer uses, and begins a collection if there are many of them. The
+// caller must hold mu.
+func (a *Account) discard(n int64) {
+	if a.collect == nil || n <= SmallRequest {
+		return
+	}
+	a.garbage += n
+	now := a.now()
+	if a.garbage < a.limit/garbageFraction || a.garbage+a.used < a.limit/fullFraction || now.Sub(a.collected) < collectInterval {
+		return
+	}
+	a.garbage, a.collected = 0, now
+	go a.runCollect()
+}
+
+func (a *Account) runCollect() {
+	a.collecting.Lock()
+	defer a.collecting.Unlock()
+	a.collect()
+}
+
+// AwaitCollection waits until no collection is running. Holders call it before they allocate a buffer of n bytes. For an
+// eighth of the limit or more it makes a collection if any large holding has returned memory since the last one.
+func (a *Account) AwaitCollection(n int64) {
+	if a.takeGarbage(n) {
+		a.runCollect()
+		return
+	}
+	a.collecting.RLock()
+	defer a.collecting.RUnlock()
+}
+
+// takeGarbage reports whether to make a collection before n bytes are allocated, and then counts it as begun.
+func (a *Account) takeGarbage(n int64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.garbage == 0 || n < a.limit/garbageFraction {
+		return false
+	}
+	a.garbage, a.collected = 0, a.now()
+	return true
+}
+
 // remove ends a holding. The caller must hold mu.
 func (a *Account) remove(h *Holding) {
 	a.add(h, -h.size)
@@ -295,6 +359,8 @@
 
 	// The following fields are protected by the account's mutex.
 	size int64
+	// left is the size at the time of the eviction, until the owner has released the holding too.
+	left int64
 	// gone is true once the holding has been released or evicted.
 	gone           bool
 	linked         bool
@@ -329,6 +395,17 @@
 	return h.account.resize(h, n)
 }
 
+// Resize makes the holding n bytes large, like Grow.
+func (h *Holding) Resize(n int64) bool {
+	if h == nil {
+		return true
+	}
+	h.account.mu.Lock()
+	size := h.size
+	h.account.mu.Unlock()
+	return h.account.resize(h, n-size)
+}
+
 // Progress records that the holder has made progress.
 func (h *Holding) Progress() {
 	if h != nil {
@@ -336,6 +413,13 @@
 	}
 }
 
+// AwaitCollection is called before n bytes are allocated, see Account.AwaitCollection.
+func (h *Holding) AwaitCollection(n int64) {
+	if h != nil {
+		h.account.AwaitCollection(n)
+	}
+}
+
 // OnEvict allows the eviction of the holding, and sets the function that is then called in a goroutine of its own. With
 // nil the holding is not evicted. It counts as progress. OnEvict returns false if the holding has already been evicted.
 func (h *Holding) OnEvict(f func()) bool {
@@ -360,6 +444,9 @@
 	h.account.mu.Lock()
 	defer h.account.mu.Unlock()
 	if !h.gone {
+		h.left = h.size
 		h.account.remove(h)
 	}
+	h.account.discard(h.left)
+	h.left = 0
 }
--- a/internal/sequoiamemory/account_test.go
+++ b/internal/sequoiamemory/account_test.go
@@ -143,6 +143,34 @@
 		Consistently(evicted, "20ms").ShouldNot(Receive())
 	})
 
+	// Guards against buffers that no holding counts any more but that still occupy memory.
+	ginkgo.It("collects what large holdings have returned, also evicted ones once their owners have released them", func() {
+		collections := make(chan struct{}, 10)
+		a = sequoiamemory.New(limit, sequoiamemory.WithClock(c.Now), sequoiamemory.WithCollect(func() { collections <- struct{}{} }))
+		h := reserve(sequoiamemory.Request, 300*kilobyte)
+		h.Grow(-90 * kilobyte)
+		a.AwaitCollection(90 * kilobyte)
+		Expect(collections).NotTo(Receive(), "nothing large is allocated")
+		a.AwaitCollection(limit / 8)
+		Expect(collections).To(Receive())
+		a.AwaitCollection(limit / 8)
+		Expect(collections).NotTo(Receive(), "nothing was returned since")
+		h.OnEvict(func() {})
+		c.advance(2 * time.Second)
+		reserve(sequoiamemory.Request, 600*kilobyte)
+		a.AwaitCollection(limit / 8)
+		Expect(collections).NotTo(Receive(), "the owner may still use it")
+		h.Release()
+		Eventually(collections).Should(Receive())
+		h.Release()
+		for range 100 {
+			reserve(sequoiamemory.Request, sequoiamemory.SmallRequest-1).Release()
+		}
+		c.advance(time.Second)
+		a.AwaitCollection(limit / 8)
+		Consistently(collections, "20ms").ShouldNot(Receive(), "small ones leave little")
+	})
+
 	ginkgo.It("does not evict a holder that must not be", func() {
 		h := reserve(sequoiamemory.Request, 600*kilobyte)
 		h.OnEvict(func() { ginkgo.Fail("evicted") })
--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -12,6 +12,7 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaadmission"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiafront"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiamemory"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiapeer"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaroute"
@@ -94,6 +95,8 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
 	defer cancel()
+	ctx, memory := withResponseMemory(ctx, n.account, sequoiamemory.Response)
+	defer memory.release()
 	resp := n.dispatch(ctx, req, attrs, route, cfg.Services[req.Service].Keyed)
 	if r.Context().Err() != nil {
 		n.metrics.cancelled.Inc()
@@ -102,6 +105,9 @@
 		return
 	}
 	n.writeResponse(w, r, req, resp, began)
+	if resp.Outcome == sequoiarouter.Answered {
+		memory.handOver(r)
+	}
 }
 
 // mayRunAgain reports whether a client's request may be run more than once, so that it may also run beside others of its
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -167,7 +168,7 @@
 func New(
 	settings Settings, d Dialect, direct sequoiaregistry.RoundTrip, log *sequoialog.Events, timers *sequoiatimer.Service,
 ) *Node {
-	account := sequoiamemory.New(sequoiamemory.AccountLimit(settings.MemoryLimit))
+	account := newAccount(settings.MemoryLimit)
 	n := &Node{
 		settings: settings, dialect: d, log: log, timers: timers, processID: randomID(8),
 		front:          sequoiafront.New(maxBodyBytes, sequoiafront.WithServerAccount(account)),
@@ -194,6 +195,16 @@
 	return n
 }
 
+// newAccount returns the account of a process with a memory limit, zero if it has none. What is no longer in use counts
+// against a limit until it has been returned to the operating system.
+func newAccount(memoryLimit int64) *sequoiamemory.Account {
+	var opts []sequoiamemory.Option
+	if memoryLimit > 0 {
+		opts = append(opts, sequoiamemory.WithCollect(debug.FreeOSMemory))
+	}
+	return sequoiamemory.New(sequoiamemory.AccountLimit(memoryLimit), opts...)
+}
+
 // reserveForwarded returns a function that reserves memory of the account for the body of another process's request.
 func reserveForwarded(account *sequoiamemory.Account) func(n int) (release func(), ok bool) {
 	return func(n int) (func(), bool) {
--- /dev/null
+++ b/internal/sequoianode/responsememory.go
@@ -0,0 +1,82 @@
+package sequoianode
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiafront"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiamemory"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
+)
+
+const (
+	// responseRoomWait is how long a response waits at its upstream for memory. Others that are being written free it.
+	responseRoomWait = 300 * time.Millisecond
+	// responseRoomInterval is the interval at which memory is tried for again.
+	responseRoomInterval = 10 * time.Millisecond
+)
+
+// responseMemory is the memory that one request reserves for the bodies of its upstream's responses. The handler of the
+// request owns it and releases it, unless it hands it over to the front. Its methods are called by one goroutine.
+type responseMemory struct {
+	account *sequoiamemory.Account
+	kind    sequoiamemory.Kind
+	holding *sequoiamemory.Holding
+}
+
+// responseMemoryKey is the key of the responseMemory in a request's context.
+type responseMemoryKey struct{}
+
+// withResponseMemory returns a context with a responseMemory, which the caller releases.
+func withResponseMemory(
+	ctx context.Context, account *sequoiamemory.Account, kind sequoiamemory.Kind,
+) (context.Context, *responseMemory) {
+	m := &responseMemory{account: account, kind: kind}
+	return context.WithValue(ctx, responseMemoryKey{}, m), m
+}
+
+// responseReserver returns the function that reserves memory for the body of a response, nil if the context has none.
+func responseReserver(ctx context.Context) func(ctx context.Context, n int64) bool {
+	if m, ok := ctx.Value(responseMemoryKey{}).(*responseMemory); ok {
+		return m.reserve
+	}
+	return nil
+}
+
+// reserve reserves n bytes and waits for them if there is no room, or returns -n bytes.
+func (m *responseMemory) reserve(ctx context.Context, n int64) bool {
+	if m.tryReserve(n) {
+		return true
+	}
+	for start := time.Now(); time.Since(start) < responseRoomWait; {
+		if sequoiatimer.Sleep(ctx, responseRoomInterval) != nil {
+			return false
+		}
+		if m.tryReserve(n) {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *responseMemory) tryReserve(n int64) bool {
+	if m.holding != nil {
+		return m.holding.Grow(n)
+	}
+	h, ok := m.account.Reserve(m.kind, n)
+	if ok {
+		m.holding = h
+	}
+	return ok
+}
+
+// handOver gives the memory to the front, which has taken the response.
+func (m *responseMemory) handOver(r *http.Request) {
+	if m.holding != nil && sequoiafront.HoldResponse(r, m.holding) {
+		m.holding = nil
+	}
+}
+
+// release releases the memory unless it was handed over.
+func (m *responseMemory) release() { m.holding.Release() }
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -14,7 +14,9 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiafront"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiahttp"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiakeyspace"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiamemory"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaowner"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiapeer"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaquarantine"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
@@ -58,6 +60,10 @@
 	}
 	n.front.AddInProgress(1)
 	defer n.front.AddInProgress(-1)
+	ctx, memory := withResponseMemory(ctx, n.account, sequoiamemory.Forwarded)
+	if !sequoiapeer.AfterAnswer(ctx, memory.release) {
+		defer memory.release()
+	}
 	resp := n.serveLocal(ctx, req)
 	resp.Load = resp.Load.ForVersion(req.Version)
 	return resp
@@ -311,6 +317,7 @@
 		Matches: func(h http.Header) bool { return req.RequestID == "" || n.dialect.RequestID(h) == req.RequestID },
 		ID:      req.RequestID,
 		Refusal: func(status int, h http.Header) bool { return n.dialect.ReadResponse(status, h).Refused() },
+		Reserve: responseReserver(ctx),
 	}
 	if !req.Repeatable {
 		call.MaxIdle = maxUnsafeIdle
--- a/internal/sequoiapeer/body_test.go
+++ b/internal/sequoiapeer/body_test.go
@@ -563,6 +563,44 @@
 		Expect(client.Stats()).To(And(HaveField("Dialed", uint64(1)), HaveField("Invalid", uint64(0))))
 	})
 
+	// Guards against responses that nothing counts while they wait for a slow link, and against memory that stays reserved.
+	ginkgo.It("keeps the memory of its handler until it has been sent or dropped", func() {
+		var released atomic.Int64
+		server := startLinkForwarder(func(ctx context.Context, req *sequoiarouter.Request) *sequoiarouter.Response {
+			Expect(AfterAnswer(ctx, func() { released.Add(1) })).To(BeTrue())
+			return echo(ctx, req)
+		}, WithLinkRate(slowLink))
+		client := startForwarder(testKey, nil)
+		forward := func(ctx context.Context, bytes int) chan error {
+			done := make(chan error, 1)
+			go func() {
+				req := bodyRequest(0, time.Minute)
+				req.Body = make([]byte, bytes)
+				_, err := client.Forward(ctx, server.Addr(), req)
+				done <- err
+			}()
+			return done
+		}
+		Eventually(forward(context.Background(), 10)).Should(Receive(BeNil()))
+		Eventually(released.Load).Should(BeEquivalentTo(1))
+		sent := forward(context.Background(), 300_000)
+		Eventually(func() int { return sendingBodies(server) }).WithTimeout(5 * time.Second).Should(Equal(1))
+		Expect(released.Load()).To(BeEquivalentTo(1))
+		Eventually(sent).WithTimeout(5 * time.Second).Should(Receive(BeNil()))
+		Eventually(released.Load).Should(BeEquivalentTo(2))
+		ctx, cancel := context.WithCancel(context.Background())
+		dropped := forward(ctx, 1_000_000)
+		Eventually(func() int { return sendingBodies(server) }).WithTimeout(5 * time.Second).Should(Equal(1))
+		cancel()
+		Eventually(dropped).Should(Receive(HaveOccurred()))
+		Eventually(released.Load).Should(BeEquivalentTo(3))
+		lost := forward(context.Background(), 1_000_000)
+		Eventually(func() int { return sendingBodies(server) }).WithTimeout(5 * time.Second).Should(Equal(1))
+		client.Close()
+		Eventually(lost).Should(Receive(HaveOccurred()))
+		Eventually(released.Load).Should(BeEquivalentTo(4))
+	})
+
 	ginkgo.It("lets small ones overtake it", func() {
 		server := startLinkForwarder(echo, WithLinkRate(slowLink))
 		client := startForwarder(testKey, nil)
--- a/internal/sequoiapeer/bodyresponse.go
+++ b/internal/sequoiapeer/bodyresponse.go
@@ -28,8 +28,8 @@
 	release func()
 }
 
-// answer sends the response to a request, with its body in pieces if it is large.
-func (c *forwardConn) answer(number uint64, req *sequoiarouter.Request, resp *sequoiarouter.Response) error {
+// answer sends the response to a request, with its body in pieces if it is large. It takes end if the response is sent later.
+func (c *forwardConn) answer(number uint64, req *sequoiarouter.Request, resp *sequoiarouter.Response, end *answerEnd) error {
 	if req.Version < sequoiarouter.ProtocolVersion || len(resp.Body) <= inlineResponse || len(resp.Body) > MaxBody {
 		return c.respond(number, resp)
 	}
@@ -45,9 +45,9 @@
 		return err
 	}
 	b := &outgoingBody{conn: c, number: number, kind: frameResponseBody, body: resp.Body, deadline: req.Deadline}
-	c.mu.Lock()
-	c.sending[number] = b
-	c.mu.Unlock()
+	if !c.registerResponseBody(b, end) {
+		return nil
+	}
 	if err := c.write(buf.Bytes()); err != nil {
 		return err
 	}
@@ -55,23 +55,43 @@
 	return nil
 }
 
-// forgetResponseBody removes the body of a response that has been sent completely.
-func (c *forwardConn) forgetResponseBody(number uint64) {
+// registerResponseBody records that the body of a response is being sent, unless the connection has been closed.
+func (c *forwardConn) registerResponseBody(b *outgoingBody, end *answerEnd) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closeErr != nil {
+		return false
+	}
+	b.release = end.take()
+	c.sending[b.number] = b
+	return true
+}
+
+// takeResponseBody removes the body of a response from those that are being sent. It returns nil if it is not among them;
+// otherwise the caller ends it.
+func (c *forwardConn) takeResponseBody(number uint64) *outgoingBody {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	b := c.sending[number]
 	delete(c.sending, number)
+	return b
+}
+
+// forgetResponseBody removes the body of a response that has been sent completely.
+func (c *forwardConn) forgetResponseBody(number uint64) {
+	if b := c.takeResponseBody(number); b != nil {
+		b.end()
+	}
 }
 
 // cancelResponseBody ends the sending of a response's body, because the caller no longer waits. A short response takes its
 // place, so that the number of the request becomes free. It returns false if no such body is being sent.
 func (c *forwardConn) cancelResponseBody(number uint64) (bool, error) {
-	c.mu.Lock()
-	b := c.sending[number]
-	delete(c.sending, number)
-	c.mu.Unlock()
+	b := c.takeResponseBody(number)
 	if b == nil {
 		return false, nil
 	}
+	defer b.end()
 	if c.forwarder.writer.stop(b) {
 		return true, nil
 	}
--- a/internal/sequoiapeer/bodysend.go
+++ b/internal/sequoiapeer/bodysend.go
@@ -27,6 +27,8 @@
 	kind     frameKind
 	body     []byte
 	deadline time.Time
+	// release is called by end, nil if there is nothing to release.
+	release func()
 
 	// The following fields are protected by the lock of the bodyWriter. sent and granted are numbers of bytes from the
 	// start of the body.
@@ -34,6 +36,13 @@
 	stopped       bool
 }
 
+// end is called by whoever removes the body of a response from those that are being sent.
+func (b *outgoingBody) end() {
+	if b.release != nil {
+		b.release()
+	}
+}
+
 // bodyWriter sends the pieces of all bodies of a Forwarder, in the order of their deadlines. It hands a piece to a
 // connection only while little is queued there, so that other frames overtake bodies.
 type bodyWriter struct {
--- a/internal/sequoiapeer/forwardconn.go
+++ b/internal/sequoiapeer/forwardconn.go
@@ -387,6 +387,7 @@
 	c.serving = map[uint64]context.CancelFunc{}
 	receiving := c.receiving
 	c.receiving = map[uint64]*incomingBody{}
+	sending := c.sending
 	c.sending = map[uint64]*outgoingBody{}
 	c.mu.Unlock()
 	if !authenticated {
@@ -408,6 +409,9 @@
 	for _, cancel := range serving {
 		cancel()
 	}
+	for _, b := range sending {
+		b.end()
+	}
 	c.forwarder.reportRejected(c, reason)
 }
 
@@ -705,6 +709,9 @@
 
 func (c *forwardConn) serve(ctx context.Context, number uint64, req *sequoiarouter.Request) {
 	var resp *sequoiarouter.Response
+	end := &answerEnd{}
+	defer end.run()
+	ctx = context.WithValue(ctx, answerEndKey{}, end)
 	if ctx.Err() == nil {
 		resp = c.forwarder.Serve(ctx, req)
 	} else {
@@ -721,7 +728,7 @@
 	if resp == nil {
 		resp = &sequoiarouter.Response{Outcome: sequoiarouter.Unknown, Reason: "NoResponse"}
 	}
-	if err := c.answer(number, req, resp); err != nil {
+	if err := c.answer(number, req, resp, end); err != nil {
 		c.close(err)
 	}
 }
