--- a/internal/sequoiafront/body.go
+++ b/internal/sequoiafront/body.go
@@ -82,6 +82,9 @@
 			if err := h.budget.charge(int64(size)); err != nil {
 				return nil, err
 			}
+			if size == lastPiece {
+				h.budget.holding.AwaitCollection(int64(size))
+			}
 			pieces = append(pieces, make([]byte, 0, size))
 		}
 		last := &pieces[len(pieces)-1]
@@ -125,11 +128,18 @@
 	if len(pieces) == 1 {
 		return pieces[0]
 	}
-	if length > lastPiece {
-		s.joinMu.Lock()
-		defer s.joinMu.Unlock()
-		h.AwaitCollection(int64(length))
+	if length <= lastPiece {
+		return appendPieces(pieces, length)
 	}
+	s.joinMu.Lock()
+	defer s.joinMu.Unlock()
+	var body []byte
+	h.Exclusive(int64(length), func() { body = appendPieces(pieces, length) })
+	return body
+}
+
+// appendPieces returns the content of the pieces, and drops each of them.
+func appendPieces(pieces [][]byte, length int) []byte {
 	body := make([]byte, 0, length)
 	for i, p := range pieces {
 		body = append(body, p...)
--- a/internal/sequoiamemory/account.go
+++ b/internal/sequoiamemory/account.go
@@ -306,6 +306,21 @@
 	defer a.collecting.RUnlock()
 }
 
+// Exclusive calls f, which allocates n bytes that no holding counts, with a collection before and after it if n is large.
+// Holders that call AwaitCollection wait meanwhile.
+func (a *Account) Exclusive(n int64, f func()) {
+	a.collecting.Lock()
+	defer a.collecting.Unlock()
+	large := a.collect != nil && n >= a.limit/garbageFraction
+	if large && a.takeGarbage(n) {
+		a.collect()
+	}
+	f()
+	if large {
+		a.collect()
+	}
+}
+
 // takeGarbage reports whether to make a collection before n bytes are allocated, and then counts it as begun.
 func (a *Account) takeGarbage(n int64) bool {
 	a.mu.Lock()
@@ -413,6 +428,15 @@
 	}
 }
 
+// Exclusive calls f, see Account.Exclusive.
+func (h *Holding) Exclusive(n int64, f func()) {
+	if h == nil {
+		f()
+		return
+	}
+	h.account.Exclusive(n, f)
+}
+
 // AwaitCollection is called before n bytes are allocated, see Account.AwaitCollection.
 func (h *Holding) AwaitCollection(n int64) {
 	if h != nil {
--- a/internal/sequoiamemory/account_test.go
+++ b/internal/sequoiamemory/account_test.go
@@ -171,6 +171,26 @@
 		Consistently(collections, "20ms").ShouldNot(Receive(), "small ones leave little")
 	})
 
+	// Guards against a copy that no holding counts beside buffers that others allocate or have left meanwhile.
+	ginkgo.It("makes others wait during an exclusive allocation, with collections around it", func() {
+		var events []string
+		a = sequoiamemory.New(limit, sequoiamemory.WithCollect(func() { events = append(events, "collection") }))
+		reserve(sequoiamemory.Request, 50*kilobyte).Release()
+		waited := make(chan struct{})
+		reserve(sequoiamemory.Request, 100*kilobyte).Exclusive(limit/8, func() {
+			events = append(events, "allocation")
+			go func() {
+				a.AwaitCollection(1)
+				close(waited)
+			}()
+			Consistently(waited, "20ms").ShouldNot(BeClosed())
+		})
+		Eventually(waited).Should(BeClosed())
+		Expect(events).To(Equal([]string{"collection", "allocation", "collection"}))
+		a.Exclusive(limit/8-1, func() {})
+		Expect(events).To(HaveLen(3), "it is small")
+	})
+
 	ginkgo.It("does not evict a holder that must not be", func() {
 		h := reserve(sequoiamemory.Request, 600*kilobyte)
 		h.OnEvict(func() { ginkgo.Fail("evicted") })
