--- a/internal/sequoiafront/body.go
+++ b/internal/sequoiafront/body.go
@@ -6,6 +6,8 @@
 	"os"
 
 	"github.com/pkg/errors"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiamemory"
 )
 
 const (
@@ -48,6 +50,9 @@
 			if err := b.charge(int64(size)); err != nil {
 				return nil, err
 			}
+			if size > smallBody {
+				b.holding.AwaitCollection(int64(size))
+			}
 			larger := make([]byte, size)
 			copy(larger, body)
 			body = larger
@@ -77,6 +82,9 @@
 			if err := h.budget.charge(int64(size)); err != nil {
 				return nil, err
 			}
+			if size == lastPiece {
+				h.budget.holding.AwaitCollection(int64(size))
+			}
 			pieces = append(pieces, make([]byte, 0, size))
 		}
 		last := &pieces[len(pieces)-1]
@@ -98,7 +106,7 @@
 	if err := h.readFields(); err != nil {
 		return nil, unexpectedEOF(err)
 	}
-	return c.server.joinPieces(pieces, length), nil
+	return c.server.joinPieces(pieces, length, h.budget.holding), nil
 }
 
 // consumed returns the number of bytes of the connection that belong to requests that have been read.
@@ -116,14 +124,22 @@
 // joinPieces returns the content of the pieces as one slice. The account does not count the copy while the pieces exist
 // too: a body of the largest size then fits where it would fit with a known length. The memory between the account and the
 // limit of the Go runtime suffices for one such copy, so there is one at a time.
-func (s *Server) joinPieces(pieces [][]byte, length int) []byte {
+func (s *Server) joinPieces(pieces [][]byte, length int, h *sequoiamemory.Holding) []byte {
 	if len(pieces) == 1 {
 		return pieces[0]
 	}
-	if length > lastPiece {
-		s.joinMu.Lock()
-		defer s.joinMu.Unlock()
+	if length <= lastPiece {
+		return appendPieces(pieces, length)
 	}
+	s.joinMu.Lock()
+	defer s.joinMu.Unlock()
+	var body []byte
+	h.Exclusive(int64(length), func() { body = appendPieces(pieces, length) })
+	return body
+}
+
+// appendPieces returns the content of the pieces, and drops each of them.
+func appendPieces(pieces [][]byte, length int) []byte {
 	body := make([]byte, 0, length)
 	for i, p := range pieces {
 		body = append(body, p...)
