--- a/internal/sequoiabalance/plan.go
+++ b/internal/sequoiabalance/plan.go
@@ -18,9 +18,9 @@
 	roomPerCandidate = 0.15
 	// minUtilization is the utilization below which no keys are moved, except to an empty upstream. Below it, requests
 	// hardly wait.
-	minUtilization = 0.7
+	minUtilization = 0.4
 	// minDifference is the difference in utilization below which no keys are moved.
-	minDifference = 0.25
+	minDifference = 0.3
 	// minIdleUtilization is the utilization below which an upstream gives no keys to an empty one.
 	minIdleUtilization = 0.35
 	// idleUtilization is the utilization below which an empty upstream counts as idle.
