Remove a field of the load that no process fills

sequoiarouter.Load.Speed was defined before the parts were built; the simulation of placing then showed no gain from it, and nothing sets or reads it. It was left out of the encoding while zero, so the protocol stays as it is. Tests of sequoiarouter, sequoianode, sequoiapeer and sequoiafollow passed.

--- a/internal/sequoiarouter/request.go
+++ b/internal/sequoiarouter/request.go
@@ -109,9 +109,6 @@
 	Work time.Duration
 	// StartDelay is how long one more request would wait because of the upstream's limit on requests per second.
 	StartDelay time.Duration
-	// Speed is how long work takes at the upstream at this moment, relative to the usual time. It is zero if the upstream
-	// does not say. No process fills it: the figure changes too fast to help the placing of requests.
-	Speed float64 `cbor:",omitempty"`
 	// LinkDelay is how long one more body of 64 KB would wait for the link of the upstream's instance and take to arrive.
 	// It is zero if the capacity of the link is not known.
 	LinkDelay time.Duration `cbor:",omitempty"`
@@ -122,7 +119,7 @@
 // ForVersion returns the load without the fields that a process with an older protocol version rejects.
 func (l Load) ForVersion(version int) Load {
 	if version < ProtocolVersion {
-		l.Speed, l.LinkDelay, l.ColdFor = 0, 0, 0
+		l.LinkDelay, l.ColdFor = 0, 0
 	}
 	return l
 }
