--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -1,7 +1,11 @@
 package main
 
 import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -9,7 +13,7 @@
 )
 
 var cases = map[string]func(){
-	"path": casePath, "break-off": caseBreakOff, "quick-restart": caseQuickRestart, "refused": caseRefused, "handover": caseHandover,
+	"path": casePath, "break-off": caseBreakOff, "quick-restart": caseQuickRestart, "refused": caseRefused, "handover": caseHandover, "restored": caseRestored,
 }
 
 // configuration has one keyed service, dispatch, and one without keys, parts.
@@ -284,3 +288,139 @@
 	}
 	held("%d of %d requests served later than recovery, %d of %d before the final fault", served, sent, before, sentBefore)
 }
+
+// fencesOfEra is how many fences the system gives out between two restores of the store before they reach those that it takes
+// for fences of the next era.
+const fencesOfEra = 1 << 20
+
+// ageTable makes the table of keys in the store what it is after fencesOfEra further changes: the highest fence, to which those
+// of the ranges are relative, is the last number of the value (CBOR, 4 bytes). It returns both values of it.
+func ageTable(s *store) (before, after uint32) {
+	s.locked(func() {
+		for key, it := range s.items {
+			n := len(it.Value)
+			if n < 6 || it.Value[0] != 0x83 || it.Value[n-5] != 0x1a || it.LeaseID != 0 {
+				continue
+			}
+			v := bytes.Clone(it.Value)
+			before = binary.BigEndian.Uint32(v[n-4:])
+			after = before + fencesOfEra
+			binary.BigEndian.PutUint32(v[n-4:], after)
+			s.put(key, v, 0)
+			return
+		}
+	})
+	return before, after
+}
+
+// caseRestored checks that no key is taken with an older fence, nor held by two backends, after the store came back from a copy.
+func caseRestored() {
+	s, ms := deploy("dispatch", "dispatch", "dispatch")
+	awaitServed(ms[0], "/lookup/x", []int{1, 20000, 40000, 65000}, 30*time.Second)
+	time.Sleep(2 * time.Second)
+	for _, m := range ms {
+		m.signal(syscall.SIGKILL)
+		m.kill()
+	}
+	if os.Getenv("AGED") != "0" {
+		before, after := ageTable(s)
+		if before == 0 {
+			cannotRun("no table in the store")
+		}
+		record("the table has the fences of a system that has changed it %d times more: %d in place of %d", fencesOfEra, after, before)
+	}
+	for _, m := range ms {
+		m.start()
+	}
+	awaitReady(ms...)
+	awaitServed(ms[0], "/lookup/x", []int{1, 20000, 40000, 65000}, 30*time.Second)
+
+	type holder struct {
+		id    string
+		fence uint64
+	}
+	var mu sync.Mutex
+	highest := map[uint64]holder{}
+	older, twice := "", ""
+	for _, m := range ms {
+		m.backend.mu.Lock()
+		m.backend.onGrant = func(b *backend, id string, g keyGrant) {
+			mu.Lock()
+			defer mu.Unlock()
+			for k := g.from; k <= g.to; k++ {
+				h := highest[k]
+				if h.id != "" && h.id != id && g.fence <= h.fence && older == "" {
+					older = fmt.Sprintf("%s took key %d with fence %d after %s had it with %d", id, k, g.fence, h.id, h.fence)
+					record("grant to %s: keys %d to %d, fence %d; %s", id, g.from, g.to, g.fence, older)
+				}
+				if g.fence >= h.fence {
+					highest[k] = holder{id, g.fence}
+				}
+			}
+		}
+		m.backend.mu.Unlock()
+	}
+	// Looks every 10 ms for a key that two backends hold.
+	go func() {
+		since := map[int]time.Time{}
+		for ; ; time.Sleep(10 * time.Millisecond) {
+			for key := 0; key < 65536; key += 512 {
+				var ids []string
+				for _, m := range ms {
+					m.backend.mu.Lock()
+					if m.backend.holds(uint64(key)) {
+						ids = append(ids, m.backend.id)
+					}
+					m.backend.mu.Unlock()
+				}
+				if len(ids) < 2 {
+					delete(since, key)
+					continue
+				}
+				if since[key].IsZero() {
+					since[key] = time.Now()
+				}
+				mu.Lock()
+				if time.Since(since[key]) > 500*time.Millisecond && twice == "" {
+					twice = fmt.Sprintf("%v hold key %d for over 0.5 s", ids, key)
+					record("%s", twice)
+				}
+				mu.Unlock()
+			}
+		}
+	}()
+	time.Sleep(5 * time.Second)
+	c := s.takeCopy()
+	record("the store is copied")
+	ms[0].signal(syscall.SIGTERM)
+	select {
+	case <-ms[0].ended:
+	case <-time.After(6 * time.Second):
+		ms[0].kill()
+	}
+	record("process %s has ended", ms[0].name)
+	time.Sleep(500 * time.Millisecond)
+	ms[0].start()
+	awaitReady(ms[0])
+	time.Sleep(time.Second)
+	if trouble {
+		record("the store is away")
+		s.locked(func() { s.down = true })
+		time.Sleep(300 * time.Millisecond)
+		s.restore(c)
+		s.locked(func() { s.down = false })
+		record("the store is back from the copy")
+	}
+	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		m, key := ms[attempts.n%3], attempts.n*977%65536
+		q := request{method: "GET", target: "/lookup/x", attempt: newAttempt(), key: key, deadline: 800 * time.Millisecond}
+		record("%s, key %d at %s: %v", q.attempt, key, m.name, send(m.outbound, q))
+	}
+	mu.Lock()
+	o, t := older, twice
+	mu.Unlock()
+	if o != "" || t != "" {
+		broken("OWNER: %s; %s", o, t)
+	}
+	held("no key was taken with an older fence or held by two backends")
+}
