--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -1,11 +1,15 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/binary"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -13,7 +17,7 @@
 )
 
 var cases = map[string]func(){
-	"path": casePath, "break-off": caseBreakOff, "quick-restart": caseQuickRestart, "refused": caseRefused, "handover": caseHandover, "restored": caseRestored,
+	"path": casePath, "break-off": caseBreakOff, "quick-restart": caseQuickRestart, "refused": caseRefused, "handover": caseHandover, "restored": caseRestored, "pipelined": casePipelined,
 }
 
 // configuration has one keyed service, dispatch, and one without keys, parts.
@@ -25,6 +29,7 @@
 	`{"name":"lookup","prefix":"/lookup/","kind":"safe","timeout":"800ms","targetLatency":"300ms","priority":2,"service":"dispatch","maxAttempts":2},` +
 	`{"name":"booking","prefix":"/booking/","kind":"unsafe","timeout":"1000ms","targetLatency":"400ms","priority":1,"service":"dispatch","maxAttempts":2},` +
 	`{"name":"audit","prefix":"/audit/","kind":"safe","timeout":"1500ms","targetLatency":"600ms","priority":2,"service":"parts","maxAttempts":2},` +
+	`{"name":"plate","prefix":"/plate/","kind":"safe","timeout":"4000ms","targetLatency":"800ms","priority":2,"service":"parts","maxAttempts":2},` +
 	`{"name":"reserve","prefix":"/reserve/","kind":"unsafe","timeout":"1500ms","targetLatency":"600ms","priority":2,"service":"parts","maxAttempts":2}]}]}`
 
 // deploy starts the store and one machine for each service.
@@ -424,3 +429,72 @@
 	}
 	held("no key was taken with an older fence or held by two backends")
 }
+
+// plateBytes is the size of the answer that the client is slow to read: more than the sockets on the way hold.
+const plateBytes = 6 << 20
+
+// casePipelined checks that a stopping process answers a request that it has passed on, although it was sent behind another one.
+func casePipelined() {
+	_, ms := deploy("dispatch", "parts")
+	a, b := ms[0], ms[1].backend
+	b.onRun = func(b *backend, w http.ResponseWriter, r *http.Request, body []byte) bool {
+		if r.URL.Path != "/plate/large" {
+			return false
+		}
+		w.Header().Set("Response-Signature", "sig."+r.Header.Get("Attempt-Id"))
+		w.Header().Set("Content-Length", strconv.Itoa(plateBytes))
+		_, _ = w.Write(bytes.Repeat([]byte("p"), plateBytes))
+		return true
+	}
+	awaitServed(a, "/plate/x", []int{-1}, 20*time.Second)
+	dialer := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 16<<10) })
+	}}
+	conn, err := dialer.Dial("tcp", a.outbound)
+	check(err)
+	r := bufio.NewReader(conn)
+	send := func(target string) string {
+		id := newAttempt()
+		record("client sends %s: GET %s", id, target)
+		fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: 4000\r\n\r\n", target, host, id)
+		return id
+	}
+	receive := func(id string) (complete bool) {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			record("client got no answer to %s: %v", id, err)
+			return false
+		}
+		n, err := io.Copy(io.Discard, resp.Body)
+		record("client got %s: %d, %d bytes, %v, closes %v", id, resp.StatusCode, n, err, resp.Close)
+		return err == nil
+	}
+	_ = conn.SetDeadline(time.Now().Add(60 * time.Second))
+	if !receive(send("/plate/kept")) {
+		cannotRun("the kept connection isn't served")
+	}
+	time.Sleep(4 * time.Second)
+	if trouble {
+		a.signal(syscall.SIGTERM)
+	}
+	time.Sleep(200 * time.Millisecond)
+	start := time.Now()
+	first := send("/plate/large")
+	time.Sleep(200 * time.Millisecond)
+	second := send("/plate/second")
+	time.Sleep(300 * time.Millisecond)
+	record("the client begins to read %d ms after its first request", time.Since(start).Milliseconds())
+	if !receive(first) {
+		cannotRun("the first request wasn't answered")
+	}
+	answered := receive(second)
+	record("%d ms after the first request", time.Since(start).Milliseconds())
+	runs := len(runsOf(second))
+	if runs == 0 {
+		held("the second request wasn't passed on")
+	}
+	if !answered {
+		broken("LOST: the second request was passed on and run, and the connection ended without an answer to it")
+	}
+	held("the second request was passed on and answered")
+}
