Let the review's scripts end when the program is missing, and record all grants

Cause: a script that could not start a process waited for a lock that it held, and was ended by its caller only; grants and the first requests were not in record.txt. Change: no lock around the start of a process; more lines of the record; the build of the stand-ins needs no version control.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/standin-2"
 mkdir -p ../../target/review-2
-go build -o ../../target/review-2/standin .
+go build -buildvcs=false -o ../../target/review-2/standin .
--- a/review/standin-2/backend.go
+++ b/review/standin-2/backend.go
@@ -211,6 +211,7 @@
 	if r.URL.Path == "/v1/grant" {
 		for _, g := range b.seen {
 			if g.from <= o.To && o.From <= g.to && g.fence > o.Fence {
+				record("backend %s refuses a grant of keys %d to %d with fence %d", id, o.From, o.To, o.Fence)
 				w.WriteHeader(http.StatusConflict)
 				return
 			}
@@ -244,6 +245,7 @@
 	}
 	g := keyGrant{o.From, o.To, o.Fence, time.Now().Add(hold)}
 	b.grants = append(b.grants, g)
+	record("backend %s takes keys %d to %d with fence %d for %v", id, o.From, o.To, o.Fence, hold)
 	b.seen = append(b.seen, g)
 	if len(b.seen) > 200 {
 		b.seen = b.seen[100:]
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -73,7 +73,6 @@
 	backend                                              *backend
 	lines                                                []string
 	starts                                               int
-	mu                                                   sync.Mutex
 	cmd                                                  *exec.Cmd
 	ended                                                chan struct{}
 }
@@ -130,8 +129,6 @@
 
 // start starts the process with the command of the deploy file.
 func (m *machine) start() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	// Only the first start of the whole system is one with bootstrap.
 	text := strings.Join(m.lines, "\n") + "\n"
 	if m.starts++; m.starts > 1 {
@@ -144,8 +141,8 @@
 	m.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + tmp, "LANG=C", "SEQUOIASPRING_BOOT=" + m.settings}
 	m.cmd.Stdout, m.cmd.Stderr = out, out
 	m.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	check(m.cmd.Start())
 	m.ended = make(chan struct{})
+	check(m.cmd.Start())
 	go func(cmd *exec.Cmd, ended chan struct{}) {
 		_ = cmd.Wait()
 		close(ended)
@@ -159,8 +156,6 @@
 }
 
 func (m *machine) kill() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	if m.cmd != nil && m.cmd.Process != nil {
 		_ = m.cmd.Process.Signal(syscall.SIGCONT)
 		_ = m.cmd.Process.Kill()
@@ -293,7 +288,9 @@
 	deadline := time.Now().Add(limit)
 	for _, key := range keys {
 		for {
-			a := send(m.outbound, request{method: "GET", target: target, attempt: newAttempt(), key: key, deadline: 800 * time.Millisecond})
+			q := request{method: "GET", target: target, attempt: newAttempt(), key: key, deadline: 800 * time.Millisecond}
+			a := send(m.outbound, q)
+			record("client sent %s: GET %s with key %d to %s and got %v", q.attempt, target, key, m.name, a)
 			if a.err == nil && a.status == http.StatusOK {
 				break
 			}
