Pass on text between processes that is not UTF-8

What callers saw: a request with a header value in ISO 8859-1, which HTTP allows (obs-text, RFC 9110, section 5.5), closed the connection between two processes. All other requests on it ended as unknown: 502 after a SIGTERM while the upstream worked on them. An upstream's response with such a header did the same in the other direction.

Cause: headers travel as CBOR text. The encoder takes any bytes; the decoder rejected text that is not UTF-8, and a frame that cannot be decoded is an error of the connection.

Change: the decoder accepts such text, in requests, responses, heads of responses in pieces and control messages.

Not covered: an older build that receives such a header still closes the connection, so this lasts until all processes of a deployment have been replaced.

--- a/internal/sequoiapeer/codec.go
+++ b/internal/sequoiapeer/codec.go
@@ -40,7 +40,9 @@
 	return mode
 }
 
-// mustDecoder returns a strict decoder, which rejects encodings that the encoder does not produce.
+// mustDecoder returns a strict decoder, which rejects encodings that the encoder does not produce. It accepts text that is
+// not UTF-8: headers of clients and upstreams may hold any bytes above 0x7f, and one that cannot be decoded would close the
+// connection with the requests of other clients on it.
 func mustDecoder() cbor.DecMode {
 	mode, err := cbor.DecOptions{
 		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
@@ -51,6 +53,7 @@
 		MaxNestedLevels:   maxNesting,
 		MaxArrayElements:  maxElements,
 		MaxMapPairs:       maxElements,
+		UTF8:              cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		panic(err)
--- a/internal/sequoiapeer/forward_test.go
+++ b/internal/sequoiapeer/forward_test.go
@@ -218,6 +218,40 @@
 		Expect(received).To(Equal(req))
 	})
 
+	// Guards against one client whose header HTTP allows (obs-text, RFC 9110, section 5.5) costing others their responses: the
+	// connection was closed with all requests on it.
+	ginkgo.It("passes on text that is not UTF-8 in both directions, and keeps the connection", func() {
+		const latin1 = "Zo\xeb"
+		release := make(chan struct{})
+		server := startForwarder(testKey, func(_ context.Context, req *sequoiarouter.Request) *sequoiarouter.Response {
+			if req.Key == "waits" {
+				<-release
+			}
+			header := map[string][]string{"X-Name": req.Header["X-Name"], "X-Request": {req.RequestID}}
+			return &sequoiarouter.Response{Outcome: sequoiarouter.Answered, Status: 200, Header: header, Body: req.Body}
+		})
+		client := startForwarder(testKey, nil)
+		waiting := make(chan error, 1)
+		go func() {
+			_, err := client.Forward(context.Background(), server.Addr(), request("waits", 5*time.Second))
+			waiting <- err
+		}()
+		for _, size := range []int{0, 3 * inlineResponse} {
+			for _, version := range []int{0, sequoiarouter.ProtocolVersion} {
+				req := request("odd", 5*time.Second)
+				req.RequestID, req.Version, req.Body = latin1, version, make([]byte, size)
+				req.Header["X-Name"] = []string{latin1}
+				resp, err := client.Forward(context.Background(), server.Addr(), req)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(resp.Header).To(Equal(map[string][]string{"X-Name": {latin1}, "X-Request": {latin1}}))
+				Expect(resp.Body).To(HaveLen(size))
+			}
+		}
+		close(release)
+		Expect(<-waiting).NotTo(HaveOccurred())
+		Expect(server.Stats().Invalid + client.Stats().Invalid).To(BeZero())
+	})
+
 	ginkgo.It("gives each of many concurrent requests its own response when they finish out of order", func() {
 		server := startForwarder(testKey, func(ctx context.Context, req *sequoiarouter.Request) *sequoiarouter.Response {
 			time.Sleep(time.Duration(len(req.Key)%7) * time.Millisecond)
