Give the connection that is used least to a new client

What callers saw: clients that stay keep ordinary ones out for as long as they like, with 600 descriptors and 96 MB.

Cause, five times the same question of whose turn it is: - A connection gave way only after a second without progress, and 1 KB each second, or a request each 0.7 s, was progress. - A new connection was closed at once if none gave way, so clients that come again at once won every place that became free. - A connection whose client does not read its response never gave way to another connection. - Connections took the eighth of the account that is meant for small requests, so large responses and connections left those nothing (503). - Responses without room kept all slots of the upstream for 300 ms each, and each of them counted as a failure of the upstream, with a probe of it.

The one whose client has used it longest ago gives way: idle, or its request arrives at less than 16 KB/s (both after 200 ms), or its response is not taken (after 1 s). A new connection waits for that up to a second while those behind it wait in the kernel's queue, in order. Connections that are being closed have an eighth of the places beyond the limit, and the oldest of them is cut when they need more. A body that is 30 s behind 16 KB/s is refused, and a head after 30 s. An eighth of the account is for small requests alone. At most two responses wait for memory; one without memory ends with 502, reason NoMemory, without a probe.

What the existing tests leave out: the crowds of TestHostileClients send once and hold their connections, or leave before the ordinary request (silent); none comes again, none keeps a place by sending slowly, and a process that serves nobody beside the crowd passes.

--- a/internal/sequoiafront/budget.go
+++ b/internal/sequoiafront/budget.go
@@ -1,6 +1,8 @@
 package sequoiafront
 
 import (
+	"time"
+
 	"github.com/pkg/errors"
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiamemory"
@@ -9,18 +11,17 @@
 const (
 	// budgetStep is the step in bytes in which a budget reserves memory for small amounts.
 	budgetStep = 4 << 10
-	// progressBytes is how many bytes of a body must arrive to count as progress. A byte now and then keeps no memory from
-	// being given to others.
+	// progressBytes is how many bytes of a request must arrive before their pace is looked at.
 	progressBytes = 1 << 10
 )
 
 // budget reserves the memory of a request that is being read.
 type budget struct {
 	holding *sequoiamemory.Holding
-	// conn is the holding of the connection, which makes progress with the request.
-	conn           *sequoiamemory.Holding
+	// keepPace counts bytes that have arrived, and returns the time up to which the request has kept up with minRate.
+	keepPace       func(n int) time.Time
 	used, reserved int64
-	// arrived is the number of bytes since the last progress.
+	// arrived is the number of bytes since the last call of keepPace.
 	arrived int
 }
 
@@ -42,8 +43,7 @@
 // progress counts n bytes that have arrived.
 func (b *budget) progress(n int) {
 	if b.arrived += n; b.arrived >= progressBytes {
+		b.holding.ProgressAt(b.keepPace(b.arrived))
 		b.arrived = 0
-		b.holding.Progress()
-		b.conn.Progress()
 	}
 }
--- a/internal/sequoiafront/conn.go
+++ b/internal/sequoiafront/conn.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,25 +33,39 @@
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 
+	// pace is the time in Unix nanoseconds up to which the request that is being read has kept up with minRate.
+	pace atomic.Int64
+	// headEnd is the time by which the head that is being read must be complete, zero if none is, and headLimited is true
+	// once it is the read deadline. Most heads arrive at once and need none.
+	headEnd     time.Time
+	headLimited bool
+	// replaceableAt is the time in Unix nanoseconds from which another connection may take the place of this one, zero while
+	// none may.
+	replaceableAt atomic.Int64
+	// cut is true once the connection was closed because there were too many that were being closed. The mutex of the slots
+	// protects it.
+	cut bool
+
 	mu sync.Mutex
 	// changed is signaled when an exchange ends.
 	changed  sync.Cond
 	pipeline pipeline
 	// closing is true once the last response has been or is being written. What arrives after that is not run.
 	closing bool
-	// idle is true while no request is in progress, and since when it is for the latest time.
-	idle      bool
+	// idleSince is the latest time at which no request was in progress any more.
 	idleSince time.Time
-	// stalled is true once the request that is being read was evicted from the account.
+	// reading is the number of the request that is being read, zero if none is, and requests that of all so far.
+	reading, requests uint64
+	// stalled is true once the request that is being read was evicted, because others need its memory or its connection.
 	stalled bool
-	// evicted is true once the connection must make room for another one.
-	evicted bool
 	// refused is true once a response has been written that refuses a request.
 	refused bool
+	// reason is why the connection ends, if that is known before it does.
+	reason closeReason
 }
 
 func newServerConn(s *Server, conn net.Conn, cfg *listenConfig) *serverConn {
-	c := &serverConn{Conn: conn, server: s, listener: cfg}
+	c := &serverConn{Conn: conn, server: s, listener: cfg, idleSince: time.Now()}
 	c.changed.L = &c.mu
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	c.r = bufio.NewReaderSize(c, readBufferSize)
@@ -58,18 +74,25 @@
 
 // Read reads from the client and counts the bytes.
 func (c *serverConn) Read(b []byte) (int, error) {
+	if !c.headEnd.IsZero() && !c.headLimited {
+		c.headLimited = true
+		c.mu.Lock()
+		c.setReadDeadline(c.headEnd)
+		c.mu.Unlock()
+	}
 	n, err := c.Conn.Read(b)
 	c.received += int64(n)
 	return n, err
 }
 
 // write writes to the client in pieces, each with a deadline, since the client may have stopped reading. Each piece that
-// the client has taken is progress of the holding.
+// the client has taken is progress of the holding and of the connection.
 func (c *serverConn) write(b []byte, timeout time.Duration, h *sequoiamemory.Holding) error {
 	for len(b) > 0 {
 		if err := c.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
 			return err
 		}
+		c.replaceableAt.Store(time.Now().Add(stallTime).UnixNano())
 		n, err := c.Conn.Write(b[:min(len(b), writePiece)])
 		if err != nil {
 			return err
@@ -84,7 +107,7 @@
 func (c *serverConn) serve() {
 	defer c.server.unregister(c)
 	c.mu.Lock()
-	c.updateIdle()
+	c.updateReplaceable()
 	c.mu.Unlock()
 	err := c.readRequests()
 	if i, ok := refusalOf(err); ok {
@@ -95,7 +118,7 @@
 	}
 	c.mu.Lock()
 	c.end(err)
-	c.server.counters.closed(closeReasonOf(c.ctx, c.refused))
+	c.server.counters.closed(cmp.Or(c.reason, closeReasonOf(c.ctx, c.refused)))
 	c.mu.Unlock()
 	_ = c.Close()
 	c.awaitHandlers()
@@ -125,67 +148,153 @@
 	for {
 		c.extendReadDeadline()
 		_, err := c.r.Peek(1)
-		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.mayWait() {
-			c.holding.Progress()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err
 		}
+		if !c.mayWait() {
+			c.endIdle()
+			return err
+		}
+		c.extended = time.Time{}
 	}
 }
 
-// mayWait reports whether the connection stays open although the client has sent nothing for idleTimeout, because a request
-// has been in progress meanwhile.
+// mayWait reports whether the connection stays open although the client has sent nothing for the idle timeout, because a
+// request has been in progress meanwhile.
 func (c *serverConn) mayWait() bool {
+	limit := c.limits().IdleTimeout
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.closing && (len(c.pipeline.exchanges) > 0 || c.idle && time.Since(c.idleSince) < idleTimeout)
+	return !c.closing && (len(c.pipeline.exchanges) > 0 || time.Since(c.idleSince) < limit)
 }
 
-// updateIdle lets a connection without a request in progress make room for another one. One whose client is sending a
-// request makes progress as it arrives; otherwise clients that send incomplete requests could keep all others out. The
-// caller must hold mu.
-func (c *serverConn) updateIdle() {
-	idle := len(c.pipeline.exchanges) == 0 && !c.closing
-	if idle == c.idle {
-		return
+// endIdle ends a connection whose client has sent nothing for the idle timeout. A request that is on its way is refused.
+func (c *serverConn) endIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closing {
+		c.reason = closedIdle
+		c.refuseRequestsLocked(c.listener.refusalResponse(http.StatusRequestTimeout))
 	}
-	c.idle = idle
-	if !idle {
-		c.holding.OnEvict(nil)
-		return
+}
+
+// updateReplaceable sets from when another connection may take the place of this one. The caller must hold mu.
+func (c *serverConn) updateReplaceable() {
+	at := int64(0)
+	switch {
+	case c.closing || c.pipeline.ended:
+	case c.pipeline.current != nil:
+		return // write does it.
+	case len(c.pipeline.exchanges) > 0:
+	case c.reading > 0:
+		at = c.pace.Load() + int64(minTurn)
+	default:
+		at = c.idleSince.Add(minTurn).UnixNano()
 	}
-	c.idleSince = time.Now()
-	c.holding.OnEvict(c.evictConn)
+	c.replaceableAt.Store(at)
 }
 
-// evictConn ends the connection, which had no request in progress, or lets it end after the requests that have arrived since.
-func (c *serverConn) evictConn() {
+// replace ends the connection so that another one takes its place, if it still may be replaced from the given time on.
+func (c *serverConn) replace(at int64) bool {
 	c.mu.Lock()
-	c.evicted = true
-	c.mu.Unlock()
-	c.refuseRequests(c.listener.refusalResponse(http.StatusRequestTimeout))
+	defer c.mu.Unlock()
+	switch {
+	case c.closing || c.replaceableAt.Load() != at:
+		return false
+	case c.pipeline.current != nil:
+		c.abandonLocked(errNotTaken)
+	case len(c.pipeline.exchanges) > 0:
+		return false
+	case c.reading > 0:
+		c.evictRequestLocked(c.reading)
+	default:
+		c.refuseRequestsLocked(c.listener.refusalResponse(http.StatusRequestTimeout))
+	}
+	c.reason = closedReplaced
+	c.listener.slots.beginClose(c)
+	return true
 }
 
-// evictRequest ends the reading of a request that has made no progress.
-func (c *serverConn) evictRequest() {
+// evictRequest ends the reading of a request that has arrived too slowly.
+func (c *serverConn) evictRequest(number uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.closing {
+	c.evictRequestLocked(number)
+}
+
+func (c *serverConn) evictRequestLocked(number uint64) {
+	if c.reading == number && !c.closing {
 		c.stalled = true
 		_ = c.SetReadDeadline(time.Now())
 	}
 }
 
-// extendReadDeadline gives the client idleTimeout for its next bytes, unless the connection is being closed.
+// beginReading records that a request is being read, of which the first byte has arrived, and returns its number.
+func (c *serverConn) beginReading() (number uint64) {
+	now := time.Now()
+	c.headEnd, c.headLimited = now.Add(c.limits().HeadTimeout), false
+	c.pace.Store(now.UnixNano())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requests++
+	c.reading = c.requests
+	c.updateReplaceable()
+	return c.reading
+}
+
+// beginBody ends the time for the head, and makes the pace that of the body.
+func (c *serverConn) beginBody() {
+	now := time.Now()
+	c.headEnd = time.Time{}
+	c.extended = now
+	c.pace.Store(now.UnixNano())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setReadDeadline(now.Add(maxLag))
+}
+
+// endReading records that a request has been read or that its reading has failed. It reports whether it was evicted.
+func (c *serverConn) endReading() (evicted bool) {
+	c.headEnd = time.Time{}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = 0
+	return c.stalled
+}
+
+// keepPace counts n bytes of the request that is being read, and returns the time up to which it has kept up with minRate.
+func (c *serverConn) keepPace(n int) time.Time {
+	pace := min(c.pace.Load()+int64(n)*int64(time.Second)/minRate, time.Now().UnixNano())
+	c.pace.Store(pace)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.updateReplaceable()
+	return time.Unix(0, pace)
+}
+
+// extendReadDeadline gives the client time for its next bytes: until the end of the time for a head, as long as a body may
+// lag behind, and otherwise the idle timeout.
 func (c *serverConn) extendReadDeadline() {
 	now := time.Now()
-	if now.Sub(c.extended) < extendInterval {
+	if !c.headEnd.IsZero() || now.Sub(c.extended) < extendInterval {
 		return
 	}
 	c.extended = now
+	idle := c.limits().IdleTimeout
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.reading > 0 {
+		c.setReadDeadline(time.Unix(0, c.pace.Load()).Add(maxLag))
+	} else {
+		c.setReadDeadline(now.Add(idle))
+	}
+}
+
+// setReadDeadline sets the read deadline, unless the connection is being closed or its request was evicted. The caller must
+// hold mu.
+func (c *serverConn) setReadDeadline(t time.Time) {
 	if !c.closing && !c.stalled {
-		_ = c.SetReadDeadline(now.Add(idleTimeout))
+		_ = c.SetReadDeadline(t)
 	}
 }
 
@@ -205,7 +314,8 @@
 // limitReading makes the connection take no further requests. The caller must hold mu.
 func (c *serverConn) limitReading() {
 	c.closing = true
-	c.updateIdle()
+	c.updateReplaceable()
+	c.listener.slots.beginClose(c)
 	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
 }
 
@@ -244,6 +354,10 @@
 func (c *serverConn) refuseRequests(response []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.refuseRequestsLocked(response)
+}
+
+func (c *serverConn) refuseRequestsLocked(response []byte) {
 	if len(c.pipeline.exchanges) > 0 || c.closing {
 		return
 	}
--- a/internal/sequoiafront/front.go
+++ b/internal/sequoiafront/front.go
@@ -40,9 +40,15 @@
 	// readBufferSize is the size in bytes of a connection's read buffer. Most requests fit, and each idle connection
 	// holds one such buffer.
 	readBufferSize = 4 << 10
-	// idleTimeout closes idle connections. It is longer than the idle timeouts that operators configure, so that a
-	// client does not send a request on a connection that is being closed.
+	// idleTimeout closes idle connections, unless the limits in force set another time.
 	idleTimeout = 120 * time.Second
+	// headTimeout limits the time from the first byte of a request to the end of its head, unless the limits in force set
+	// another time.
+	headTimeout = 30 * time.Second
+	// minRate is the rate in bytes per second at which a request must arrive. One that is maxLag behind is refused; one that
+	// is less behind gives way to others that need its place or its memory.
+	minRate = 16 << 10
+	maxLag  = 30 * time.Second
 	// extendInterval is the least time between two extensions of a read deadline.
 	extendInterval = time.Second
 	// writeTimeout bounds the write of writePiece bytes to a client that does not read. It is longer than clients wait for a
@@ -186,8 +192,7 @@
 	maxBody  int
 	maxConns int
 	account  *sequoiamemory.Account
-	// conns is the number of connections, protected by the server's mutex.
-	conns int
+	slots    *slots
 	// The following functions may be nil.
 	repeatable    func(r *http.Request) bool
 	closing       func() bool
@@ -195,12 +200,25 @@
 	limits        func() Limits
 }
 
-// Limits are bounds on a request in bytes. Zero values set no limit beyond those of the listener.
+func (s *Server) newListenConfig(h http.Handler, opts ...ListenOption) *listenConfig {
+	cfg := &listenConfig{handler: h, maxBody: s.maxBody, maxConns: maxConns, account: s.account}
+	for _, o := range opts {
+		o(cfg)
+	}
+	cfg.slots = newSlots(min(cfg.maxConns, connectionsWithin(cfg.account)))
+	return cfg
+}
+
+// Limits are bounds on requests. Zero values set no limit beyond those of the listener.
 type Limits struct {
+	// MaxHead and MaxBody are sizes in bytes.
 	MaxHead, MaxBody int
+	// HeadTimeout is the time from the first byte of a request to the end of its head, IdleTimeout that between two requests.
+	HeadTimeout, IdleTimeout time.Duration
 }
 
-// WithLimits sets a function that returns the limits in force. It is called when the head of a request is complete.
+// WithLimits sets a function that returns the limits in force. It is called at the beginning of a request, when its head is
+// complete, and while a connection is idle.
 func WithLimits(f func() Limits) ListenOption {
 	return func(c *listenConfig) { c.limits = f }
 }
@@ -210,8 +228,8 @@
 	return func(c *listenConfig) { c.account = a }
 }
 
-// WithMaxConns sets the maximum number of connections of a listener. When it is reached, a new one takes the place of the
-// one that has been idle longest.
+// WithMaxConns sets the maximum number of connections of a listener. When it is reached, a new one takes the place of
+// another; see slots.
 func WithMaxConns(n int) ListenOption {
 	return func(c *listenConfig) { c.maxConns = n }
 }
@@ -243,10 +261,7 @@
 
 // Listen serves h on addr and returns the bound address.
 func (s *Server) Listen(addr netip.AddrPort, h http.Handler, opts ...ListenOption) (netip.AddrPort, error) {
-	cfg := &listenConfig{handler: h, maxBody: s.maxBody, maxConns: maxConns, account: s.account}
-	for _, o := range opts {
-		o(cfg)
-	}
+	cfg := s.newListenConfig(h, opts...)
 	limitLibraryLog()
 	ln, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
 	if err != nil {
@@ -297,36 +312,36 @@
 
 // register adds a connection. It returns false if the server is closed or the listener has no room for the connection.
 func (s *Server) register(c *serverConn) bool {
-	h, ok := c.listener.account.Reserve(sequoiamemory.Connection, connectionBytes)
-	if !ok {
+	acquired := c.listener.slots.acquire(c, func() (ok bool) {
+		c.holding, ok = c.listener.account.Reserve(sequoiamemory.Connection, connectionBytes)
+		return ok
+	})
+	if !acquired {
 		return false
 	}
-	c.holding = h
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || !c.listener.hasRoom() {
-		h.Release()
+	if s.closed {
+		c.listener.slots.release(c)
+		c.holding.Release()
 		return false
 	}
-	c.listener.conns++
 	s.conns[c] = struct{}{}
 	s.openConns.Add(1)
 	return true
 }
 
-// hasRoom reports whether a listener may have one more connection, if need be in place of an idle one. That one stays open
-// until its client has seen the end, for lingerTime at most, so an eighth more connections may be open meanwhile. The caller
-// must hold the server's mutex.
-func (cfg *listenConfig) hasRoom() bool {
-	return cfg.conns < cfg.maxConns ||
-		cfg.conns < cfg.maxConns+cfg.maxConns/8 && cfg.account.EvictStalled(sequoiamemory.Connection)
+// connectionsWithin returns how many connections find room in an account together with those that are being closed.
+func connectionsWithin(a *sequoiamemory.Account) int {
+	n := a.ConnectionLimit() / connectionBytes
+	return int(n * closingFraction / (closingFraction + 1))
 }
 
 func (s *Server) unregister(c *serverConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
-	c.listener.conns--
 	c.holding.Release()
+	c.listener.slots.release(c)
 	s.openConns.Done()
 }
--- a/internal/sequoiafront/pipeline.go
+++ b/internal/sequoiafront/pipeline.go
@@ -147,7 +147,7 @@
 	}
 	c.server.inProgress.Add(1)
 	c.pipeline.exchanges = append(c.pipeline.exchanges, e)
-	c.updateIdle()
+	c.updateReplaceable()
 	c.startExchanges()
 	return true
 }
@@ -214,8 +214,11 @@
 			c.beginClose()
 			c.end(errConnectionClosing)
 		default:
+			if len(p.exchanges) == 0 {
+				c.idleSince = time.Now()
+			}
 			c.startExchanges()
-			c.updateIdle()
+			c.updateReplaceable()
 			c.changed.Broadcast()
 		}
 	}
@@ -260,7 +263,7 @@
 
 // closesWhenIdle reports whether the connection is to be closed after the last response.
 func (c *serverConn) closesWhenIdle() bool {
-	return c.evicted || c.server.draining.Load() || c.listener.closing != nil && c.listener.closing()
+	return c.server.draining.Load() || c.listener.closing != nil && c.listener.closing()
 }
 
 // await waits until at most n responses are pending or the exchanges have ended. It reports whether they have not ended.
--- a/internal/sequoiafront/request.go
+++ b/internal/sequoiafront/request.go
@@ -22,9 +22,10 @@
 	if !ok {
 		return nil, errors.WithStack(errNoRoom)
 	}
-	h.OnEvict(c.evictRequest)
-	e, err := c.readParts(&budget{holding: h, conn: c.holding, reserved: budgetStep})
-	if !h.OnEvict(nil) && err == nil {
+	number := c.beginReading()
+	h.OnEvict(func() { c.evictRequest(number) })
+	e, err := c.readParts(&budget{holding: h, keepPace: c.keepPace, reserved: budgetStep})
+	if evicted := c.endReading() || !h.OnEvict(nil); evicted && err == nil {
 		err = errors.WithStack(errRequestSilent) // It was evicted just before it was complete.
 	}
 	if err != nil {
@@ -68,7 +69,6 @@
 
 // readHead reads the head of a request. It keeps no buffer of it.
 func (c *serverConn) readHead(ctx context.Context, h *headReader) (*http.Request, error) {
-	c.extendReadDeadline()
 	line, err := h.readLine()
 	if err != nil {
 		return nil, err
@@ -93,7 +93,7 @@
 
 // limits returns the limits in force, none of which is zero.
 func (c *serverConn) limits() Limits {
-	limits := Limits{MaxHead: maxHeaderBytes, MaxBody: c.listener.maxBody}
+	limits := Limits{MaxHead: maxHeaderBytes, MaxBody: c.listener.maxBody, HeadTimeout: headTimeout, IdleTimeout: idleTimeout}
 	if c.listener.limits == nil {
 		return limits
 	}
@@ -104,6 +104,12 @@
 	if now.MaxBody > 0 {
 		limits.MaxBody = min(limits.MaxBody, now.MaxBody)
 	}
+	if now.HeadTimeout > 0 {
+		limits.HeadTimeout = now.HeadTimeout
+	}
+	if now.IdleTimeout > 0 {
+		limits.IdleTimeout = now.IdleTimeout
+	}
 	return limits
 }
 
@@ -120,6 +126,7 @@
 	if err := c.continueRequest(r); err != nil {
 		return nil, err
 	}
+	c.beginBody()
 	if length == chunkedLength {
 		return c.readChunked(h, limit)
 	}
--- a/internal/sequoiafront/stats.go
+++ b/internal/sequoiafront/stats.go
@@ -17,12 +17,14 @@
 const (
 	// closedByClient means that the client closed or reset the connection.
 	closedByClient closeReason = iota
-	// closedIdle means that the client sent no request for idleTimeout.
+	// closedIdle means that the client sent no request for the idle timeout.
 	closedIdle
 	// closedResponse means that a response closed the connection.
 	closedResponse
-	// closedRefusal means that a request was refused, or the connection was idle and made room for another.
+	// closedRefusal means that a request was refused.
 	closedRefusal
+	// closedReplaced means that the connection made room for another one.
+	closedReplaced
 	// closedWrite means that the client took no bytes of a response.
 	closedWrite
 	// closedNoRoom means that there was no room for the connection or for a response.
@@ -32,7 +34,7 @@
 	closeReasons
 )
 
-var closeReasonNames = [closeReasons]string{"Client", "Idle", "Response", "Refusal", "Write", "NoRoom", "Shutdown"}
+var closeReasonNames = [closeReasons]string{"Client", "Idle", "Response", "Refusal", "Replaced", "Write", "NoRoom", "Shutdown"}
 
 // closeReasonOf returns the reason for the end of a connection by the cause of the cancellation of its requests.
 func closeReasonOf(ctx context.Context, refused bool) closeReason {
--- a/internal/sequoiamemory/account.go
+++ b/internal/sequoiamemory/account.go
@@ -20,8 +20,8 @@
 	defaultLimit = 256 << 20
 	// SmallRequest is the size in bytes up to which a holding may use the part of an Account that is reserved for small ones.
 	SmallRequest = 16 << 10
-	// smallFraction and connectionFraction divide the limit: an eighth is reserved for small holdings, and at most half is
-	// for connections, so that a crowd of them leaves room for requests.
+	// smallFraction and connectionFraction divide the limit: an eighth is reserved for small holdings, so that neither large
+	// ones nor connections keep them out, and at most half is for connections, so that a crowd of them leaves room for requests.
 	smallFraction      = 8
 	connectionFraction = 2
 	// stallTime is how long a holder must have made no progress before it may be evicted.
@@ -89,8 +89,8 @@
 	evicted     uint64
 	// first is the first of the linked holdings.
 	first *Holding
-	// searches are the last searches for holdings to evict, for connections and for the rest.
-	searches [2]search
+	// search is the last search for holdings to evict.
+	search search
 }
 
 // search is a search for holdings to evict that found too little. It spares another search for each request that finds no
@@ -156,6 +156,9 @@
 // Limit returns the limit in bytes.
 func (a *Account) Limit() int64 { return a.limit }
 
+// ConnectionLimit returns the limit in bytes for connections.
+func (a *Account) ConnectionLimit() int64 { return a.limit / connectionFraction }
+
 // resize adds n bytes to h if there is room.
 func (a *Account) resize(h *Holding, n int64) bool {
 	a.mu.Lock()
@@ -183,7 +186,7 @@
 func (a *Account) add(h *Holding, n int64) {
 	a.used += n
 	a.usedBy[h.kind] += n
-	if h.size > SmallRequest {
+	if h.isLarge() {
 		a.large += n
 	}
 }
@@ -193,21 +196,25 @@
 	if a.used-freed-h.size+size > a.limit {
 		return false
 	}
-	if h.kind == Connection && a.usedBy[Connection]-freed-h.size+size > a.limit/connectionFraction {
-		return false
-	}
-	if size <= SmallRequest {
+	if h.kind != Connection && size <= SmallRequest {
 		return true
 	}
-	return a.large-freedLarge-h.largeSize()+size <= a.limit-a.limit/smallFraction
+	connections, large := a.usedBy[Connection], a.large-freedLarge
+	if h.kind == Connection {
+		if connections += size - h.size; connections > a.ConnectionLimit() {
+			return false
+		}
+	} else {
+		large += size - h.largeSize()
+	}
+	return connections+large <= a.limit-a.limit/smallFraction
 }
 
-// evict evicts as many holdings as h needs to have the size, those longest without progress first. Connections make room
-// for connections only: their closing frees little, and a request is no reason to close many. It evicts none if that would
-// not free enough.
+// evict evicts as many holdings as h needs to have the size, those longest without progress first. It evicts none if that
+// would not free enough.
 func (a *Account) evict(h *Holding, size int64) bool {
-	now, group := a.now(), h.group()
-	if !a.searches[group].mayFind(now, size-h.size) {
+	now := a.now()
+	if !a.search.mayFind(now, size-h.size) {
 		return false
 	}
 	stalled := a.stalled(h, now)
@@ -224,22 +231,10 @@
 			return evicted
 		}
 	}
-	a.searches[group].failed, a.searches[group].until = size-h.size, now.Add(searchInterval)
+	a.search.failed, a.search.until = size-h.size, now.Add(searchInterval)
 	return false
 }
 
-// EvictStalled evicts the holding of the kind that is longest without progress. It returns false if there is none to evict.
-func (a *Account) EvictStalled(kind Kind) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	h, now := &Holding{account: a, kind: kind}, a.now()
-	if now.Before(a.searches[h.group()].next) {
-		return false
-	}
-	stalled := slices.DeleteFunc(a.stalled(h, now), func(s *Holding) bool { return s.kind != kind })
-	return len(stalled) > 0 && a.evictHolding(slices.MinFunc(stalled, compareProgress))
-}
-
 // evictHolding evicts one holding. It returns false if the owner has just forbidden it. The caller must hold mu.
 func (a *Account) evictHolding(h *Holding) bool {
 	f := h.onEvict.Swap(nil)
@@ -259,7 +254,7 @@
 	var stalled []*Holding
 	next := now.Add(stallTime)
 	for s := a.first; s != nil; s = s.next {
-		if s == h || s.onEvict.Load() == nil || s.group() != h.group() {
+		if s == h || s.onEvict.Load() == nil {
 			continue
 		}
 		if since := time.Unix(0, s.progress.Load()).Add(stallTime); !since.After(now) {
@@ -269,7 +264,7 @@
 		}
 	}
 	if len(stalled) == 0 {
-		a.searches[h.group()].next = next
+		a.search.next = next
 	}
 	return stalled
 }
@@ -385,17 +380,12 @@
 // compareProgress orders holdings by the time of their last progress.
 func compareProgress(x, y *Holding) int { return cmp.Compare(x.progress.Load(), y.progress.Load()) }
 
-// group returns the index of the group of holdings that make room for each other.
-func (h *Holding) group() int {
-	if h.kind == Connection {
-		return 0
-	}
-	return 1
-}
+// isLarge reports whether the holding counts as a large one. Connections are counted apart.
+func (h *Holding) isLarge() bool { return h.size > SmallRequest && h.kind != Connection }
 
 // largeSize returns the number of bytes that count as those of a large holding.
 func (h *Holding) largeSize() int64 {
-	if h.size > SmallRequest {
+	if h.isLarge() {
 		return h.size
 	}
 	return 0
@@ -428,6 +418,14 @@
 	}
 }
 
+// ProgressAt records that the holder has made progress up to a time. The holder of one that makes it too slowly gives a time
+// that falls behind.
+func (h *Holding) ProgressAt(t time.Time) {
+	if h != nil {
+		h.progress.Store(t.UnixNano())
+	}
+}
+
 // Exclusive calls f, see Account.Exclusive.
 func (h *Holding) Exclusive(n int64, f func()) {
 	if h == nil {
--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -95,7 +95,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
 	defer cancel()
-	ctx, memory := withResponseMemory(ctx, n.account, sequoiamemory.Response)
+	ctx, memory := withResponseMemory(ctx, n.responses, sequoiamemory.Response)
 	defer memory.release()
 	resp := n.dispatch(ctx, req, attrs, route, cfg.Services[req.Service].Keyed)
 	if r.Context().Err() != nil {
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -92,6 +92,7 @@
 	front *sequoiafront.Server
 	// account is the memory that the process holds for clients, upstreams and other processes.
 	account   *sequoiamemory.Account
+	responses *responseRoom
 	forwarder *sequoiapeer.Forwarder
 	// bodies is the forwarder once it has been started; until then it is nil.
 	bodies atomic.Pointer[sequoiapeer.Forwarder]
@@ -173,6 +174,7 @@
 		settings: settings, dialect: d, log: log, timers: timers, processID: randomID(8),
 		front:          sequoiafront.New(maxBodyBytes, sequoiafront.WithServerAccount(account)),
 		account:        account,
+		responses:      &responseRoom{account: account},
 		upstreamClient: sequoiahttp.New(sequoiahttp.WithResponsesUntilClose(), sequoiahttp.WithMaxIdle(16)),
 		commandClient:  sequoiahttp.New(sequoiahttp.WithMaxIdle(maxIdleCommands)),
 		splitter:       sequoiaroute.NewSplitter(), queue: sequoiaadmission.New(defaultSlots),
--- a/internal/sequoianode/responsememory.go
+++ b/internal/sequoianode/responsememory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiafront"
@@ -13,14 +14,23 @@
 const (
 	// responseRoomWait is how long a response waits at its upstream for memory. Others that are being written free it.
 	responseRoomWait = 300 * time.Millisecond
+	// maxRoomWaiters is the number of responses that wait for memory at the same time. Each of them keeps its request's slot at
+	// the upstream, which others need.
+	maxRoomWaiters = 2
 	// responseRoomInterval is the interval at which memory is tried for again.
 	responseRoomInterval = 10 * time.Millisecond
 )
 
+// responseRoom is the memory in which the responses of all requests find room.
+type responseRoom struct {
+	account *sequoiamemory.Account
+	waiters atomic.Int32
+}
+
 // responseMemory is the memory that one request reserves for the bodies of its upstream's responses. The handler of the
 // request owns it and releases it, unless it hands it over to the front. Its methods are called by one goroutine.
 type responseMemory struct {
-	account *sequoiamemory.Account
+	room    *responseRoom
 	kind    sequoiamemory.Kind
 	holding *sequoiamemory.Holding
 }
@@ -30,9 +40,9 @@
 
 // withResponseMemory returns a context with a responseMemory, which the caller releases.
 func withResponseMemory(
-	ctx context.Context, account *sequoiamemory.Account, kind sequoiamemory.Kind,
+	ctx context.Context, room *responseRoom, kind sequoiamemory.Kind,
 ) (context.Context, *responseMemory) {
-	m := &responseMemory{account: account, kind: kind}
+	m := &responseMemory{room: room, kind: kind}
 	return context.WithValue(ctx, responseMemoryKey{}, m), m
 }
 
@@ -44,11 +54,15 @@
 	return nil
 }
 
-// reserve reserves n bytes and waits for them if there is no room, or returns -n bytes.
+// reserve reserves n bytes and waits for them if there is no room, unless maxRoomWaiters others do, or returns -n bytes.
 func (m *responseMemory) reserve(ctx context.Context, n int64) bool {
 	if m.tryReserve(n) {
 		return true
 	}
+	defer m.room.waiters.Add(-1)
+	if m.room.waiters.Add(1) > maxRoomWaiters {
+		return false
+	}
 	for start := time.Now(); time.Since(start) < responseRoomWait; {
 		if sequoiatimer.Sleep(ctx, responseRoomInterval) != nil {
 			return false
@@ -64,7 +78,7 @@
 	if m.holding != nil {
 		return m.holding.Grow(n)
 	}
-	h, ok := m.account.Reserve(m.kind, n)
+	h, ok := m.room.account.Reserve(m.kind, n)
 	if ok {
 		m.holding = h
 	}
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -64,7 +64,7 @@
 	}
 	n.front.AddInProgress(1)
 	defer n.front.AddInProgress(-1)
-	ctx, memory := withResponseMemory(ctx, n.account, sequoiamemory.Forwarded)
+	ctx, memory := withResponseMemory(ctx, n.responses, sequoiamemory.Forwarded)
 	if !sequoiapeer.AfterAnswer(ctx, memory.release) {
 		defer memory.release()
 	}
@@ -346,13 +346,18 @@
 	sent := time.Now()
 	call.OnConnected = func() { n.runSent(r, j.verdict.Mark) }
 	resp, err := n.upstreamClient.Do(ctx, n.settings.Upstream, call)
-	if err != nil {
+	noRoom := errors.Is(err, sequoiahttp.ErrTooMuchBuffered)
+	if err != nil && !noRoom {
 		return n.handleUpstreamError(ctx, req, r, err)
 	}
 	n.withCore(func(c *sequoiaowner.Core) {
 		c.MarkAlive(sequoiatimer.BootTime())
 		n.runs.Answered(r)
 	})
+	if noRoom {
+		n.log.Event("no memory for a response", "RequestID", req.RequestID)
+		return &sequoiarouter.Response{Outcome: sequoiarouter.Unknown, Reason: sequoiapeer.ReasonNoMemory}
+	}
 	v := n.dialect.ReadResponse(resp.Status, resp.Header)
 	n.applyUpstreamState(u, sent, v)
 	if v.Signed && !v.NotRun && resp.Status < http.StatusInternalServerError {
