Count responses of other processes until the client has taken them

What callers saw: 400 clients that ask for responses of 60 KB through a process that passes the requests on, and read slowly, took it to 140,588 kB where 96 MB are allowed: on a machine it would have been killed with the requests of all others.

Cause: a response of up to 64 KB from another process was copied, decoded and handed to the front without a reservation. The front asked for one then, and wrote the response also without. It kept the body twice while the client took it: as it was, and joined behind its head.

Change: the forwarder reserves memory for a response above 16 KB before it copies it, twice its size until it is decoded; the request's handler reserves it from then on and hands it to the front. Without room the request ends with 502, reason NoMemory. The front drops what it has encoded, joins only bodies up to 4 KB behind the head, and writes a larger one from where it is. The Go runtime may use 0.75 of the process's limit in place of 0.8, since the pages of the program, 17 MB here, count beside it.

--- a/internal/sequoiafront/conn.go
+++ b/internal/sequoiafront/conn.go
@@ -377,8 +377,13 @@
 		timeout = min(timeout, noRoomWriteTimeout)
 	}
 	e.holding.OnEvict(func() { c.abandon(errNotTaken) })
-	if len(head)+len(body) <= writePiece {
+	// Only what is to be written is kept while the client takes it.
+	e.response.header, e.response.body = nil, nil
+	switch {
+	case len(body) <= joinedBody:
 		head, body = append(head, body...), nil
+	case len(head)+len(body) <= writePiece:
+		return c.writeBuffers(net.Buffers{head, body}, timeout)
 	}
 	if err := c.write(head, timeout, e.holding); err != nil {
 		return err
@@ -386,6 +391,16 @@
 	return c.write(body, timeout, e.holding)
 }
 
+// writeBuffers writes to the client without a copy, with one deadline.
+func (c *serverConn) writeBuffers(b net.Buffers, timeout time.Duration) error {
+	if err := c.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
+		return err
+	}
+	c.replaceableAt.Store(time.Now().Add(stallTime).UnixNano())
+	_, err := b.WriteTo(c.Conn)
+	return err
+}
+
 // continueRequest tells a client that waits before it sends the body of a request to send it, after the responses to the
 // requests before.
 func (c *serverConn) continueRequest(r *http.Request) error {
--- a/internal/sequoiafront/response.go
+++ b/internal/sequoiafront/response.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiamemory"
 )
 
 // responseBytes is what a response without header and body counts in the account.
@@ -61,13 +63,7 @@
 
 // size returns the number of bytes that the response counts in the account.
 func (w *responseWriter) size() int64 {
-	n := responseBytes + len(w.body)
-	for name, values := range w.header {
-		for _, v := range values {
-			n += len(name) + len(v) + lineBytes
-		}
-	}
-	return int64(n)
+	return int64(responseBytes+len(w.body)) + sequoiamemory.HeaderBytes(w.header)
 }
 
 // closes reports whether the client or the handler closes the connection after the response.
@@ -127,14 +123,22 @@
 			w.header.Set("Content-Type", "text/plain; charset=utf-8")
 		}
 	}
-	head = make([]byte, 0, headCapacity+min(len(body), writePiece))
+	size := headCapacity
+	if len(body) <= joinedBody {
+		size += len(body)
+	}
+	head = make([]byte, 0, size)
 	head = append(head, statusLine(w.status)...)
 	head = appendHeader(head, w.header)
 	return append(head, "\r\n"...), body
 }
 
-// headCapacity is the size in bytes of the first buffer of a head, which suffices for most.
-const headCapacity = 512
+const (
+	// headCapacity is the size in bytes of the first buffer of a head, which suffices for most.
+	headCapacity = 512
+	// joinedBody is the size in bytes up to which a body is copied behind its head. A larger one is written from where it is.
+	joinedBody = 4 << 10
+)
 
 // newlines replaces the characters that would end a value and begin another header.
 var newlines = strings.NewReplacer("\r", " ", "\n", " ")
--- a/internal/sequoiamemory/account.go
+++ b/internal/sequoiamemory/account.go
@@ -14,8 +14,8 @@
 	// accountShare is the share of a process's memory limit that its Account has, in hundredths.
 	accountShare = 45
 	// runtimeShare is the share that the Go runtime may use, in hundredths. Below it, the garbage collector lets the heap
-	// grow to about twice what is in use.
-	runtimeShare = 80
+	// grow to about twice what is in use. The pages of the program count towards the process's limit too, but not here.
+	runtimeShare = 75
 	// defaultLimit is the limit in bytes of the Account of a process without a memory limit.
 	defaultLimit = 256 << 20
 	// SmallRequest is the size in bytes up to which a holding may use the part of an Account that is reserved for small ones.
@@ -139,6 +139,15 @@
 	return h, true
 }
 
+// ReserveForwarded reserves n bytes for a request or response between processes. release returns them.
+func (a *Account) ReserveForwarded(n int) (release func(), ok bool) {
+	h, ok := a.Reserve(Forwarded, int64(n))
+	if !ok {
+		return nil, false
+	}
+	return h.Release, true
+}
+
 // Held returns the number of bytes that are held for a kind.
 func (a *Account) Held(kind Kind) int64 {
 	a.mu.Lock()
--- a/internal/sequoianode/client.go
+++ b/internal/sequoianode/client.go
@@ -341,6 +341,10 @@
 	}
 	req.Version = min(n.directory.protocol(instance), sequoiarouter.ProtocolVersion)
 	resp, err := n.forwarder.Forward(ctx, addr, req)
+	if err == nil && !holdForwarded(ctx, resp) {
+		n.log.Event("no memory for a response", "RequestID", req.RequestID)
+		resp = &sequoiarouter.Response{Outcome: sequoiarouter.Unknown, Reason: sequoiapeer.ReasonNoMemory, Load: resp.Load, LogIndex: resp.LogIndex}
+	}
 	if err == nil {
 		n.directory.endRequest(instance, resp)
 		n.directory.observe(req, time.Since(began), resp)
--- a/internal/sequoianode/node.go
+++ b/internal/sequoianode/node.go
@@ -180,7 +180,7 @@
 		splitter:       sequoiaroute.NewSplitter(), queue: sequoiaadmission.New(defaultSlots),
 		runs: sequoiaquarantine.NewRuns[*sequoiaadmission.Ticket](), meter: sequoiakeyspace.NewMeter(),
 		ownershipChanged: make(chan struct{}), directory: newDirectory(settings), warmup: newWarmup(time.Now(), settings),
-		reserveBody: reserveForwarded(account),
+		reserveBody: account.ReserveForwarded,
 		orders:      sequoiaevacuation.New(settings.EvacuationTime),
 	}
 	n.core = sequoiaowner.New(
@@ -207,17 +207,6 @@
 	return sequoiamemory.New(sequoiamemory.AccountLimit(memoryLimit), opts...)
 }
 
-// reserveForwarded returns a function that reserves memory of the account for the body of another process's request.
-func reserveForwarded(account *sequoiamemory.Account) func(n int) (release func(), ok bool) {
-	return func(n int) (func(), bool) {
-		h, ok := account.Reserve(sequoiamemory.Forwarded, int64(n))
-		if !ok {
-			return nil, false
-		}
-		return h.Release, true
-	}
-}
-
 func randomID(n int) string {
 	b := make([]byte, n)
 	_, _ = rand.Read(b) // rand.Read never returns an error.
@@ -307,7 +296,10 @@
 	if cfg == nil {
 		return sequoiafront.Limits{}
 	}
-	return sequoiafront.Limits{MaxHead: cfg.Limits.MaxHeaderBytes, MaxBody: cfg.Limits.MaxBodyBytes}
+	return sequoiafront.Limits{
+		MaxHead: cfg.Limits.MaxHeaderBytes, MaxBody: cfg.Limits.MaxBodyBytes,
+		HeadTimeout: cfg.Limits.HeaderTimeout, IdleTimeout: cfg.Limits.IdleTimeout,
+	}
 }
 
 func (n *Node) withCore(f func(c *sequoiaowner.Core)) {
--- a/internal/sequoianode/responsememory.go
+++ b/internal/sequoianode/responsememory.go
@@ -8,6 +8,7 @@
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiafront"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiamemory"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
 )
 
@@ -85,6 +86,14 @@
 	return ok
 }
 
+// holdForwarded reserves memory for a response that another process has sent, until the client has taken it. It returns false
+// if there is none.
+func holdForwarded(ctx context.Context, resp *sequoiarouter.Response) bool {
+	m, ok := ctx.Value(responseMemoryKey{}).(*responseMemory)
+	n := int64(len(resp.Body)) + sequoiamemory.HeaderBytes(resp.Header)
+	return !ok || n == 0 || m.tryReserve(n)
+}
+
 // handOver gives the memory to the front, which has taken the response.
 func (m *responseMemory) handOver(r *http.Request) {
 	if m.holding != nil && sequoiafront.HoldResponse(r, m.holding) {
--- a/internal/sequoiapeer/bodyresponse.go
+++ b/internal/sequoiapeer/bodyresponse.go
@@ -166,13 +166,16 @@
 	}
 }
 
-// endResponse releases the memory of a response in pieces once its caller has it or has left.
+// endResponse releases the memory of a response once its caller has it or has left.
 func (c *forwardConn) endResponse(call *call) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if call.response != nil {
 		call.response.end()
 	}
+	if call.release != nil {
+		call.release()
+	}
 }
 
 // handleResponseBody adds a piece to the body of a response, and delivers the response once it is complete.
--- a/internal/sequoiapeer/forwardconn.go
+++ b/internal/sequoiapeer/forwardconn.go
@@ -67,6 +67,8 @@
 	body *outgoingBody
 	// response is the response whose body is being received in pieces.
 	response *incomingResponse
+	// release releases the memory of a response in one frame, nil if none is reserved.
+	release func()
 }
 
 // callResult is the payload of a response, a response whose body came in pieces, or an error.
@@ -569,22 +571,39 @@
 	close(c.ready)
 }
 
-// handleResponse delivers a response to the call with the same number.
+// handleResponse delivers a response to the call with the same number. Its memory is reserved before it is copied: responses
+// may arrive faster than their callers read them.
 func (c *forwardConn) handleResponse(fr frame) error {
-	return c.endCall(fr.number, callResult{payload: fr.payload})
+	if len(fr.payload) <= unreservedResponse {
+		return c.endCall(fr.number, callResult{payload: fr.payload}, nil)
+	}
+	// The copy and what is decoded from it exist at the same time.
+	release, ok := c.forwarder.ReserveBody(2 * len(fr.payload))
+	if !ok {
+		c.forwarder.bodies.countNoMemory()
+		return c.endCall(fr.number, callResult{err: errors.Wrapf(ErrNoMemory, "response with %d bytes", len(fr.payload))}, nil)
+	}
+	return c.endCall(fr.number, callResult{payload: fr.payload}, release)
 }
 
-// endCall delivers a result, with a copy of its payload, to the call with a number.
-func (c *forwardConn) endCall(number uint64, result callResult) error {
+// endCall delivers a result, with a copy of its payload, to the call with a number. release releases its memory, nil if none
+// is reserved.
+func (c *forwardConn) endCall(number uint64, result callResult, release func()) error {
 	c.mu.Lock()
 	pending := c.calls[number]
 	delete(c.calls, number)
-	abandoned := pending != nil && pending.abandoned
+	delivered := pending != nil && !pending.abandoned
+	if delivered {
+		pending.release = release
+	}
 	c.mu.Unlock()
+	if !delivered && release != nil {
+		release()
+	}
 	if pending == nil {
 		return errors.Wrapf(ErrRequestNumber, "response %d", number)
 	}
-	if abandoned {
+	if !delivered {
 		return nil
 	}
 	result.payload = bytes.Clone(result.payload)
--- a/internal/sequoiapeer/framebuffer.go
+++ b/internal/sequoiapeer/framebuffer.go
@@ -16,6 +16,8 @@
 	// unreservedRequest is the size in bytes up to which a request is served without a reservation, so that messages
 	// between processes get through when clients' requests use up the memory.
 	unreservedRequest = 16 << 10
+	// unreservedResponse is the same for the frame of a response.
+	unreservedResponse = 16 << 10
 	// noMemoryRetryAfter is the Retry-After time of a request for which there is no memory.
 	noMemoryRetryAfter = 250 * time.Millisecond
 )
@@ -42,7 +44,7 @@
 	number := binary.BigEndian.Uint64(rest[8:])
 	if c.dialed {
 		c.forwarder.bodies.countNoMemory()
-		return nil, c.endCall(number, callResult{err: errors.Wrapf(ErrNoMemory, "response with %d bytes", size)})
+		return nil, c.endCall(number, callResult{err: errors.Wrapf(ErrNoMemory, "response with %d bytes", size)}, nil)
 	}
 	if err := c.acceptNumber(number); err != nil {
 		return nil, err
