Count what the lines of a head cost instead of the lines

Cause: 256 lines were the guard of memory: a line of four bytes takes 121 once it is decoded (217 allocated on the way), and 96 more in each copy of the map.

Change: the limit on lines is gone; 64 KB and the configuration's maxHeaderBytes bound a head. The forwarder of "run" reserves in its account too, where it reserved nothing.

--- a/internal/sequoiafront/front.go
+++ b/internal/sequoiafront/front.go
@@ -35,8 +35,6 @@
 	shutdownTimeout = time.Second
 	// maxHeaderBytes is the maximum size of a request line and its headers.
 	maxHeaderBytes = 64 << 10
-	// maxHeaderLines is the maximum number of lines of a head and its trailer, including the request line and empty lines.
-	maxHeaderLines = 256
 	// readBufferSize is the size in bytes of a connection's read buffer. Most requests fit, and each idle connection
 	// holds one such buffer.
 	readBufferSize = 4 << 10
--- a/internal/sequoiafront/head.go
+++ b/internal/sequoiafront/head.go
@@ -12,24 +12,22 @@
 
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
-)
 
-const (
-	// headFactor is the memory of a head relative to its size while it is read: a buffer that doubles, and the decoded lines.
-	headFactor = 3
-	// lineBytes is what a decoded line takes beside its content.
-	lineBytes = 128
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiamemory"
 )
 
+// headFactor is the memory of a head relative to its size while it is read: a buffer that doubles, and the decoded lines.
+const headFactor = 3
+
 // headReader reads the lines of a request's head, and later those of its trailer. It checks what nbhttp's parser accepts
 // although other HTTP implementations reject it or read it differently.
 type headReader struct {
 	r *bufio.Reader
 	// raw holds the lines with their line ends.
 	raw []byte
-	// bytes and lines count what has been read, including the trailer.
-	bytes, lines int
-	budget       *budget
+	// bytes counts what has been read, including the trailer.
+	bytes  int
+	budget *budget
 }
 
 // readLine appends the next line to raw and returns it without its line end.
@@ -52,10 +50,7 @@
 			return nil, err
 		}
 	}
-	if h.lines++; h.lines > maxHeaderLines {
-		return nil, errors.WithStack(errHeadTooLarge)
-	}
-	if err := h.budget.charge(lineBytes); err != nil {
+	if err := h.budget.charge(sequoiamemory.LineBytes); err != nil {
 		return nil, err
 	}
 	line, ok := bytes.CutSuffix(h.raw[begin:], []byte("\r\n"))
--- a/internal/sequoiahttp/exchange.go
+++ b/internal/sequoiahttp/exchange.go
@@ -112,7 +112,8 @@
 	OnConnected func()
 	// MaxIdle, if positive, is the maximum idle time of a reused connection.
 	MaxIdle time.Duration
-	// Reserve, if set, reserves memory for n more bytes of the response's body before they are read, and may wait for it
+	// Reserve, if set, reserves memory for a header of many lines, and for n more bytes of the response's body before they are
+	// read, and may wait for it
 	// until ctx is done. It returns false if there is none; the request then fails with ErrTooMuchBuffered. A negative n
 	// returns memory: Do returns all that it has reserved if it fails. After a response the caller owns what is reserved.
 	Reserve func(ctx context.Context, n int64) bool
--- a/internal/sequoiahttp/reserve_test.go
+++ b/internal/sequoiahttp/reserve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -55,6 +56,29 @@
 		ginkgo.Entry("in chunks", chunked+body+"\r\n0\r\n\r\n", 2*large),
 	)
 
+	// Guards against a header of many short lines, which takes many times its size once it is decoded.
+	ginkgo.It("includes a header of many lines", func() {
+		const lines = 2000
+		var header strings.Builder
+		for i := range lines {
+			fmt.Fprintf(&header, "X%x:\r\n", i)
+		}
+		for _, end := range []string{"Content-Length: 0\r\n\r\n", "Content-Length: 5\r\n\r\nbytes"} {
+			r := &room{limit: 1 << 20}
+			resp, err := do(r, ok+header.String()+end)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.Header).To(HaveLen(lines + 1))
+			Expect(r.reserved.Load()).To(And(BeNumerically(">=", 100*lines), BeNumerically("<=", 200*lines)))
+			r = &room{limit: 100 * lines}
+			_, err = do(r, ok+header.String()+end)
+			Expect(err).To(MatchError(ErrTooMuchBuffered))
+			Expect(r.reserved.Load()).To(BeZero())
+		}
+		r := &room{}
+		_, err := do(r, ok+"X: y\r\nContent-Length: 0\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	ginkgo.DescribeTable("is returned if there is no response",
 		func(limit int64, response string, opts ...Option) {
 			r := &room{limit: limit}
--- a/internal/sequoiahttp/response.go
+++ b/internal/sequoiahttp/response.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiamemory"
 )
 
 const (
@@ -21,6 +23,8 @@
 	// smallBody is the size in bytes of a body that is read in pieces of just that size in all, so that it takes room for
 	// small responses only.
 	smallBody = 16 << 10
+	// smallHeader is the size in bytes up to which no memory is reserved for a decoded header.
+	smallHeader = 8 << 10
 	// framingFactor is how many times a body's limit may arrive from the network, chunk headers included. The decoder of
 	// chunks rejects more overhead than content.
 	framingFactor = 2
@@ -194,14 +198,7 @@
 	}
 	resp := &Response{Status: hr.StatusCode, Header: hr.Header}
 	if matched {
-		if hr.Body == http.NoBody {
-			return resp, nil
-		}
-		b := &bodyBuffer{client: c, reserve: func(n int64) bool { return req.Reserve == nil || req.Reserve(ctx, n) }}
-		var err error
-		resp.Body, err = b.readAll(hr.Body, hr.ContentLength)
-		resp.reserved = b.release(err != nil)
-		return resp, err
+		return resp, c.readMatched(ctx, hr, req, resp)
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(hr.Body, c.maxResponseBytes+1))
 	if err == nil && n > c.maxResponseBytes {
@@ -210,6 +207,31 @@
 	return resp, err
 }
 
+// readMatched reads the body of the response to a request, after it has reserved memory for the header.
+func (c *Client) readMatched(ctx context.Context, hr *http.Response, req *Request, resp *Response) error {
+	reserve := func(n int64) bool { return n == 0 || req.Reserve == nil || req.Reserve(ctx, n) }
+	header := sequoiamemory.HeaderBytes(hr.Header)
+	if header <= smallHeader {
+		header = 0
+	}
+	if !reserve(header) {
+		return errors.WithStack(ErrTooMuchBuffered)
+	}
+	resp.reserved = header
+	if hr.Body == http.NoBody {
+		return nil
+	}
+	b := &bodyBuffer{client: c, reserve: reserve}
+	body, err := b.readAll(hr.Body, hr.ContentLength)
+	resp.Body = body
+	resp.reserved += b.release(err != nil)
+	if err != nil {
+		req.returnReserved(resp)
+		resp.reserved = 0
+	}
+	return err
+}
+
 // returnReserved returns what has been reserved for a response that is not used.
 func (r *Request) returnReserved(resp *Response) {
 	if r.Reserve != nil && resp.reserved > 0 {
--- a/internal/sequoiainstance/instance.go
+++ b/internal/sequoiainstance/instance.go
@@ -178,7 +178,8 @@
 		return err
 	}
 	in.forward, err = sequoiapeer.NewForwarder(key,
-		sequoiapeer.WithServe(in.proxy.ServeForwarded), sequoiapeer.WithForwardRejected(in.peerRejected))
+		sequoiapeer.WithServe(in.proxy.ServeForwarded), sequoiapeer.WithForwardRejected(in.peerRejected),
+		sequoiapeer.WithReserve(in.proxy.Account().ReserveForwarded))
 	if err != nil {
 		return err
 	}
--- a/internal/sequoianode/responsememory.go
+++ b/internal/sequoianode/responsememory.go
@@ -86,6 +86,20 @@
 	return ok
 }
 
+// reserveHeader reserves memory for the copy of a request's header that is sent to the upstream. It returns false if there is
+// none.
+func reserveHeader(ctx context.Context, h map[string][]string) (release func(), ok bool) {
+	m, _ := ctx.Value(responseMemoryKey{}).(*responseMemory)
+	n := sequoiamemory.HeaderBytes(h)
+	if m == nil || n <= sequoiamemory.SmallRequest {
+		return func() {}, true
+	}
+	if !m.tryReserve(n) {
+		return nil, false
+	}
+	return func() { m.tryReserve(-n) }, true
+}
+
 // holdForwarded reserves memory for a response that another process has sent, until the client has taken it. It returns false
 // if there is none.
 func holdForwarded(ctx context.Context, resp *sequoiarouter.Response) bool {
--- a/internal/sequoianode/responsememory_test.go
+++ b/internal/sequoianode/responsememory_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiamemory"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
 )
 
 // Guards against responses that are read without room, and requests that wait for room beyond their deadline.
@@ -76,6 +78,31 @@
 		Expect(m.reserve(ctx, size)).To(BeTrue())
 	})
 
+	// Guards against heads of many short lines, of which each running request holds a copy, and against responses of other
+	// processes that nobody counts.
+	ginkgo.It("includes the copy of a request's header and a response of another process", func() {
+		h := map[string][]string{}
+		for i := range 1000 {
+			h[fmt.Sprint("X", i)] = []string{""}
+		}
+		ctx, m := withResponseMemory(context.Background(), room, sequoiamemory.Response)
+		release, ok := reserveHeader(ctx, h)
+		Expect(ok).To(BeTrue())
+		Expect(held()).To(BeNumerically(">", 100_000))
+		release()
+		Expect(held()).To(BeZero())
+		Expect(holdForwarded(ctx, &sequoiarouter.Response{Header: h, Body: make([]byte, size)})).To(BeTrue())
+		Expect(held()).To(BeNumerically(">", size+100_000))
+		other, _ := withResponseMemory(context.Background(), room, sequoiamemory.Response)
+		Expect(holdForwarded(other, &sequoiarouter.Response{Body: make([]byte, size)})).To(BeFalse())
+		filler, _ := account.Reserve(sequoiamemory.Request, account.Limit()*3/4-held())
+		_, ok = reserveHeader(other, map[string][]string{"X": {string(make([]byte, size/2))}})
+		Expect(ok).To(BeFalse())
+		filler.Release()
+		m.release()
+		Expect(held()).To(BeZero())
+	})
+
 	ginkgo.It("is not reserved for requests without an owner of it", func() {
 		Expect(responseReserver(context.Background())).To(BeNil())
 	})
--- a/internal/sequoianode/serve.go
+++ b/internal/sequoianode/serve.go
@@ -328,6 +328,11 @@
 	if remaining <= 0 {
 		return notRunResponse(reasonDeadline, 0)
 	}
+	releaseHeader, ok := reserveHeader(ctx, req.Header)
+	if !ok {
+		return notRunResponse(sequoiapeer.ReasonNoMemory, upstreamRetryAfter)
+	}
+	defer releaseHeader()
 	h := http.Header(maps.Clone(req.Header))
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = []string{""} // Keeps net/http from adding its default.
--- a/internal/sequoiapeer/body_test.go
+++ b/internal/sequoiapeer/body_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/binary"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -421,6 +422,29 @@
 		Expect(server.BodyStats().NoMemory).To(Equal(uint64(2)))
 	})
 
+	// Guards against a process that exceeds its memory limit because of heads: short lines, which take many times their size
+	// once they are decoded, were not counted when another process passed them on.
+	ginkgo.It("and a request without one are refused if there is no memory for the header", func() {
+		const lines = 1000
+		held := &counter{limit: 100 * lines}
+		server := startLinkForwarder(echo)
+		server.ReserveBody = held.reserve
+		client := startForwarder(testKey, nil)
+		for _, version := range []int{0, sequoiarouter.ProtocolVersion} {
+			for _, size := range []int{0, 1 << 10, 20 << 10} {
+				req := bodyRequest(size, 5*time.Second)
+				req.Version = version
+				Expect(client.Forward(context.Background(), server.Addr(), req)).To(HaveField("Outcome", sequoiarouter.Answered))
+				for i := range lines {
+					req.Header[fmt.Sprint("x", i)] = []string{""}
+				}
+				Expect(client.Forward(context.Background(), server.Addr(), req)).To(notRun(ReasonNoMemory))
+				Eventually(held.held.Load).Should(BeZero())
+			}
+		}
+		Expect(client.Stats()).To(HaveField("Dialed", uint64(1)))
+	})
+
 	ginkgo.It("releases the memory of an incomplete frame when the connection is closed", func() {
 		held := &counter{limit: 1 << 20}
 		server := startLinkForwarder(echo)
--- a/internal/sequoiapeer/bodyreceive.go
+++ b/internal/sequoiapeer/bodyreceive.go
@@ -230,7 +230,7 @@
 	if refusal != nil {
 		return c.respond(fr.number, refusal)
 	}
-	release, ok := c.forwarder.ReserveBody(req.BodySize)
+	release, ok := c.forwarder.ReserveBody(req.BodySize + reservedHeader(req.Header))
 	if !ok {
 		c.forwarder.bodies.countNoMemory()
 		return c.respond(fr.number, c.forwarder.Refuse(req, ReasonNoMemory, noMemoryRetryAfter))
--- a/internal/sequoiapeer/forward.go
+++ b/internal/sequoiapeer/forward.go
@@ -182,6 +182,11 @@
 	return func(fw *Forwarder) { fw.ReserveBody, fw.Offered, fw.Refuse = reserve, offered, refuse }
 }
 
+// WithReserve sets ReserveBody.
+func WithReserve(reserve func(n int) (release func(), ok bool)) ForwarderOption {
+	return func(fw *Forwarder) { fw.ReserveBody = reserve }
+}
+
 // WithMaxUnauthenticated sets the number of unauthenticated connections at which further incoming ones are refused.
 func WithMaxUnauthenticated(n int) ForwarderOption {
 	return func(fw *Forwarder) { fw.maxUnauthenticated = int64(n) }
--- a/internal/sequoiapeer/forwardconn.go
+++ b/internal/sequoiapeer/forwardconn.go
@@ -670,7 +670,7 @@
 	if req.BodySize > 0 {
 		return errors.Wrapf(ErrMalformed, "request: offered body of %d bytes", req.BodySize)
 	}
-	release, ok := c.reserveRequest(len(fr.payload))
+	release, ok := c.reserveRequest(len(fr.payload), req)
 	if !ok {
 		return c.refuseNoMemory(fr.number, req)
 	}
--- a/internal/sequoiapeer/framebuffer.go
+++ b/internal/sequoiapeer/framebuffer.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiamemory"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
 )
 
@@ -18,6 +19,8 @@
 	unreservedRequest = 16 << 10
 	// unreservedResponse is the same for the frame of a response.
 	unreservedResponse = 16 << 10
+	// smallHeader is the size in bytes up to which no memory is reserved for a decoded header.
+	smallHeader = 4 << 10
 	// noMemoryRetryAfter is the Retry-After time of a request for which there is no memory.
 	noMemoryRetryAfter = 250 * time.Millisecond
 )
@@ -65,16 +68,34 @@
 	return c.respond(number, c.forwarder.Refuse(req, ReasonNoMemory, noMemoryRetryAfter))
 }
 
-// reserveRequest returns the function that releases the memory of a complete request. That which is reserved for its frame
-// becomes the request's. It returns false if there is no memory.
-func (c *forwardConn) reserveRequest(size int) (release func(), ok bool) {
-	if reserved := c.releaseFrame.Swap(nil); reserved != nil {
-		return *reserved, true
-	}
-	if size <= unreservedRequest {
+// reserveRequest returns the function that releases the memory of a complete request, whose frame has the size. That which
+// is reserved for the frame becomes the request's. It returns false if there is no memory.
+func (c *forwardConn) reserveRequest(size int, req *sequoiarouter.Request) (release func(), ok bool) {
+	header := reservedHeader(req.Header)
+	reserved := c.releaseFrame.Swap(nil)
+	if reserved == nil && size+header <= unreservedRequest {
 		return func() {}, true
 	}
-	return c.forwarder.ReserveBody(size)
+	if reserved == nil {
+		return c.forwarder.ReserveBody(size + header)
+	}
+	releaseHeader, ok := c.forwarder.ReserveBody(header)
+	if !ok {
+		(*reserved)()
+		return nil, false
+	}
+	return func() {
+		releaseHeader()
+		(*reserved)()
+	}, true
+}
+
+// reservedHeader returns how many bytes to reserve for a decoded header: short lines occupy many times their size then.
+func reservedHeader(h map[string][]string) int {
+	if n := int(sequoiamemory.HeaderBytes(h)); n > smallHeader {
+		return n
+	}
+	return 0
 }
 
 // frameComplete releases the memory reserved for an incomplete request that is complete now, or whose connection is closed.
--- a/internal/sequoiaproxy/proxy.go
+++ b/internal/sequoiaproxy/proxy.go
@@ -15,6 +15,7 @@
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiacontrol"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiafront"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiahttp"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiamemory"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatable"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiatimer"
@@ -115,6 +116,9 @@
 	return p
 }
 
+// Account returns the account in which memory is reserved for requests and responses.
+func (p *Proxy) Account() *sequoiamemory.Account { return p.server.Account() }
+
 func (p *Proxy) run() {
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
--- a/internal/sequoiascenario/hostile_test.go
+++ b/internal/sequoiascenario/hostile_test.go
@@ -40,6 +40,12 @@
 		{"large-bodies", sequoiastandin.Crowd{
 			Clients: 300, Begin: head + fmt.Sprintf("Content-Length: %d\r\n\r\n", callerBody), Block: sequoiastandin.Repeated("x"), Bytes: callerBody - 1,
 		}},
+		// The requests of the following crowds are complete, so that they are passed on.
+		{"short-lines", sequoiastandin.Crowd{Clients: 1000, Begin: head, Block: short, Bytes: len(short), End: "\r\n", Repeat: 5}},
+		{"complete-odd-lines", sequoiastandin.Crowd{Clients: 1000, Begin: head, Block: odd, Bytes: len(odd), End: "\r\n", Repeat: 5}},
+		{"complete-bodies", sequoiastandin.Crowd{
+			Clients: 200, Begin: head + fmt.Sprintf("Content-Length: %d\r\n\r\n", callerBody), Block: sequoiastandin.Repeated("x"), Bytes: callerBody, Repeat: 3,
+		}},
 	}
 	for _, shape := range shapes {
 		t.Run(shape.name, func(t *testing.T) {
