Let another process connect beside clients that do not authenticate

Cause: at an eighth of limits.maxFds unauthenticated connections a further one was closed at once, and each of them has 1 s. Clients that come again at once win the places that become free.

Change: a further connection takes the place of the oldest that has not authenticated, once that has had 100 ms; those behind it wait in the kernel's queue, in order.

--- a/internal/sequoiapeer/forward.go
+++ b/internal/sequoiapeer/forward.go
@@ -40,7 +40,8 @@
 	// ErrConnectionLost reports a connection closed by the peer or the network.
 	ErrConnectionLost = errors.New("the connection was lost")
 
-	errIdle = errors.New("the connection was idle")
+	errIdle     = errors.New("the connection was idle")
+	errReplaced = errors.New("another connection took the place of one that had not authenticated")
 )
 
 const (
@@ -53,9 +54,11 @@
 	dialLoadThreshold = 64
 	// maxSendAttempts is the number of connections on which a request is tried before it fails with ErrNotSent.
 	maxSendAttempts = 2
-	// maxUnauthenticated is the number of unauthenticated connections at which further incoming ones are refused, unless an
-	// option says otherwise.
+	// maxUnauthenticated is the number of unauthenticated connections at which a further incoming one takes the place of the
+	// oldest, unless an option says otherwise.
 	maxUnauthenticated = 256
+	// minHandshake is how long an incoming connection has to authenticate before another one may take its place.
+	minHandshake = 100 * time.Millisecond
 	// maxPollers limits nbio's event loops, each of which has its own read buffer.
 	maxPollers = 4
 	// readBuffer is the size in bytes of an event loop's read buffer.
@@ -126,6 +129,8 @@
 	listener net.Listener
 	ctx      context.Context
 	cancel   context.CancelFunc
+	// handshakes are the incoming connections that had not authenticated when they were last looked at, oldest first.
+	handshakes []*forwardConn
 	// opening tracks the goroutines that accept or dial connections, running those that serve requests.
 	opening, running sync.WaitGroup
 	unauthenticated  atomic.Int64
@@ -187,7 +192,8 @@
 	return func(fw *Forwarder) { fw.ReserveBody = reserve }
 }
 
-// WithMaxUnauthenticated sets the number of unauthenticated connections at which further incoming ones are refused.
+// WithMaxUnauthenticated sets the number of unauthenticated connections at which a further incoming one takes the place of the
+// oldest.
 func WithMaxUnauthenticated(n int) ForwarderOption {
 	return func(fw *Forwarder) { fw.maxUnauthenticated = int64(n) }
 }
@@ -558,13 +564,35 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		if f.unauthenticated.Load() >= f.maxUnauthenticated {
-			f.rejected.Add(1)
-			_ = netConn.Close()
+		f.replaceUnauthenticated()
+		peer := netConn.RemoteAddr().(*net.TCPAddr).AddrPort()
+		if c, err := f.add(netConn, unmap(peer), false); err == nil {
+			f.handshakes = append(f.handshakes, c)
+		}
+	}
+}
+
+// replaceUnauthenticated closes the oldest incoming connection that has not authenticated if there are too many of them.
+// Connections that come meanwhile wait in the kernel's queue, so that clients that come again at once do not overtake other
+// processes. Only accept calls it.
+func (f *Forwarder) replaceUnauthenticated() {
+	for {
+		f.handshakes = slices.DeleteFunc(f.handshakes, func(c *forwardConn) bool {
+			authenticated, closed := c.handshakeState()
+			return authenticated || closed
+		})
+		if f.unauthenticated.Load() < f.maxUnauthenticated || len(f.handshakes) == 0 {
+			return
+		}
+		oldest := f.handshakes[0]
+		if wait := minHandshake - time.Since(oldest.opened); wait > 0 {
+			if sequoiatimer.Sleep(f.ctx, wait) != nil {
+				return
+			}
 			continue
 		}
-		peer := netConn.RemoteAddr().(*net.TCPAddr).AddrPort()
-		_, _ = f.add(netConn, unmap(peer), false)
+		f.rejected.Add(1)
+		oldest.close(errors.WithStack(errReplaced))
 	}
 }
 
--- a/internal/sequoiapeer/forward_test.go
+++ b/internal/sequoiapeer/forward_test.go
@@ -410,6 +410,48 @@
 		ginkgo.Entry("nothing within the time limit", func(*Forwarder) []byte { return nil }),
 	)
 
+	// Guards against clients that keep other processes out by connections on which they do not authenticate, and come again
+	// when these are closed: a process that had just started reached another one after 10 s.
+	ginkgo.It("serves another process beside clients that do not authenticate and come again", func() {
+		const allowed, clients = 8, 40
+		server := startForwarder(testKey, echo)
+		server.maxUnauthenticated = allowed
+		stop := make(chan struct{})
+		var wg sync.WaitGroup
+		for range clients {
+			wg.Go(func() {
+				for {
+					time.Sleep(time.Millisecond)
+					conn, err := net.Dial("tcp", server.Addr().String())
+					if err != nil {
+						continue
+					}
+					ended := make(chan struct{})
+					go func() {
+						defer close(ended)
+						_, _ = io.Copy(io.Discard, conn)
+					}()
+					select {
+					case <-ended:
+						_ = conn.Close()
+					case <-stop:
+						_ = conn.Close()
+						return
+					}
+				}
+			})
+		}
+		Eventually(server.unauthenticated.Load).Should(BeNumerically(">=", allowed))
+		for i := range 5 {
+			client := startForwarder(testKey, nil)
+			_, err := client.Forward(context.Background(), server.Addr(), request(fmt.Sprint(i), 10*time.Second))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(server.unauthenticated.Load()).To(BeNumerically("<=", allowed))
+		}
+		close(stop)
+		wg.Wait()
+	})
+
 	ginkgo.It("ends the context of a request that the caller cancels", func() {
 		started, ended := make(chan struct{}), make(chan struct{})
 		server := startForwarder(testKey, func(ctx context.Context, _ *sequoiarouter.Request) *sequoiarouter.Response {
--- a/internal/sequoiapeer/forwardconn.go
+++ b/internal/sequoiapeer/forwardconn.go
@@ -84,6 +84,7 @@
 	nb        *nbio.Conn
 	addr      netip.AddrPort
 	dialed    bool
+	opened    time.Time
 	ready     chan struct{}
 	done      chan struct{}
 	// retired is closed when the connection accepts no new requests although some are still in progress.
@@ -140,7 +141,7 @@
 
 func newForwardConn(f *Forwarder, nb *nbio.Conn, addr netip.AddrPort, dialed bool) *forwardConn {
 	c := &forwardConn{
-		forwarder: f, nb: nb, addr: addr, dialed: dialed,
+		forwarder: f, nb: nb, addr: addr, dialed: dialed, opened: time.Now(),
 		ready:     make(chan struct{}),
 		done:      make(chan struct{}),
 		retired:   make(chan struct{}),
@@ -428,6 +429,13 @@
 	return c.closeErr
 }
 
+// handshakeState reports whether the peer has authenticated, and whether the connection is closed.
+func (c *forwardConn) handshakeState() (authenticated, closed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.authenticated, c.closeErr != nil
+}
+
 // isClosed reports whether the connection is closed.
 func (c *forwardConn) isClosed() bool { return c.closeReason() != nil }
 
