Bound the heap of run as its account expects

Cause: the account of 256 MB is 0.45 of the memory that a process is expected to have, but the Go runtime had no limit in "run", so the collector let the heap grow to twice what was in use, and further while it was late.

Change: Run sets the runtime's limit to 0.75 of 256 MB / 0.45, 427 MB. The bound for control, 128 MB (docs/CAPACITY.md), fits beside the account.

--- a/internal/sequoiainstance/instance.go
+++ b/internal/sequoiainstance/instance.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/netip"
 	"os"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiacontrol"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoialog"
+	"github.com/sequoiaspring/sequoiaspring/internal/sequoiamemory"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiapeer"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiaproxy"
 	"github.com/sequoiaspring/sequoiaspring/internal/sequoiarouter"
@@ -242,6 +244,8 @@
 // Run serves until an operator has drained the process or ctx ends; in the latter case it drains. It then closes the
 // process.
 func (in *Instance) Run(ctx context.Context) error {
+	// Otherwise the garbage collector lets the heap grow to twice what is held for callers.
+	debug.SetMemoryLimit(sequoiamemory.RuntimeLimit(sequoiamemory.DefaultMemory))
 	defer in.Close()
 	defer in.proxy.Drain(settleTimeout)
 	select {
--- a/internal/sequoiamemory/account.go
+++ b/internal/sequoiamemory/account.go
@@ -44,6 +44,9 @@
 	return memoryLimit / 100 * accountShare
 }
 
+// DefaultMemory is the memory in bytes of a process without a limit in its settings, of which its Account has its share.
+const DefaultMemory = defaultLimit / accountShare * 100
+
 // RuntimeLimit returns the limit in bytes for the Go runtime of a process with a memory limit, zero if it has none.
 func RuntimeLimit(memoryLimit int64) int64 { return memoryLimit / 100 * runtimeShare }
 
