Evict no connection while those being closed keep its place

What callers would see: when an eighth more connections than allowed are open and all of those being closed have been cut but still wait for their handlers, a new connection went on replacing open ones for up to a second without getting a place. Found by reading; no run has shown it.

Change: as long as too many connections are being closed, none is replaced; the new one waits for one of them to end.

--- a/internal/sequoiafront/slots.go
+++ b/internal/sequoiafront/slots.go
@@ -82,17 +82,7 @@
 // makeRoom ends the connection to replace, and one that is being closed if there are too many of these. It returns how long
 // to wait before the next attempt, and false if no connection can be replaced.
 func (s *slots) makeRoom(now time.Time) (wait time.Duration, ok bool) {
-	s.mu.Lock()
-	var cut *serverConn
-	if len(s.open)+len(s.closing) >= s.max+s.max/closingFraction {
-		if i := slices.IndexFunc(s.closing, func(c *serverConn) bool { return !c.cut }); i >= 0 {
-			cut = s.closing[i]
-			cut.cut = true
-		}
-	}
-	s.mu.Unlock()
-	if cut != nil {
-		_ = cut.Close()
+	if s.cutClosing() {
 		return slotRetry, true
 	}
 	for {
@@ -110,6 +100,26 @@
 	}
 }
 
+// cutClosing reports whether too many connections are being closed for another one to be replaced. It then closes the oldest
+// of them that it has not closed yet.
+func (s *slots) cutClosing() bool {
+	s.mu.Lock()
+	if len(s.open)+len(s.closing) < s.max+s.max/closingFraction || len(s.closing) == 0 {
+		s.mu.Unlock()
+		return false
+	}
+	i := slices.IndexFunc(s.closing, func(c *serverConn) bool { return !c.cut })
+	if i < 0 {
+		s.mu.Unlock()
+		return true
+	}
+	oldest := s.closing[i]
+	oldest.cut = true
+	s.mu.Unlock()
+	_ = oldest.Close()
+	return true
+}
+
 // oldest returns the connection that may be replaced first.
 func (s *slots) oldest() (candidate, bool) {
 	s.mu.Lock()
