Let a connection be replaced before its goroutine has started

What callers see: on a busy machine a new client could be closed at once although all connections but its own were idle.

Cause: a connection could be replaced only from the moment on at which its goroutine had started; until then it counted like one with a request in progress. Clients that connect faster than goroutines start found no connection to replace.

The spec now prints the counts.

--- a/internal/sequoiafront/conn.go
+++ b/internal/sequoiafront/conn.go
@@ -66,6 +66,8 @@
 
 func newServerConn(s *Server, conn net.Conn, cfg *listenConfig) *serverConn {
 	c := &serverConn{Conn: conn, server: s, listener: cfg, idleSince: time.Now()}
+	// Its goroutine may take a while to start, and until then it would count as one with a request in progress.
+	c.updateReplaceable()
 	c.changed.L = &c.mu
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	c.r = bufio.NewReaderSize(c, readBufferSize)
@@ -106,9 +108,6 @@
 // serve reads requests until the connection ends.
 func (c *serverConn) serve() {
 	defer c.server.unregister(c)
-	c.mu.Lock()
-	c.updateReplaceable()
-	c.mu.Unlock()
 	err := c.readRequests()
 	if i, ok := refusalOf(err); ok {
 		c.refuse(i)
--- a/internal/sequoiafront/memory_test.go
+++ b/internal/sequoiafront/memory_test.go
@@ -409,7 +409,7 @@
 		for range 20 {
 			dial(addr)
 		}
-		Eventually(func() uint64 { return s.Stats().Closed["Replaced"] }, "10s").Should(BeNumerically(">=", 10))
+		Eventually(func() uint64 { return s.Stats().Closed["Replaced"] }, "10s").Should(BeNumerically(">=", 10), func() string { return fmt.Sprint(s.Stats()) })
 		Expect(s.Account().Held(sequoiamemory.Connection)).To(BeNumerically("<=", 120<<10))
 		Expect(statusOf(addr, get("/"))).To(Equal(http.StatusOK))
 		Expect(s.Account().Held(sequoiamemory.Connection)).To(BeNumerically("<=", 120<<10))
