--- a/internal/sequoiafront/stats.go
+++ b/internal/sequoiafront/stats.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"os"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -48,8 +47,6 @@
 		return closedWrite
 	case errors.Is(cause, errConnectionClosing):
 		return closedResponse
-	case errors.Is(cause, os.ErrDeadlineExceeded):
-		return closedIdle
 	case errors.Is(cause, net.ErrClosed):
 		return closedShutdown
 	default:
